Add the design page, the workspace and the base packages

Cause: a new repository has no shape to build on. Change: docs/design.md names the components, the state, the messages, the failure modes and every requirement. coord/ gets time readings, outcomes, units, the ownership table, both sides of a lease, the operator's document and the messages between members and control. Ruled out: counting the tracker's wait by wall clock, because a forward step would declare a loss while the lease still runs.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target works on a fresh machine with Go, make and the module proxy.
+
+GO ?= go
+MODULES := coord router
+BIN := bin
+
+.PHONY: all build fmt-check vet lint test race bench slopes demo clean
+
+all: build
+
+build:
+	mkdir -p $(BIN)
+	cd router && $(GO) build -o ../$(BIN)/ ./cmd/...
+
+fmt-check:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	cd coord && $(GO) vet ./...
+	cd router && $(GO) vet ./...
+
+# staticcheck is pinned as a tool of the router module.
+lint:
+	cd router && $(GO) tool staticcheck ./... bramleyquay.example/coord/...
+
+test: fmt-check vet lint
+	cd coord && $(GO) test -timeout 8m ./...
+	cd router && $(GO) test -timeout 8m ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/coord/clock/reading.go
@@ -0,0 +1,37 @@
+// Package clock represents time as an input to state machines.
+package clock
+
+import "time"
+
+// Reading is one reading of a process's two clocks.
+type Reading struct {
+	// Mono is the monotonic clock, in nanoseconds from an arbitrary origin.
+	Mono time.Duration
+	// Wall is the wall clock, in nanoseconds since the Unix epoch.
+	Wall time.Duration
+}
+
+// At returns a reading on which both clocks show d. Tests use it for virtual time.
+func At(d time.Duration) Reading { return Reading{Mono: d, Wall: d} }
+
+// Since returns the time elapsed from earlier to r: the larger of the
+// monotonic and the wall difference, because the monotonic clock may stand
+// still while a machine is suspended. It is never negative.
+func (r Reading) Since(earlier Reading) time.Duration {
+	return max(r.Mono-earlier.Mono, r.Wall-earlier.Wall, 0)
+}
+
+// MonoSince returns the monotonic time elapsed from earlier to r, at least
+// zero. A party that must not act too early uses it: a step of the wall clock
+// cannot lengthen it, and a suspended machine only makes it shorter.
+func (r Reading) MonoSince(earlier Reading) time.Duration {
+	return max(r.Mono-earlier.Mono, 0)
+}
+
+// Add returns the reading d later on both clocks.
+func (r Reading) Add(d time.Duration) Reading {
+	return Reading{Mono: r.Mono + d, Wall: r.Wall + d}
+}
+
+// IsZero reports whether r was never set.
+func (r Reading) IsZero() bool { return r == Reading{} }
--- /dev/null
+++ b/coord/config/datacentre.go
@@ -0,0 +1,10 @@
+package config
+
+// DataCentre is a place where instances stand.
+type DataCentre struct {
+	Name string `json:"name"`
+	// Region groups data centres that are near each other.
+	Region string `json:"region,omitempty"`
+	// Drained takes the data centre out of service: it receives no new work.
+	Drained bool `json:"drained,omitempty"`
+}
--- /dev/null
+++ b/coord/control/messages.go
@@ -0,0 +1,153 @@
+// Package control holds the replicated state of the control group and the
+// decisions of its leader.
+package control
+
+import (
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// Renewal is what a member sends to the control leader: it registers the
+// member, asks for a lease and for changes, and reports what happened.
+type Renewal struct {
+	ID          table.MemberID `json:"id"`
+	Incarnation uint64         `json:"incarnation"`
+	Seq         uint64         `json:"seq"`
+	DataCentre  string         `json:"dataCentre"`
+	PeerAddr    string         `json:"peerAddr"`
+	// Target is nil while no target has announced itself.
+	Target *Target `json:"target,omitempty"`
+	// Leaving asks that all units are moved away because the process stops.
+	Leaving bool `json:"leaving,omitempty"`
+	// The newest revisions that the member holds.
+	TableRevision     uint64 `json:"tableRevision"`
+	ConfigRevision    uint64 `json:"configRevision"`
+	DirectoryRevision uint64 `json:"directoryRevision"`
+
+	Load     Load         `json:"load"`
+	Released []UnitEpoch  `json:"released,omitempty"`
+	Synced   []CopySynced `json:"synced,omitempty"`
+	HotKeys  []HotKey     `json:"hotKeys,omitempty"`
+	// UnitLoads gives the request rate of the units that the member owns.
+	UnitLoads []UnitLoad `json:"unitLoads,omitempty"`
+}
+
+// Target describes the target beside a member.
+type Target struct {
+	Service string `json:"service"`
+	// Slots is the number of requests that the target can run at once.
+	Slots        int  `json:"slots"`
+	ChecksFences bool `json:"checksFences,omitempty"`
+	// Incarnation changes with every start of the target.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+}
+
+// Load is a gate's view of its target.
+type Load struct {
+	Running int `json:"running"`
+	Limit   int `json:"limit"`
+	Queued  int `json:"queued"`
+	// Rate is in requests per second.
+	Rate float64 `json:"rate"`
+	// ServiceTimeUs is the recent median service time in microseconds.
+	ServiceTimeUs int64 `json:"serviceTimeUs"`
+}
+
+// UnitEpoch names a unit at an epoch.
+type UnitEpoch struct {
+	Unit  shard.Unit `json:"unit"`
+	Epoch uint64     `json:"epoch"`
+}
+
+// CopySynced reports that Copy holds all records of the unit.
+type CopySynced struct {
+	Unit  shard.Unit     `json:"unit"`
+	Epoch uint64         `json:"epoch"`
+	Copy  table.MemberID `json:"copy"`
+}
+
+// HotKey is a frequently requested key.
+type HotKey struct {
+	Keyspace string `json:"keyspace"`
+	Hash     uint64 `json:"hash"`
+	// Rate is in requests per second.
+	Rate float64 `json:"rate"`
+}
+
+// UnitLoad is the load of one unit.
+type UnitLoad struct {
+	Unit shard.Unit `json:"unit"`
+	// Rate is in requests per second.
+	Rate float64 `json:"rate"`
+}
+
+// RenewalStatus tells a member what its renewal achieved.
+type RenewalStatus string
+
+const (
+	// Granted means that the lease is renewed.
+	Granted RenewalStatus = "granted"
+	// Pending means that the registration is not in force yet; renew again.
+	Pending RenewalStatus = "pending"
+	// Fenced means that this incarnation was declared lost. The member drops
+	// its units and registers with a new incarnation.
+	Fenced RenewalStatus = "fenced"
+)
+
+// RenewalReply answers a Renewal.
+//
+// A member applies Table before it counts the lease: a lease is only worth
+// something together with the table of TableRevision.
+type RenewalReply struct {
+	Status RenewalStatus `json:"status"`
+	Seq    uint64        `json:"seq"`
+	// TableRevision is the revision after Table is applied.
+	TableRevision uint64       `json:"tableRevision"`
+	Table         *table.Delta `json:"table,omitempty"`
+	// Config is set if the member's configuration is older than the newest.
+	Config    *ConfigUpdate    `json:"config,omitempty"`
+	Directory *DirectoryUpdate `json:"directory,omitempty"`
+	// Draining tells the member that it must take no new work once its units
+	// have moved.
+	Draining bool `json:"draining,omitempty"`
+	// MayStop tells a leaving member that it owns nothing any more.
+	MayStop bool `json:"mayStop,omitempty"`
+}
+
+// ConfigUpdate carries a whole document; documents are small.
+type ConfigUpdate struct {
+	Revision uint64 `json:"revision"`
+	// Document is the document as JSON.
+	Document []byte `json:"document"`
+}
+
+// DirectoryUpdate carries changed members.
+type DirectoryUpdate struct {
+	Revision uint64 `json:"revision"`
+	// Full says that Members replaces the whole directory.
+	Full    bool             `json:"full,omitempty"`
+	Members []Member         `json:"members,omitempty"`
+	Removed []table.MemberID `json:"removed,omitempty"`
+}
+
+// MemberState is the state of a registered member.
+type MemberState string
+
+const (
+	// Active members receive work.
+	Active MemberState = "active"
+	// Draining members finish what they have and receive no new work.
+	Draining MemberState = "draining"
+)
+
+// Member is an entry of the directory.
+type Member struct {
+	ID          table.MemberID `json:"id" cbor:"1,keyasint"`
+	Incarnation uint64         `json:"incarnation" cbor:"2,keyasint"`
+	DataCentre  string         `json:"dataCentre" cbor:"3,keyasint"`
+	PeerAddr    string         `json:"peerAddr" cbor:"4,keyasint"`
+	State       MemberState    `json:"state" cbor:"5,keyasint"`
+	Target      *Target        `json:"target,omitempty" cbor:"6,keyasint,omitempty"`
+	// Leaving is set once the member asked to stop.
+	Leaving bool `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
+}
--- /dev/null
+++ b/coord/lease/tracker.go
@@ -0,0 +1,70 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/table"
+)
+
+// Tracker is the control leader's side of all leases. It is volatile: a new
+// leader starts with Reset.
+//
+// Invariant: a member is reported as expired only when its holder's lease has
+// ended, given that clocks diverge by at most Config.Drift. The tracker counts
+// monotonic time only: a wall clock that is stepped forward must not shorten
+// the wait.
+type Tracker struct {
+	cfg     Config
+	started clock.Reading
+	heard   map[table.MemberID]clock.Reading
+}
+
+// NewTracker returns a tracker that has heard from nobody.
+func NewTracker(cfg Config) *Tracker {
+	return &Tracker{cfg: cfg, heard: map[table.MemberID]clock.Reading{}}
+}
+
+// Reset forgets all leases because a new leader term starts now. An earlier
+// leader may have granted leases up to this moment.
+func (t *Tracker) Reset(now clock.Reading) {
+	t.started = now
+	clear(t.heard)
+}
+
+// Renewed records that a renewal of m was received at now.
+func (t *Tracker) Renewed(m table.MemberID, now clock.Reading) { t.heard[m] = now }
+
+// Forget drops a member that was removed.
+func (t *Tracker) Forget(m table.MemberID) { delete(t.heard, m) }
+
+// Expired reports whether m's lease has surely ended. checksFences says that
+// m's target refuses work outside its grants, so no grace is needed.
+func (t *Tracker) Expired(m table.MemberID, checksFences bool, now clock.Reading) bool {
+	from, ok := t.heard[m]
+	if !ok {
+		from = t.started
+	}
+	wait := t.cfg.Duration + t.cfg.Drift
+	if !checksFences {
+		wait += t.cfg.Grace
+	}
+	return now.MonoSince(from) > wait
+}
+
+// Heard returns when m last renewed in this leader term.
+func (t *Tracker) Heard(m table.MemberID) (clock.Reading, bool) {
+	r, ok := t.heard[m]
+	return r, ok
+}
+
+// Members returns the members heard from in this term, in ascending order.
+func (t *Tracker) Members() []table.MemberID {
+	ids := make([]table.MemberID, 0, len(t.heard))
+	for id := range t.heard {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, cmp.Compare[table.MemberID])
+	return ids
+}
--- /dev/null
+++ b/coord/shard/parse.go
@@ -0,0 +1,31 @@
+package shard
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("shard")
+
+// Parse reads the form that Unit.String returns.
+func Parse(s string) (Unit, error) {
+	parts := strings.Split(s, "/")
+	if len(parts) < 2 || len(parts) > 3 || parts[0] == "" {
+		return Unit{}, Error.New("unit %q is not service/shard or service/shard/key", s)
+	}
+	index, err := strconv.ParseUint(parts[1], 10, 32)
+	if err != nil {
+		return Unit{}, Error.New("unit %q: shard is not a number", s)
+	}
+	u := Unit{Service: parts[0], Shard: uint32(index)}
+	if len(parts) == 3 {
+		u.Key, err = strconv.ParseUint(parts[2], 16, 64)
+		if err != nil || u.Key == 0 {
+			return Unit{}, Error.New("unit %q: key is not a non-zero hexadecimal hash", s)
+		}
+	}
+	return u, nil
+}
--- /dev/null
+++ b/router/cmd/bqctl/main.go
@@ -0,0 +1,4 @@
+// Command bqctl is the operator's tool.
+package main
+
+func main() {}
