--- a/coord/table/entry.go
+++ b/coord/table/entry.go
@@ -20,9 +20,10 @@
 	Copies []MemberID `json:"copies,omitempty" cbor:"6,keyasint,omitempty"`
 	// Joining copies are being filled by the owner and are written to as well.
 	Joining []MemberID `json:"joining,omitempty" cbor:"7,keyasint,omitempty"`
-	// Sources held the records at the previous epoch. A new owner that is not
-	// among them reads from one of them before it serves. Empty means that no
-	// copy survived or that the unit never had records.
+	// Sources hold every record of the unit. A new owner that is not among
+	// them reads from one of them before it serves, and reports itself as
+	// synced then. Empty means that no copy survived or that the unit never had
+	// records.
 	Sources []MemberID `json:"sources,omitempty" cbor:"8,keyasint,omitempty"`
 	// RecordsLost means that every holder of the unit's records was lost.
 	RecordsLost bool `json:"recordsLost,omitempty" cbor:"9,keyasint,omitempty"`
--- /dev/null
+++ b/router/call/hop.go
@@ -0,0 +1,41 @@
+package call
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// HopRequest returns the request that carries the call to the gate at addr.
+// The idempotency key travels in a header of its own, because http.Transport
+// repeats requests that have the usual one.
+func HopRequest(ctx context.Context, c *Call, addr string) *http.Request {
+	req := c.NewRequest(ctx, addr)
+	h := req.Header
+	h.Del(HeaderIdempotencyKey)
+	h.Del("X-Idempotency-Key")
+	h.Set(HeaderService, c.Service)
+	h.Set(HeaderTimeout, strconv.FormatInt(max(time.Until(c.Deadline).Milliseconds(), 1), 10))
+	setIf(h, HeaderKey, c.Key)
+	setIf(h, HeaderPeerKey, c.IdempotencyKey)
+	if c.IssuedAtMs > 0 {
+		h.Set(HeaderIssuedAt, strconv.FormatInt(c.IssuedAtMs, 10))
+	}
+	return req
+}
+
+// HopNames reads the names that HopRequest wrote.
+func HopNames(r *http.Request) Names {
+	return Names{
+		Service: r.Header.Get(HeaderService), Key: r.Header.Get(HeaderKey),
+		IdempotencyKey: r.Header.Get(HeaderPeerKey),
+		Path:           r.URL.Path, RawPath: r.URL.RawPath,
+	}
+}
+
+func setIf(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
--- /dev/null
+++ b/router/call/refusal.go
@@ -0,0 +1,87 @@
+package call
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleyquay.example/coord/outcome"
+)
+
+// maxRefusalBytes bounds the refusal body read from a peer.
+const maxRefusalBytes = 4 << 10
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Outcome      outcome.Outcome `json:"outcome"`
+	Reason       outcome.Reason  `json:"reason"`
+	RetryAfterMs int64           `json:"retryAfterMs"`
+	Detail       string          `json:"detail,omitempty"`
+}
+
+// WriteRefusal answers a caller or peer with a refusal.
+func WriteRefusal(w http.ResponseWriter, r *outcome.Refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	h.Set(HeaderOutcome, string(r.Outcome))
+	if r.RetryAfter > 0 {
+		seconds := int(math.Ceil(r.RetryAfter.Seconds()))
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(Status(r))
+	body := refusalBody{Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds(), Detail: r.Detail}
+	_ = json.NewEncoder(w).Encode(body) // the caller may have gone away
+}
+
+// ReadRefusal reads the refusal that a peer wrote. It reports false if the
+// answer is not a refusal.
+func ReadRefusal(resp *http.Response) (*outcome.Refusal, bool) {
+	o := outcome.Outcome(resp.Header.Get(HeaderOutcome))
+	if o != outcome.NotRun && o != outcome.Unknown {
+		return nil, false
+	}
+	r := &outcome.Refusal{Outcome: o, Reason: outcome.ReasonConnection}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	var body refusalBody
+	if err == nil && json.Unmarshal(data, &body) == nil {
+		r.Reason, r.Detail = body.Reason, body.Detail
+		r.RetryAfter = time.Duration(body.RetryAfterMs) * time.Millisecond
+	}
+	return r, true
+}
+
+// Status returns the HTTP status of a refusal.
+func Status(r *outcome.Refusal) int {
+	switch r.Reason {
+	case outcome.ReasonBadRequest, outcome.ReasonRecordExpired:
+		return http.StatusBadRequest
+	case outcome.ReasonNoService, outcome.ReasonNoRule:
+		return http.StatusNotFound
+	case outcome.ReasonBodyMismatch:
+		return http.StatusUnprocessableEntity
+	case outcome.ReasonInProgress:
+		return http.StatusConflict
+	case outcome.ReasonQueueFull, outcome.ReasonShed:
+		return http.StatusTooManyRequests
+	case outcome.ReasonUpstreamBroken, outcome.ReasonConnection:
+		return http.StatusBadGateway
+	case outcome.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// AsRefusal returns the refusal in err, or an Unknown one for other errors.
+func AsRefusal(err error) *outcome.Refusal {
+	var r *outcome.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return outcome.Undecided(outcome.ReasonConnection, err.Error())
+}
--- /dev/null
+++ b/router/controlnode/node.go
@@ -0,0 +1,229 @@
+package controlnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/store"
+	"bramleyquay.example/router/timesource"
+)
+
+// Node is one control replica. All its state belongs to the goroutine of Run.
+type Node struct {
+	cfg    Config
+	client *peer.Client
+	log    logging.Logger
+	events chan func()
+	failed chan error
+
+	store      *store.Store
+	raft       *raft.Node
+	state      *control.State
+	controller *control.Controller
+	outbox     *outbox
+	wakers     *wakers
+
+	formation  formation
+	opened     raft.Stored
+	leading    bool
+	lastTick   clock.Reading
+	lastReview clock.Reading
+	waiting    map[uint64]waiter
+	compacted  uint64
+	// seen are the revisions that members were last woken for.
+	seen revisions
+
+	stopOnce sync.Once
+	stopped  chan struct{}
+}
+
+// revisions are the revisions that members follow.
+type revisions struct{ table, config, directory uint64 }
+
+// waiter waits for the result of a proposed command.
+type waiter struct {
+	term   uint64
+	result chan proposed
+}
+
+type proposed struct {
+	result control.Result
+	err    error
+}
+
+// Open reads the replica's folder. A damaged folder is an error: the replica
+// must not take part with less than it has promised.
+func Open(cfg Config, client *peer.Client, log logging.Logger) (*Node, error) {
+	n := &Node{
+		cfg: cfg, client: client, log: log,
+		events:     make(chan func(), 1024),
+		failed:     make(chan error, 1),
+		state:      control.NewState(),
+		controller: control.NewController(cfg.Controller, rand.New(rand.NewPCG(cfg.Seed, shard.Hash(cfg.ID)))),
+		wakers:     newWakers(),
+		waiting:    map[uint64]waiter{},
+		stopped:    make(chan struct{}),
+	}
+	n.outbox = newOutbox(client, n.address, log)
+	if err := n.open(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) open() error {
+	fsys := store.OS(n.cfg.Folder)
+	st, stored, empty, err := store.Open(fsys)
+	if err != nil {
+		return err
+	}
+	n.store, n.opened = st, stored
+	id, err := n.formation.load(n.cfg, fsys, empty)
+	if err != nil || id == "" {
+		return err
+	}
+	return n.start(id, stored)
+}
+
+// start begins to take part as replica id.
+func (n *Node) start(id raft.ID, stored raft.Stored) error {
+	node, err := raft.New(raft.Config{
+		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		KeepEntries: int(n.cfg.SnapshotEntries),
+		Rand:        rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), shard.Hash(string(id)))),
+	}, stored)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if len(stored.Snapshot.Data) > 0 {
+		if n.state, err = control.Restore(stored.Snapshot.Data); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	n.raft, n.compacted = node, stored.Snapshot.Index
+	n.lastTick = timesource.Now()
+	n.log.Infof("replica %s starts at index %d, term %d", id, stored.Snapshot.Index+uint64(len(stored.Entries)), stored.Hard.Term)
+	return nil
+}
+
+// Run runs the replica until ctx ends. It returns an error if the replica had
+// to stop, for example because its disk failed.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.stop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	go n.form(ctx)
+	for {
+		var event func()
+		select {
+		case <-ctx.Done():
+			return n.store.Close()
+		case err := <-n.failed:
+			return err
+		case <-ticker.C:
+		case event = <-n.events:
+		}
+		// Time passes before the event is handled: after a pause of the process
+		// a leader must notice that its time is over before it answers.
+		n.passTime()
+		if event != nil {
+			event()
+		}
+		if err := n.process(); err != nil {
+			n.log.Errorf("replica stops: %v", err)
+			return err
+		}
+	}
+}
+
+func (n *Node) stop() {
+	n.stopOnce.Do(func() { close(n.stopped) })
+	n.outbox.close()
+}
+
+// do runs f on the replica's goroutine and waits for it.
+func (n *Node) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case n.events <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	case <-n.stopped:
+		return Error.New("the replica has stopped")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	case <-n.stopped:
+		return Error.New("the replica has stopped")
+	}
+}
+
+// passTime advances the log by the ticks that have passed by either clock.
+func (n *Node) passTime() {
+	if n.raft == nil {
+		return
+	}
+	now := timesource.Now()
+	ticks := int(now.Since(n.lastTick) / tickInterval)
+	if ticks == 0 {
+		return
+	}
+	if ticks > maxCatchUpTicks {
+		n.log.Warnf("the process was paused for %s", now.Since(n.lastTick).Round(time.Millisecond))
+		ticks, n.lastTick = maxCatchUpTicks, now
+	} else {
+		n.lastTick = n.lastTick.Add(time.Duration(ticks) * tickInterval)
+	}
+	for range ticks {
+		n.raft.Tick()
+	}
+}
+
+// serves reports whether this replica may answer as leader now.
+func (n *Node) serves() bool {
+	if n.raft == nil {
+		return false
+	}
+	st := n.raft.Status()
+	return n.leading && st.QuorumActive && st.TermApplied
+}
+
+// notLeader is the answer of a replica that does not lead.
+func (n *Node) notLeader() error {
+	e := &peer.NotLeaderError{}
+	if n.raft != nil {
+		if leader := n.raft.Status().Leader; leader != "" && leader != n.raft.Status().ID {
+			e.Leader = n.address(leader)
+		}
+	}
+	return e
+}
+
+// address returns the peer address of a replica: from the settings by the name
+// before the dot, or from the directory for replicas that were added later.
+func (n *Node) address(id raft.ID) string {
+	name, _, _ := strings.Cut(string(id), ".")
+	for _, p := range n.cfg.Peers {
+		if p.ID == name {
+			return p.Address
+		}
+	}
+	for _, m := range n.state.Members() {
+		if string(m.ID) == name {
+			return m.PeerAddr
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/router/controlnode/serve.go
@@ -0,0 +1,66 @@
+package controlnode
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/member"
+	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/timesource"
+)
+
+// Register adds the replica's methods to a server.
+func (n *Node) Register(s *peer.Server) {
+	s.Handle(MethodHello, peer.Bind(n.hello))
+	s.Handle(MethodStep, peer.Bind(n.step))
+	s.Handle(member.MethodRenew, n.renew)
+}
+
+// step takes a message of another replica.
+func (n *Node) step(_ context.Context, m raft.Message) (struct{}, error) {
+	select {
+	case n.events <- func() { n.receive(m) }:
+	default: // overloaded; the sender repeats
+	}
+	return struct{}{}, nil
+}
+
+func (n *Node) receive(m raft.Message) {
+	if n.raft == nil {
+		return
+	}
+	if err := n.raft.Step(m); err != nil {
+		n.log.Debugf("message from replica %s refused: %v", m.From, err)
+	}
+}
+
+// renew answers a member's renewal.
+func (n *Node) renew(ctx context.Context, conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
+	var r control.Renewal
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	var reply control.RenewalReply
+	var refused error
+	err := n.do(ctx, func() {
+		if !n.serves() {
+			refused = n.notLeader()
+			return
+		}
+		var commands []control.Command
+		reply, commands = n.controller.Renew(timesource.Now(), n.state, r)
+		n.proposeAll(commands)
+		n.wakers.set(r.ID, conn)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if refused != nil {
+		return nil, refused
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/router/daemon/daemon.go
@@ -0,0 +1,231 @@
+// Package daemon builds the parts of one process and runs them.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	plog "github.com/phuslu/log"
+	"github.com/zeebo/errs"
+
+	"bramleyquay.example/coord/lease"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/controlnode"
+	"bramleyquay.example/router/gate"
+	"bramleyquay.example/router/ingress"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/member"
+	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/settings"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("daemon")
+
+// Daemon is one process of the system.
+type Daemon struct {
+	cfg     *settings.Settings
+	version string
+	started time.Time
+	logs    *plog.Logger
+	log     logging.Logger
+
+	dialer  *peer.Dialer
+	client  *peer.Client
+	rpc     *peer.Server
+	agent   *member.Agent
+	gate    *gate.Gate
+	ingress *ingress.Ingress
+	control *controlnode.Node // nil without the control role
+
+	peers     *peer.Listener
+	listeners map[string]net.Listener
+	servers   []*http.Server
+	failed    chan error
+	tls       *tls.Config
+}
+
+// New opens the listeners and builds the parts. Nothing runs before Run.
+func New(cfg *settings.Settings, logs *plog.Logger, version string) (*Daemon, error) {
+	d := &Daemon{
+		cfg: cfg, version: version, started: time.Now(), logs: logs,
+		log:       logging.Part(logs, "daemon"),
+		rpc:       peer.NewServer(),
+		listeners: map[string]net.Listener{},
+		failed:    make(chan error, 8),
+	}
+	if err := d.openTLS(); err != nil {
+		return nil, err
+	}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+// listen opens every configured listener, so that ports are known and
+// conflicts show before anything runs.
+func (d *Daemon) listen() error {
+	l := d.cfg.Listen
+	for name, addr := range map[string]string{"caller": l.Caller, "platform": l.Platform, "operator": l.Operator, "admin": l.Admin} {
+		if addr == "" {
+			continue
+		}
+		inner, err := net.Listen("tcp", addr)
+		if err != nil {
+			return Error.New("listen.%s: %v", name, err)
+		}
+		d.listeners[name] = inner
+		d.log.Infof("%s listener on %s", name, inner.Addr())
+	}
+	var err error
+	d.peers, err = peer.Listen(l.Peer, d.cfg.Secret.Bytes(), d.serverTLS(), logging.Part(d.logs, "peer"), func(conn net.Conn) {
+		d.rpc.ServeConn(context.Background(), conn)
+	})
+	if err != nil {
+		return Error.New("listen.peer: %v", err)
+	}
+	d.log.Infof("peer listener on %s", d.peers.Addr())
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range d.listeners {
+		_ = l.Close() // the process ends
+	}
+	if d.peers != nil {
+		_ = d.peers.Close() // the process ends
+	}
+}
+
+func (d *Daemon) build() error {
+	id := table.MemberID(d.cfg.ID)
+	d.dialer = &peer.Dialer{Secret: d.cfg.Secret.Bytes(), TLS: d.clientTLS()}
+	d.client = peer.NewClient(d.dialer, d.notified)
+	d.agent = member.New(member.Config{
+		ID: id, DataCentre: d.cfg.DataCentre, PeerAddr: d.peers.Addr().String(),
+		ControlAddrs: d.controlAddrs(), Lease: lease.Default(), RenewTimeout: member.DefaultRenewTimeout,
+	}, d.client, logging.Part(d.logs, "member"), func(v *member.View) { d.gate.Follow(v) })
+	d.gate = gate.New(gate.Config{
+		Self: id, DataCentre: d.cfg.DataCentre, RequireFences: d.cfg.Target.ChecksFences,
+		MaxPaymentBody: gate.DefaultMaxPaymentBody, MaxRecordedBody: gate.DefaultMaxRecordedBody,
+	}, d.agent, d.client, logging.Part(d.logs, "gate"))
+	d.agent.SetReporter(d.gate)
+	d.ingress = ingress.New(ingress.Config{
+		Self: id, DataCentre: d.cfg.DataCentre, MaxHeld: ingress.DefaultMaxHeld, Seed: shard.Hash(d.cfg.ID),
+	}, d.agent, d.gate, ingress.NewForwarder(d.dialer), logging.Part(d.logs, "ingress"))
+	d.rpc.Handle(gate.MethodWrite, peer.Bind(d.gate.WriteRecords))
+	d.rpc.Handle(gate.MethodFetch, peer.Bind(d.gate.FetchRecords))
+	d.rpc.Handle(MethodDump, peer.Bind(d.dumpRPC))
+	return d.buildControl()
+}
+
+func (d *Daemon) buildControl() error {
+	if !d.cfg.Control.Replica {
+		return nil
+	}
+	cfg := controlnode.Config{
+		ID: d.cfg.ID, Cluster: d.cfg.Cluster, Folder: d.cfg.Control.DataFolder,
+		Bootstrap: d.cfg.Control.Bootstrap, Lease: lease.Default(),
+		SnapshotEntries: controlnode.DefaultSnapshotEntries, Seed: uint64(time.Now().UnixNano()),
+	}
+	for _, p := range d.cfg.Control.Peers {
+		cfg.Peers = append(cfg.Peers, controlnode.Peer{ID: p.ID, Address: p.Address})
+	}
+	var err error
+	d.control, err = controlnode.Open(cfg, d.client, logging.Part(d.logs, "control"))
+	if err != nil {
+		return err
+	}
+	d.control.Register(d.rpc)
+	return nil
+}
+
+func (d *Daemon) controlAddrs() []string {
+	addrs := make([]string, 0, len(d.cfg.Control.Peers))
+	for _, p := range d.cfg.Control.Peers {
+		addrs = append(addrs, p.Address)
+	}
+	return addrs
+}
+
+func (d *Daemon) notified(method string) {
+	if method == controlnode.MethodWake {
+		d.agent.Wake()
+	}
+}
+
+// Run runs the process until stop is cancelled, which begins a graceful
+// shutdown, or until kill is cancelled, which ends it at once.
+func (d *Daemon) Run(stop, kill context.Context) error {
+	ctx, cancel := context.WithCancel(kill)
+	defer cancel()
+	d.start(ctx)
+	select {
+	case <-stop.Done():
+		return d.shutdown(kill)
+	case err := <-d.failed:
+		d.closeListeners()
+		return err
+	case <-kill.Done():
+		d.closeListeners()
+		return Error.New("ended at once")
+	}
+}
+
+func (d *Daemon) start(ctx context.Context) {
+	go d.peers.Serve(ctx)
+	if d.control != nil {
+		go func() {
+			if err := d.control.Run(ctx); err != nil {
+				d.failed <- err
+			}
+		}()
+	}
+	go d.agent.Run(ctx)
+	go d.gate.Run(ctx)
+	go d.gate.RunGrants(ctx)
+	d.serve("peer", d.peers.HTTP(), d.gate)
+	d.serveOn("caller", d.ingress)
+	d.serveOn("platform", d.platform())
+	d.serveOn("admin", d.adminHandler())
+	d.serveOperator()
+}
+
+func (d *Daemon) serveOn(name string, h http.Handler) {
+	if l := d.listeners[name]; l != nil {
+		d.serve(name, l, h)
+	}
+}
+
+const (
+	// headerTimeout ends connections of slow senders.
+	headerTimeout = 5 * time.Second
+	// idleTimeout ends connections without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the memory of one request's headers.
+	maxHeaderBytes = 32 << 10
+)
+
+func (d *Daemon) serve(name string, l net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: quietErrors(logging.Part(d.logs, name)),
+	}
+	d.servers = append(d.servers, s)
+	go func() {
+		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+			d.failed <- fmt.Errorf("%s listener: %w", name, err)
+		}
+	}()
+}
--- /dev/null
+++ b/router/daemon/dump.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/admin"
+	"bramleyquay.example/router/gate"
+)
+
+// MethodDump is the jsonrpc2 method that returns a process's state dump.
+const MethodDump = "process.dump"
+
+// dumpTimeout bounds the wait for the replica's goroutine.
+const dumpTimeout = time.Second
+
+// Dump is the state of one process.
+type Dump struct {
+	ID          string `json:"id"`
+	Version     string `json:"version"`
+	DataCentre  string `json:"dataCentre"`
+	UptimeMs    int64  `json:"uptimeMs"`
+	Incarnation uint64 `json:"incarnation"`
+	// LeaseMs is the remaining time of the lease; 0 means none.
+	LeaseMs   int64  `json:"leaseMs"`
+	InContact bool   `json:"inContact"`
+	Leader    string `json:"leader"`
+	Draining  bool   `json:"draining"`
+
+	ConfigRevision    uint64 `json:"configRevision"`
+	TableRevision     uint64 `json:"tableRevision"`
+	DirectoryRevision uint64 `json:"directoryRevision"`
+
+	Owned     []table.Entry    `json:"owned"`
+	Directory []control.Member `json:"directory"`
+	Gate      gate.Status      `json:"gate"`
+	Ingress   any              `json:"ingress"`
+	Replica   *ReplicaDump     `json:"replica,omitempty"`
+}
+
+// ReplicaDump is the state of a control replica.
+type ReplicaDump struct {
+	Formed     bool        `json:"formed"`
+	Status     raft.Status `json:"status"`
+	Controller any         `json:"controller,omitempty"`
+}
+
+// Dump implements admin.Dumper.
+func (d *Daemon) Dump() any {
+	v := d.agent.View()
+	dump := Dump{
+		ID: d.cfg.ID, Version: d.version, DataCentre: d.cfg.DataCentre,
+		UptimeMs: time.Since(d.started).Milliseconds(), Incarnation: v.Incarnation,
+		LeaseMs: d.agent.Lease().Milliseconds(), InContact: d.agent.InContact(),
+		Leader: d.agent.Leader(), Draining: v.Draining,
+		ConfigRevision: v.ConfigRevision, TableRevision: v.Table.Revision(), DirectoryRevision: v.Directory.Revision,
+		Owned: []table.Entry{}, Directory: v.Directory.Members(),
+		Gate: d.gate.Status(), Ingress: d.ingress.Status(),
+	}
+	v.Table.Each(func(e *table.Entry) bool {
+		if e.Owner == table.MemberID(d.cfg.ID) {
+			dump.Owned = append(dump.Owned, *e)
+		}
+		return true
+	})
+	if d.control != nil {
+		dump.Replica = d.replicaDump()
+	}
+	return dump
+}
+
+func (d *Daemon) replicaDump() *ReplicaDump {
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	var dump ReplicaDump
+	var err error
+	if dump.Status, dump.Formed, err = d.control.Status(ctx); err != nil {
+		return nil
+	}
+	dump.Controller = d.control.ControllerStatus(ctx)
+	return &dump
+}
+
+// Healthy implements admin.Dumper.
+func (d *Daemon) Healthy() error {
+	if !d.agent.InContact() {
+		return Error.New("control was not heard from within the contact bound")
+	}
+	return nil
+}
+
+func (d *Daemon) adminHandler() http.Handler { return admin.Handler(d) }
+
+func (d *Daemon) dumpRPC(context.Context, struct{}) (any, error) { return d.Dump(), nil }
--- /dev/null
+++ b/router/daemon/tls.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	stdlog "log"
+	"os"
+	"strings"
+
+	"bramleyquay.example/router/logging"
+)
+
+// openTLS reads the certificate that all listeners between processes and for
+// operators use. Without one they are protected by the shared secret alone.
+func (d *Daemon) openTLS() error {
+	t := d.cfg.TLS
+	if t.CertFile == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return Error.New("tls: %v", err)
+	}
+	d.tls = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+	if t.CAFile == "" {
+		return nil
+	}
+	pem, err := os.ReadFile(t.CAFile)
+	if err != nil {
+		return Error.New("tls: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return Error.New("tls: %s holds no certificate", t.CAFile)
+	}
+	d.tls.RootCAs, d.tls.ClientCAs = pool, pool
+	return nil
+}
+
+// serverTLS is for connections between processes. They use TLS only with a CA
+// against which both sides can verify.
+func (d *Daemon) serverTLS() *tls.Config {
+	if d.tls == nil || d.tls.ClientCAs == nil {
+		return nil
+	}
+	c := d.tls.Clone()
+	c.ClientAuth = tls.RequireAndVerifyClientCert
+	return c
+}
+
+func (d *Daemon) clientTLS() *tls.Config {
+	if d.tls == nil || d.tls.RootCAs == nil {
+		return nil
+	}
+	return d.tls.Clone()
+}
+
+// quietErrors passes the HTTP library's messages on at debug level; they are
+// caused by remote ends.
+func quietErrors(l logging.Logger) *stdlog.Logger {
+	return stdlog.New(debugWriter{l}, "", 0)
+}
+
+type debugWriter struct{ log logging.Logger }
+
+// Write implements io.Writer.
+func (w debugWriter) Write(p []byte) (int, error) {
+	w.log.Debugf("%s", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/router/gate/do.go
@@ -0,0 +1,119 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"bramleyquay.example/coord/admission"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
+)
+
+// Do runs a call at the target. A refusal with outcome.NotRun is given only
+// while the target has not seen the call. The response's body must be closed.
+func (g *Gate) Do(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal) {
+	if r := g.precheck(c); r != nil {
+		return nil, r
+	}
+	g.rates.count(g.unitOf(c), c.Hash)
+	if c.Payment() {
+		return g.payments.do(ctx, c)
+	}
+	return g.run(ctx, c)
+}
+
+// precheck refuses early what the check before dispatch would refuse anyway.
+func (g *Gate) precheck(c *call.Call) *outcome.Refusal {
+	t := g.target.Load()
+	switch {
+	case t == nil || t.Service != c.Service:
+		return outcome.Refuse(outcome.ReasonNotOwner, "no target of the service stands here")
+	case !g.members.InContact():
+		return outcome.Refuse(outcome.ReasonNoControl, "control was not heard from within the contact bound")
+	case !c.Sharded() && g.members.View().Draining:
+		return outcome.Refuse(outcome.ReasonDraining, "this instance takes no new work")
+	case c.Sharded():
+		_, _, r := g.owned(g.unitOf(c))
+		return r
+	}
+	return nil
+}
+
+// unitOf returns the call's unit by the newest table; the zero unit for
+// services that are not sharded.
+func (g *Gate) unitOf(c *call.Call) shard.Unit {
+	if !c.Sharded() {
+		return shard.Unit{}
+	}
+	if e := g.members.View().Table.Lookup(c.Keyspace, c.Hash); e != nil {
+		return e.Unit
+	}
+	return shard.Unit{}
+}
+
+// owned checks that this member may serve the unit now.
+func (g *Gate) owned(u shard.Unit) (*table.Entry, time.Duration, *outcome.Refusal) {
+	e, left, ok := g.members.Owned(u)
+	switch {
+	case ok && e.Phase == table.Serving:
+		return e, left, nil
+	case e == nil || e.Owner != g.cfg.Self || e.Phase == table.Moving:
+		return nil, 0, outcome.Refuse(outcome.ReasonNotOwner, "the unit is not served here")
+	default:
+		return nil, 0, outcome.Refuse(outcome.ReasonLease, "the lease has expired")
+	}
+}
+
+// run takes a slot, checks ownership once more and dispatches.
+func (g *Gate) run(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal) {
+	id, refusal := g.slots.acquire(ctx, c.Class, c.Deadline)
+	if refusal != nil {
+		return nil, refusal
+	}
+	p, refusal := g.permit(c)
+	if refusal != nil {
+		g.slots.abandon(id)
+		return nil, refusal
+	}
+	p.done = func(s admission.Sample) {
+		g.slots.release(id, s)
+		g.leaveUnit(p.unit)
+	}
+	return g.dispatch(ctx, c, p)
+}
+
+// permit is the last check before dispatch. On success the unit counts the
+// request until leaveUnit.
+func (g *Gate) permit(c *call.Call) (*permit, *outcome.Refusal) {
+	p := &permit{target: g.target.Load(), timeout: time.Until(c.Deadline)}
+	if p.timeout <= 0 {
+		return nil, outcome.Refuse(outcome.ReasonDeadline, "the deadline passed before dispatch")
+	}
+	if p.target == nil || p.target.Service != c.Service {
+		return nil, outcome.Refuse(outcome.ReasonNotOwner, "the target has left")
+	}
+	if !c.Sharded() {
+		return p, g.precheck(c)
+	}
+	p.unit = g.unitOf(c)
+	if !g.units.enter(p.unit) {
+		return nil, outcome.Refuse(outcome.ReasonNotOwner, "the unit moves away")
+	}
+	p.lease = g.leaseContext()
+	e, left, refusal := g.owned(p.unit)
+	if refusal != nil {
+		g.leaveUnit(p.unit)
+		return nil, refusal
+	}
+	p.epoch = e.Epoch
+	p.timeout = min(p.timeout, left)
+	return p, nil
+}
+
+func (g *Gate) leaveUnit(u shard.Unit) {
+	if u.Service != "" && g.units.leave(u) {
+		g.members.Wake()
+	}
+}
--- /dev/null
+++ b/router/gate/gate.go
@@ -0,0 +1,157 @@
+// Package gate is the only way to a target: it checks ownership and limits
+// immediately before a request is dispatched.
+package gate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleyquay.example/coord/admission"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/member"
+)
+
+// Membership is what the gate needs of the member agent.
+type Membership interface {
+	View() *member.View
+	Owned(shard.Unit) (*table.Entry, time.Duration, bool)
+	Lease() time.Duration
+	InContact() bool
+	Wake()
+}
+
+// Gate guards the target beside its process.
+type Gate struct {
+	cfg      Config
+	members  Membership
+	log      logging.Logger
+	units    *units
+	slots    *admitter
+	payments *payments
+	rates    *rates
+	target   atomic.Pointer[target]
+
+	// leaseMu guards the context of requests that depend on the lease.
+	leaseMu     sync.Mutex
+	leaseCtx    context.Context
+	leaseCancel context.CancelFunc
+
+	// applied is the configuration that the limiter has.
+	appliedMu sync.Mutex
+	applied   admission.Config
+}
+
+// New returns a gate without a target. caller reaches other members for the
+// copies of payment records.
+func New(cfg Config, members Membership, caller Caller, log logging.Logger) *Gate {
+	g := &Gate{
+		cfg: cfg, members: members, log: log,
+		units: newUnits(cfg.Self),
+		slots: newAdmitter(admission.Config{Slots: 1}),
+		rates: newRates(),
+	}
+	g.payments = newPayments(g, caller)
+	g.leaseCtx, g.leaseCancel = context.WithCancel(context.Background())
+	return g
+}
+
+// leaseWatch is the time between two looks at the lease while requests that
+// depend on it may run.
+const leaseWatch = 10 * time.Millisecond
+
+// Run watches the lease and the records until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(leaseWatch)
+	defer ticker.Stop()
+	held := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		valid := g.members.Lease() > 0
+		if held && !valid {
+			g.cancelOwned()
+		}
+		held = valid
+		g.payments.tick()
+		g.rates.tick()
+	}
+}
+
+// cancelOwned ends the requests that run under the lease.
+func (g *Gate) cancelOwned() {
+	if n := g.units.total(); n > 0 {
+		g.log.Warnf("lease expired; %d requests in progress are cancelled", n)
+	}
+	g.leaseMu.Lock()
+	defer g.leaseMu.Unlock()
+	g.leaseCancel()
+	g.leaseCtx, g.leaseCancel = context.WithCancel(context.Background())
+}
+
+func (g *Gate) leaseContext() context.Context {
+	g.leaseMu.Lock()
+	defer g.leaseMu.Unlock()
+	return g.leaseCtx
+}
+
+// Follow takes over a new view of the cluster.
+func (g *Gate) Follow(v *member.View) {
+	g.configure(v)
+	released := g.units.follow(v.Table)
+	g.payments.follow(v, g.assignments(v))
+	if released {
+		g.members.Wake()
+	}
+}
+
+// configure applies the limits of the target's service.
+func (g *Gate) configure(v *member.View) {
+	t := g.target.Load()
+	if t == nil || v.Document == nil {
+		return
+	}
+	s := v.Document.Service(t.Service)
+	if s == nil {
+		return
+	}
+	cfg := limits(s, t.Slots)
+	g.appliedMu.Lock()
+	defer g.appliedMu.Unlock()
+	if cfg != g.applied {
+		g.applied = cfg
+		g.slots.configure(cfg)
+	}
+}
+
+// Announce takes over a target that announced itself. It returns what is
+// wrong with the announcement, or "".
+func (g *Gate) Announce(a Announcement) string {
+	if problem := a.validate(); problem != "" {
+		return problem
+	}
+	if g.cfg.RequireFences && !a.ChecksFences {
+		return "the settings of this process require a target that checks fences"
+	}
+	old := g.target.Load()
+	if old != nil && old.Announcement == a {
+		return ""
+	}
+	g.target.Store(newTarget(a))
+	g.configure(g.members.View())
+	if old == nil || old.Incarnation != a.Incarnation {
+		g.log.Infof("target of service %s at %s announced, incarnation %x; it counts as cold", a.Service, a.Address, a.Incarnation)
+		g.slots.targetStarted(a.Incarnation)
+	}
+	if old != nil {
+		old.close()
+	}
+	g.members.Wake()
+	return ""
+}
--- /dev/null
+++ b/router/gate/pay.go
@@ -0,0 +1,149 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/idempotency"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/timesource"
+)
+
+// do runs a payment at most once.
+func (p *payments) do(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal) {
+	if refusal := p.bufferBody(c); refusal != nil {
+		return nil, refusal
+	}
+	id, decided := p.begin(idempotency.Request{
+		Unit: p.gate.unitOf(c), Key: c.IdempotencyKey, Digest: digest(c),
+		IssuedAtMs: c.IssuedAtMs, Deadline: timesource.Reading(c.Deadline),
+	})
+	defer p.forget(id)
+	d := p.await(ctx, id, decided)
+	if d.refusal != nil || d.answer != nil {
+		return result(d)
+	}
+	resp, refusal := p.gate.run(ctx, c)
+	if refusal != nil {
+		return nil, p.notAnswered(id, refusal, decided)
+	}
+	return p.finish(id, resp, decided)
+}
+
+// await waits for the records' decision. When the caller's context ends first
+// the request is withdrawn; it is dispatched only if that was decided already.
+func (p *payments) await(ctx context.Context, id uint64, decided chan decision) decision {
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+	}
+	p.event(func(now clock.Reading) []idempotency.Action { return p.owner.Cancel(now, id) })
+	select {
+	case d := <-decided:
+		return d
+	default:
+		return decision{refusal: outcome.Undecided(outcome.ReasonDeadline, "the request ended before the records decided")}
+	}
+}
+
+// notAnswered tells the records why the target gave no answer.
+func (p *payments) notAnswered(id uint64, refusal *outcome.Refusal, decided chan decision) *outcome.Refusal {
+	if refusal.Outcome == outcome.NotRun {
+		p.event(func(now clock.Reading) []idempotency.Action { return p.owner.NotDispatched(now, id) })
+		return refusal
+	}
+	p.event(func(now clock.Reading) []idempotency.Action { return p.owner.Lost(now, id) })
+	select {
+	case d := <-decided:
+		if d.refusal != nil {
+			return d.refusal
+		}
+	default:
+	}
+	return refusal
+}
+
+// finish records the target's answer before the caller gets it.
+func (p *payments) finish(id uint64, resp *call.Response, decided chan decision) (*call.Response, *outcome.Refusal) {
+	limit := p.gate.cfg.MaxRecordedBody
+	prefix, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		_ = resp.Body.Close() // the answer has broken off already
+		p.event(func(now clock.Reading) []idempotency.Action { return p.owner.Lost(now, id) })
+		return nil, outcome.Undecided(outcome.ReasonUpstreamBroken, "the target's answer broke off: "+err.Error())
+	}
+	answer := idempotency.Answer{Status: resp.Status, Header: map[string][]string{}, Body: prefix}
+	call.CopyHeader(answer.Header, resp.Header)
+	whole := int64(len(prefix)) <= limit
+	if !whole {
+		answer.Body, answer.BodyOmitted = nil, true
+	}
+	p.event(func(now clock.Reading) []idempotency.Action { return p.owner.Finished(now, id, answer) })
+	d := <-decided
+	if d.refusal != nil {
+		_ = resp.Body.Close() // the answer is not passed on
+		return nil, d.refusal
+	}
+	if whole {
+		_ = resp.Body.Close() // read to its end
+		return result(d)
+	}
+	resp.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(prefix), resp.Body), closer: resp.Body}
+	return resp, nil
+}
+
+// joinedBody is an answer whose beginning has been read.
+type joinedBody struct {
+	io.Reader
+	closer io.Closer
+}
+
+// Close implements io.Closer.
+func (b *joinedBody) Close() error { return b.closer.Close() }
+
+func result(d decision) (*call.Response, *outcome.Refusal) {
+	if d.refusal != nil {
+		return nil, d.refusal
+	}
+	return &call.Response{
+		Status: d.answer.Status, Header: http.Header(d.answer.Header), Replayed: d.replayed,
+		Body: io.NopCloser(bytes.NewReader(d.answer.Body)), Length: int64(len(d.answer.Body)),
+	}, nil
+}
+
+// bufferBody holds the whole body, because the digest must be known before the
+// target sees any of it.
+func (p *payments) bufferBody(c *call.Call) *outcome.Refusal {
+	if c.IsBuffered {
+		return nil
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(nil, io.NopCloser(c.Body), p.gate.cfg.MaxPaymentBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return outcome.Refuse(outcome.ReasonBadRequest, "the body of a payment is too large")
+	case err != nil:
+		return outcome.Refuse(outcome.ReasonBadRequest, "the body ended early: "+err.Error())
+	}
+	c.Buffered, c.IsBuffered, c.Length = data, true, int64(len(data))
+	return nil
+}
+
+// digest identifies a payment: method, path, query and body. Zero bytes keep
+// the parts apart.
+func digest(c *call.Call) [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{c.Method, c.Path, c.Query, c.Key} {
+		_, _ = io.WriteString(h, part) // never fails, by its documentation
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.Buffered)
+	return [sha256.Size]byte(h.Sum(nil))
+}
--- /dev/null
+++ b/router/gate/rates.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/hotkey"
+	"bramleyquay.example/coord/shard"
+)
+
+const (
+	// rateWindow is the time over which request rates are counted.
+	rateWindow = 2 * time.Second
+	// hotKeysReported bounds the keys reported with a renewal.
+	hotKeysReported = 8
+	// unitsReported bounds the unit rates reported with a renewal.
+	unitsReported = 64
+)
+
+// rates counts requests by unit and finds frequent keys.
+type rates struct {
+	mu      sync.Mutex
+	since   time.Time
+	total   int
+	counts  map[shard.Unit]int
+	sketch  map[string]*hotkey.Sketch
+	rate    float64
+	byUnit  []control.UnitLoad
+	hotKeys []control.HotKey
+}
+
+func newRates() *rates {
+	return &rates{since: time.Now(), counts: map[shard.Unit]int{}, sketch: map[string]*hotkey.Sketch{}}
+}
+
+// count records one request.
+func (r *rates) count(unit shard.Unit, hash uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.total++
+	if unit.Service == "" {
+		return
+	}
+	r.counts[unit]++
+	s := r.sketch[unit.Service]
+	if s == nil {
+		s = hotkey.NewSketch(hotkey.SketchConfig{})
+		r.sketch[unit.Service] = s
+	}
+	s.Observe(hash)
+}
+
+// tick closes the window when it has passed.
+func (r *rates) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	elapsed := time.Since(r.since)
+	if elapsed < rateWindow {
+		return
+	}
+	seconds := elapsed.Seconds()
+	r.rate = float64(r.total) / seconds
+	r.byUnit = r.byUnit[:0:0]
+	for unit, n := range r.counts {
+		if len(r.byUnit) == unitsReported {
+			break
+		}
+		r.byUnit = append(r.byUnit, control.UnitLoad{Unit: unit, Rate: float64(n) / seconds})
+	}
+	r.since, r.total = time.Now(), 0
+	clear(r.counts)
+}
+
+// snapshot returns the rates of the last whole window.
+func (r *rates) snapshot() (float64, []control.UnitLoad, []control.HotKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rate, r.byUnit, r.hotKeys
+}
--- /dev/null
+++ b/router/gate/report.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"bramleyquay.example/coord/admission"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/router/member"
+)
+
+// Report implements member.Reporter.
+func (g *Gate) Report() member.Report {
+	st := g.slots.status()
+	rate, units, hot := g.rates.snapshot()
+	r := member.Report{
+		Load: control.Load{
+			Running: st.Running, Limit: st.Limit, Queued: st.Queued, Rate: rate,
+			ServiceTimeUs: st.ServiceTime.Microseconds(),
+		},
+		Released:  g.units.released(),
+		Synced:    g.payments.syncedReports(),
+		HotKeys:   hot,
+		UnitLoads: units,
+	}
+	if t := g.target.Load(); t != nil {
+		r.Target = t.describe()
+	}
+	return r
+}
+
+// Status is the gate's part of a state dump.
+type Status struct {
+	Target    *Announcement        `json:"target"`
+	Limiter   admission.Status     `json:"limiter"`
+	InUnits   int                  `json:"requestsInUnits"`
+	Stopping  []control.UnitEpoch  `json:"released"`
+	Payments  any                  `json:"payments"`
+	UnitRates []control.UnitLoad   `json:"unitRates"`
+	Rate      float64              `json:"ratePerSecond"`
+	Synced    []control.CopySynced `json:"syncedCopies"`
+}
+
+// Status returns the gate's state.
+func (g *Gate) Status() Status {
+	rate, units, _ := g.rates.snapshot()
+	s := Status{
+		Limiter: g.slots.status(), InUnits: g.units.total(), Stopping: g.units.released(),
+		Payments: g.payments.status(), UnitRates: units, Rate: rate, Synced: g.payments.syncedReports(),
+	}
+	if t := g.target.Load(); t != nil {
+		a := t.Announcement
+		s.Target = &a
+	}
+	return s
+}
--- /dev/null
+++ b/router/gate/target.go
@@ -0,0 +1,76 @@
+package gate
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+)
+
+// Announcement is what a target tells the process beside it.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is the target's HTTP address, a numeric IP and a port.
+	Address      string `json:"address"`
+	Slots        int    `json:"slots"`
+	ChecksFences bool   `json:"checksFences,omitempty"`
+	// Incarnation changes with every start of the target.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// validate returns what is wrong with the announcement, or "".
+func (a *Announcement) validate() string {
+	switch host, _, err := net.SplitHostPort(a.Address); {
+	case a.Service == "":
+		return "service is missing"
+	case err != nil || net.ParseIP(host) == nil:
+		return "address is not a numeric IP and a port"
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return "slots is not between 1 and 100000"
+	case a.Incarnation == 0:
+		return "incarnation is missing"
+	default:
+		return ""
+	}
+}
+
+const (
+	maxSlots = 100_000
+	// dialTimeout bounds the connection to a target on the same instance.
+	dialTimeout = time.Second
+)
+
+// target is the announced target and the connections to it.
+type target struct {
+	Announcement
+	transport *http.Transport
+	// grants has a connection of its own, so that requests cannot delay a grant.
+	grants *http.Transport
+}
+
+func newTarget(a Announcement) *target {
+	// One of the connections is for grants.
+	connections := config.DefaultConnectionsPerTarget - 1
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		MaxIdleConns:        connections,
+		// Connections stay open, because opening one costs about 1 ms.
+		IdleConnTimeout:        0,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+	return &target{Announcement: a, transport: transport, grants: &http.Transport{MaxConnsPerHost: 1}}
+}
+
+func (t *target) close() {
+	t.transport.CloseIdleConnections()
+	t.grants.CloseIdleConnections()
+}
+
+func (t *target) describe() *control.Target {
+	return &control.Target{Service: t.Service, Slots: t.Slots, ChecksFences: t.ChecksFences, Incarnation: t.Incarnation}
+}
--- /dev/null
+++ b/router/ingress/forwarder.go
@@ -0,0 +1,105 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/peer"
+)
+
+const (
+	// idlePerPeer bounds idle connections to one peer.
+	idlePerPeer = 64
+	// idleTotal bounds idle connections to all peers; at 3,300 peers most
+	// requests would otherwise hold descriptors that they rarely use.
+	idleTotal = 8_192
+	// idleTimeout closes connections that a changed table no longer uses.
+	idleTimeout = 2 * time.Minute
+)
+
+// Forwarder sends calls to the gates of other processes.
+type Forwarder struct{ transport *http.Transport }
+
+// NewForwarder returns a forwarder that opens connections with d.
+func NewForwarder(d *peer.Dialer) *Forwarder {
+	return &Forwarder{transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return d.Dial(ctx, addr, peer.ChannelHTTP)
+		},
+		MaxIdleConnsPerHost:    idlePerPeer,
+		MaxIdleConns:           idleTotal,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 64 << 10,
+	}}
+}
+
+// Forward sends the call to the gate at addr. It states outcome.NotRun by
+// itself only if no connection was made, so that no byte reached the gate.
+func (f *Forwarder) Forward(ctx context.Context, addr string, c *call.Call) (*call.Response, *choice.GateLoad, *outcome.Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	sent := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	resp, err := f.transport.RoundTrip(call.HopRequest(ctx, c, addr))
+	if err != nil {
+		cancel()
+		return nil, nil, forwardError(err, sent)
+	}
+	load := parseLoad(resp.Header.Get(call.HeaderLoad))
+	if refusal, ok := call.ReadRefusal(resp); ok {
+		_ = resp.Body.Close()
+		cancel()
+		return nil, load, refusal
+	}
+	return &call.Response{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Replayed: resp.Header.Get(call.HeaderReplayed) != "",
+		Body:     &cancelBody{ReadCloser: resp.Body, cancel: cancel},
+	}, load, nil
+}
+
+func forwardError(err error, sent bool) *outcome.Refusal {
+	if !sent {
+		return outcome.Refuse(outcome.ReasonConnection, "no connection to the owner: "+err.Error())
+	}
+	return outcome.Undecided(outcome.ReasonConnection, "the owner did not answer: "+err.Error())
+}
+
+// parseLoad reads running/limit/queued; nil if the header is not of that form.
+func parseLoad(s string) *choice.GateLoad {
+	var l choice.GateLoad
+	fields := strings.Split(s, "/")
+	if len(fields) != 3 {
+		return nil
+	}
+	for i, into := range []*int{&l.Running, &l.Limit, &l.Queued} {
+		for _, d := range fields[i] {
+			if d < '0' || d > '9' || *into > 1<<20 {
+				return nil
+			}
+			*into = *into*10 + int(d-'0')
+		}
+	}
+	return &l
+}
+
+// cancelBody ends the request's context when the answer is closed.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/router/ingress/ingress.go
@@ -0,0 +1,172 @@
+// Package ingress accepts callers' requests at any process and brings them to
+// the gate that may run them.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/member"
+)
+
+// Membership is what the ingress needs of the member agent.
+type Membership interface {
+	View() *member.View
+	Changed() <-chan struct{}
+	InContact() bool
+}
+
+// LocalGate runs calls at the target beside this process.
+type LocalGate interface {
+	Do(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal)
+}
+
+// RemoteGates forwards calls to other processes. *Forwarder implements it.
+type RemoteGates interface {
+	Forward(ctx context.Context, addr string, c *call.Call) (*call.Response, *choice.GateLoad, *outcome.Refusal)
+}
+
+// Config describes the ingress of one process.
+type Config struct {
+	Self       table.MemberID
+	DataCentre string
+	// MaxHeld bounds the requests that wait for an owner. Each holds its body's
+	// buffer and a goroutine, up to about 100 KB.
+	MaxHeld int
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+// DefaultMaxHeld keeps held requests below 100 MB.
+const DefaultMaxHeld = 1_000
+
+// Ingress serves callers.
+type Ingress struct {
+	cfg     Config
+	members Membership
+	local   LocalGate
+	remote  RemoteGates
+	log     logging.Logger
+	held    chan struct{}
+	// Internal says that this listener may reach internal services.
+	internal bool
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// New returns an ingress.
+func New(cfg Config, members Membership, local LocalGate, remote RemoteGates, log logging.Logger) *Ingress {
+	return &Ingress{
+		cfg: cfg, members: members, local: local, remote: remote, log: log,
+		held:     make(chan struct{}, cfg.MaxHeld),
+		services: map[string]*service{},
+	}
+}
+
+// Internal returns a handler over the same state that also reaches internal
+// services, for the listener that only targets use.
+func (in *Ingress) Internal() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { in.serve(w, r, true) })
+}
+
+// ServeHTTP implements http.Handler for callers.
+func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) { in.serve(w, r, false) }
+
+func (in *Ingress) serve(w http.ResponseWriter, r *http.Request, internal bool) {
+	begin := time.Now()
+	c, refusal := in.build(r, internal)
+	if refusal != nil {
+		record("", begin, refusal)
+		call.WriteRefusal(w, refusal)
+		return
+	}
+	resp, refusal := in.Do(r.Context(), c)
+	record(c.Service, begin, refusal)
+	if refusal != nil {
+		call.WriteRefusal(w, refusal)
+		return
+	}
+	call.WriteResponse(w, resp, nil)
+}
+
+// build reads service and key from path and headers.
+func (in *Ingress) build(r *http.Request, internal bool) (*call.Call, *outcome.Refusal) {
+	name, path := splitPath(r.URL.Path)
+	_, raw := splitPath(r.URL.RawPath)
+	if r.URL.RawPath == "" {
+		raw = ""
+	}
+	doc := in.members.View().Document
+	if doc != nil && !internal {
+		if s := doc.Service(name); s != nil && s.Internal {
+			return nil, outcome.Refuse(outcome.ReasonNoService, "the service is internal")
+		}
+	}
+	return call.Build(doc, call.Names{
+		Service: name, Key: r.Header.Get(call.HeaderKey),
+		IdempotencyKey: r.Header.Get(call.HeaderIdempotencyKey),
+		Path:           path, RawPath: raw,
+	}, r)
+}
+
+// splitPath separates the first segment from the rest.
+func splitPath(path string) (service, rest string) {
+	service, rest, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	if name, err := url.PathUnescape(service); err == nil {
+		service = name
+	}
+	return service, "/" + rest
+}
+
+// Do brings a call to the gate that may run it and returns its answer.
+func (in *Ingress) Do(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	var resp *call.Response
+	var refusal *outcome.Refusal
+	if c.Sharded() {
+		resp, refusal = in.toOwner(ctx, c)
+	} else {
+		resp, refusal = in.toAny(ctx, c)
+	}
+	if refusal != nil {
+		cancel()
+		return nil, refusal
+	}
+	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
+	return resp, nil
+}
+
+// send makes one try at a member.
+func (in *Ingress) send(ctx context.Context, id table.MemberID, c *call.Call) (*call.Response, *choice.GateLoad, *outcome.Refusal) {
+	if id == in.cfg.Self {
+		resp, refusal := in.local.Do(ctx, c)
+		return resp, nil, refusal
+	}
+	m, ok := in.members.View().Directory.Member(id)
+	if !ok {
+		return nil, nil, outcome.Refuse(outcome.ReasonNoOwner, "the owner is not registered")
+	}
+	return in.remote.Forward(ctx, m.PeerAddr, c)
+}
+
+// service returns the choice of targets and the retry policy of a service.
+func (in *Ingress) service(name string) *service {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	s := in.services[name]
+	if s == nil {
+		s = newService(name, in.cfg)
+		in.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/router/ingress/service.go
@@ -0,0 +1,142 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/retry"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/member"
+	"bramleyquay.example/router/timesource"
+)
+
+// service holds the decisions of one service in this process.
+type service struct {
+	name string
+
+	mu      sync.Mutex
+	chooser *choice.Chooser
+	policy  *retry.Policy
+	// The revisions that the targets and switches were taken from.
+	directory, config uint64
+}
+
+func newService(name string, cfg Config) *service {
+	random := rand.New(rand.NewPCG(cfg.Seed, shard.Hash(name)))
+	return &service{
+		name:    name,
+		chooser: choice.New(choice.Config{DataCentre: cfg.DataCentre}, random),
+		policy:  retry.New(retry.Config{}, random),
+	}
+}
+
+// follow takes over changed targets and switches. The caller holds mu.
+func (s *service) follow(v *member.View) {
+	if v.Directory.Revision != s.directory {
+		s.directory = v.Directory.Revision
+		s.chooser.SetTargets(timesource.Now(), targets(v.Directory.Service(s.name)))
+	}
+	if v.ConfigRevision != s.config && v.Document != nil {
+		s.config = v.ConfigRevision
+		s.chooser.SetEjection(v.Document.Automation.Allowed(config.Ejection))
+		s.policy.SetRepeats(v.Document.Automation.Allowed(config.Repeats))
+	}
+}
+
+func targets(members []control.Member) []choice.Target {
+	list := make([]choice.Target, 0, len(members))
+	for _, m := range members {
+		list = append(list, choice.Target{
+			ID: m.ID, DataCentre: m.DataCentre, Slots: m.Target.Slots,
+			Draining: m.State == control.Draining || m.Leaving,
+		})
+	}
+	return list
+}
+
+// begin counts a new request.
+func (s *service) begin(v *member.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(v)
+	s.policy.Request()
+}
+
+// pick chooses a target and counts a try there.
+func (s *service) pick(v *member.View, exclude []table.MemberID) (table.MemberID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(v)
+	now := timesource.Now()
+	id, ok := s.chooser.Pick(now, exclude...)
+	if ok {
+		s.chooser.Started(now, id)
+	}
+	return id, ok
+}
+
+// finished ends a try that pick has counted.
+func (s *service) finished(id table.MemberID, begin time.Time, load *choice.GateLoad, refusal *outcome.Refusal, cancelled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := choice.Result{Latency: time.Since(begin), Kind: kindOf(refusal, cancelled), Load: load}
+	s.chooser.Finished(timesource.Now(), id, result)
+}
+
+func kindOf(refusal *outcome.Refusal, cancelled bool) choice.ResultKind {
+	switch {
+	case cancelled:
+		return choice.Cancelled
+	case refusal == nil:
+		return choice.OK
+	case refusal.Outcome == outcome.NotRun && refusal.Reason != outcome.ReasonConnection:
+		return choice.Refused
+	default:
+		return choice.Failed
+	}
+}
+
+// observe records the latency that the caller saw.
+func (s *service) observe(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policy.Observe(timesource.Now(), latency)
+}
+
+func (s *service) attempt(c *call.Call, n int, refusal *outcome.Refusal, elsewhere bool) retry.Attempt {
+	return retry.Attempt{
+		Number: n, Idempotent: c.Idempotent(), Payment: c.Payment(),
+		Refusal: refusal, Elsewhere: elsewhere, Deadline: timesource.Reading(c.Deadline),
+	}
+}
+
+// decide asks the policy whether a try may be repeated.
+func (s *service) decide(a retry.Attempt) retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.policy.Decide(timesource.Now(), a)
+}
+
+// hedgeDelay returns the time after which a second try may start.
+func (s *service) hedgeDelay(c *call.Call) (time.Duration, bool) {
+	if !c.Idempotent() || c.Payment() || !c.Repeatable() {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.policy.HedgeDelay(timesource.Now())
+}
+
+func (s *service) mayHedge(a retry.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Overdue(timesource.Now())
+	return s.policy.Hedge(a)
+}
--- /dev/null
+++ b/router/member/config.go
@@ -0,0 +1,26 @@
+package member
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/lease"
+	"bramleyquay.example/coord/table"
+)
+
+// Config describes one process as a member.
+type Config struct {
+	ID         table.MemberID
+	DataCentre string
+	// PeerAddr is where other processes reach this one.
+	PeerAddr string
+	// ControlAddrs are the peer addresses of the control replicas.
+	ControlAddrs []string
+	Lease        lease.Config
+	// RenewTimeout ends a renewal that gets no answer. A shorter time finds a
+	// new leader sooner and repeats more renewals to a slow one.
+	RenewTimeout time.Duration
+}
+
+// DefaultRenewTimeout leaves time for two tries at other replicas within one
+// lease of a second.
+const DefaultRenewTimeout = 300 * time.Millisecond
