Add admission, choice and retry with a measurement in virtual time

Cause: gates need a limit with a cold-start ramp, processes need a choice of target that avoids stragglers, and repeats need a rule and a budget.

Change: coord/admission, coord/choice and coord/retry as state machines, coord/internal/recent for quantiles of recent latency (hdrhistogram-go), and coord/internal/loadsim, whose test files drive them in virtual time.

--- /dev/null
+++ b/coord/choice/chooser.go
@@ -0,0 +1,162 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/internal/recent"
+	"bramleyquay.example/coord/table"
+)
+
+// Chooser prefers the target with the least expected delay by this process's
+// own requests in progress and the gates' reports in answers, and avoids
+// stragglers. It is the Selector in use.
+type Chooser struct {
+	config   Config
+	random   *rand.Rand
+	targets  []*state
+	byID     map[table.MemberID]*state
+	latency  *recent.Window
+	picks    uint64
+	ejection bool
+}
+
+// Indexes and values of the latency quantiles.
+const (
+	median = iota
+	tail
+
+	medianPercent = 50
+	tailPercent   = 95
+)
+
+const (
+	// levelSamples is the number of answers from which the latency level of the
+	// service is known. Before that no target is suspected.
+	levelSamples = 30
+	// widestTail bounds the 95th percentile in the definition of slow, as a
+	// multiple of the median. Stragglers themselves raise the percentile; the
+	// bound keeps one at ten times the usual latency recognisable.
+	widestTail = 5.0
+	// sameCost is the difference in requests below which two targets count as
+	// equal, so that decayed reports do not decide against the near one.
+	sameCost = 0.25
+	// crowded is the cost of the best other target from which a suspect is
+	// compared as well: more than half a limit of requests waits there.
+	crowded = 3.0
+)
+
+// New returns a chooser without targets, with ejection on.
+func New(c Config, random *rand.Rand) *Chooser {
+	c = c.withDefaults()
+	return &Chooser{
+		config:   c,
+		random:   random,
+		byID:     map[table.MemberID]*state{},
+		latency:  recent.NewWindow(c.LevelPeriod, levelSamples, medianPercent, tailPercent),
+		ejection: true,
+	}
+}
+
+// SetTargets implements Selector.
+func (c *Chooser) SetTargets(_ clock.Reading, targets []Target) {
+	known := c.byID
+	c.byID = make(map[table.MemberID]*state, len(targets))
+	c.targets = c.targets[:0]
+	for _, t := range targets {
+		s := known[t.ID]
+		if s == nil {
+			s = &state{}
+		}
+		s.Target = t
+		c.byID[t.ID] = s
+		c.targets = append(c.targets, s)
+	}
+}
+
+// SetEjection switches the avoidance of suspects. While it is off, suspects
+// are still listed.
+func (c *Chooser) SetEjection(on bool) { c.ejection = on }
+
+// Started implements Selector.
+func (c *Chooser) Started(now clock.Reading, id table.MemberID) {
+	if s := c.byID[id]; s != nil {
+		s.starts = append(s.starts, now.Mono)
+	}
+}
+
+// Finished implements Selector.
+func (c *Chooser) Finished(now clock.Reading, id table.MemberID, r Result) {
+	s := c.byID[id]
+	if s == nil {
+		return
+	}
+	late := c.late()
+	s.finish(now, r.Latency)
+	if r.Load != nil {
+		s.report(now, r.Load)
+	}
+	switch {
+	case r.Kind == Failed, r.Kind != Refused && late > 0 && r.Latency > late:
+		s.suspect.bad(c.config.SuspectEvidence)
+	case r.Kind == OK:
+		s.suspect.good()
+	}
+	if r.Kind == OK {
+		c.latency.Record(now, r.Latency)
+	}
+	c.review(now, s, late)
+}
+
+// late is the latency above which a request counts as slow, or zero while the
+// level of the service is unknown.
+func (c *Chooser) late() time.Duration {
+	m, t := c.latency.Quantile(median), c.latency.Quantile(tail)
+	if m == 0 {
+		return 0
+	}
+	t = min(t, time.Duration(widestTail*float64(m)))
+	return max(c.config.MinSlow,
+		time.Duration(c.config.SlowFactor*float64(m)),
+		time.Duration(c.config.TailMargin*float64(t)))
+}
+
+// review begins or ends the suspicion of one target.
+func (c *Chooser) review(now clock.Reading, s *state, late time.Duration) {
+	overdue := s.overdue(now, late)
+	switch p := &s.suspect; {
+	case !p.active && p.evidence+float64(overdue) >= c.config.SuspectEvidence:
+		p.start(now, c.picks, c.config.ProbeInterval)
+	case p.active && overdue == 0 && p.normal >= c.config.ReturnAnswers:
+		p.end(c.config.SuspectEvidence)
+	}
+}
+
+// Overdue suspects the targets whose requests in progress are late, before
+// those requests end. Pick does the same for the targets that it compares;
+// call Overdue on a timer if picks are rare.
+func (c *Chooser) Overdue(now clock.Reading) {
+	late := c.late()
+	for _, s := range c.targets {
+		c.review(now, s, late)
+	}
+}
+
+// Suspects lists the suspected targets. The list is empty in the usual case.
+func (c *Chooser) Suspects(now clock.Reading) []Suspect {
+	c.Overdue(now)
+	var list []Suspect
+	for _, s := range c.targets {
+		if p := &s.suspect; p.active {
+			list = append(list, Suspect{ID: s.ID, For: now.Mono - p.since, Evidence: p.evidence,
+				Overdue: s.overdue(now, c.late()), Applied: c.ejection})
+		}
+	}
+	return list
+}
+
+func (s *state) eligible(exclude []table.MemberID) bool {
+	return !s.Draining && !slices.Contains(exclude, s.ID)
+}
--- /dev/null
+++ b/coord/choice/suspicion.go
@@ -0,0 +1,69 @@
+package choice
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/table"
+)
+
+// suspicion is the evidence that a target is a straggler. Times are monotonic.
+type suspicion struct {
+	// evidence grows by one with each slow or failed request and falls by half
+	// with each normal answer. Requests in progress that are overdue add to it.
+	evidence float64
+	active   bool
+	since    time.Duration
+	// normal is the number of normal answers in a row.
+	normal int
+	// probed, interval and picks pace the probes: the time of the last one or of
+	// the suspicion, the least time to the next one, and the picks at probed.
+	probed, interval time.Duration
+	picks            uint64
+}
+
+const (
+	// normalWeight is the evidence that one normal answer takes back. With half
+	// a point, a target is suspected in the end if more than a third of its
+	// answers are slow.
+	normalWeight = 0.5
+	// evidenceCap bounds the evidence as a multiple of the threshold, so that a
+	// long slow phase does not outlast the first normal answers.
+	evidenceCap = 1.5
+)
+
+// Suspect is a target that is avoided, or would be with ejection on.
+type Suspect struct {
+	ID table.MemberID
+	// For is the time since the target was suspected.
+	For time.Duration
+	// Evidence is the weight of its slow, overdue and failed requests.
+	Evidence float64
+	// Overdue is the number of its requests in progress that are late.
+	Overdue int
+	// Applied is false while ejection is switched off: the target is listed for
+	// the operator and gets requests as before.
+	Applied bool
+}
+
+func (s *suspicion) bad(threshold float64) {
+	s.evidence = min(s.evidence+1, threshold*evidenceCap)
+	s.normal = 0
+}
+
+func (s *suspicion) good() {
+	s.evidence = max(s.evidence-normalWeight, 0)
+	s.normal++
+}
+
+func (s *suspicion) start(now clock.Reading, picks uint64, interval time.Duration) {
+	s.active, s.since, s.normal = true, now.Mono, 0
+	s.interval, s.probed, s.picks = interval, now.Mono, picks
+}
+
+// end returns the target to service. Most of the evidence stays, so that a
+// target that is still slow is suspected again after one slow answer.
+func (s *suspicion) end(threshold float64) {
+	s.active = false
+	s.evidence = max(threshold-1, 0)
+}
--- /dev/null
+++ b/coord/choice/target.go
@@ -0,0 +1,72 @@
+package choice
+
+import (
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+)
+
+// state is what this process knows of one target. Times are monotonic.
+type state struct {
+	Target
+	// starts holds the starts of the requests in progress, oldest first.
+	starts []time.Duration
+	// others is the number of other processes' requests at the last report.
+	others   int
+	reported time.Duration
+	// limit is the gate's limit at the last report, or zero before one.
+	limit   int
+	suspect suspicion
+}
+
+// finish removes the request in progress whose start is nearest to the one
+// that the latency gives. Results carry no identity, and the two may differ by
+// the time between the caller's readings of the clock.
+func (s *state) finish(now clock.Reading, latency time.Duration) {
+	start := now.Mono - latency
+	at, _ := slices.BinarySearch(s.starts, start)
+	if at == len(s.starts) || (at > 0 && start-s.starts[at-1] < s.starts[at]-start) {
+		at--
+	}
+	if at >= 0 {
+		s.starts = slices.Delete(s.starts, at, at+1)
+	}
+}
+
+// report takes a gate's state into account.
+func (s *state) report(now clock.Reading, load *GateLoad) {
+	s.others = max(load.Running+load.Queued-len(s.starts), 0)
+	s.reported = now.Mono
+	s.limit = load.Limit
+}
+
+// overdue returns the number of requests in progress for longer than late.
+func (s *state) overdue(now clock.Reading, late time.Duration) int {
+	if late <= 0 {
+		return 0
+	}
+	n, _ := slices.BinarySearch(s.starts, now.Mono-late)
+	return n
+}
+
+// queueWeight is the cost of a full limit of waiting requests relative to a
+// full limit of running ones. Waiting delays a request; running beside others
+// within the limit hardly does.
+const queueWeight = 4
+
+// cost compares the delay of one more request. Requests up to the gate's limit
+// count by their share of all slots, so that a target in its ramp gets work up
+// to its limit and the ramp goes on; further ones wait.
+func (s *state) cost(now clock.Reading, reportAge time.Duration) float64 {
+	load := float64(len(s.starts) + 1)
+	if age := now.Mono - s.reported; s.others > 0 && age < reportAge {
+		load += float64(s.others) * (1 - float64(age)/float64(reportAge))
+	}
+	slots := float64(max(s.Slots, 1))
+	limit := slots
+	if s.limit > 0 {
+		limit = min(float64(s.limit), slots)
+	}
+	return load/slots + queueWeight*max(load-limit, 0)/limit
+}
--- /dev/null
+++ b/coord/internal/loadsim/cluster_test.go
@@ -0,0 +1,234 @@
+package loadsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/admission"
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/retry"
+	"bramleyquay.example/coord/table"
+)
+
+// figures describe one deployment; see section 10 of the design page.
+type figures struct {
+	name                          string
+	slots, targets, dataCentres   int
+	betweenDataCentres, toCallers time.Duration
+}
+
+var (
+	muscat3  = figures{"Muscat, 3 targets", 12, 3, 3, 500 * time.Microsecond, 3 * time.Millisecond}
+	muscat4  = figures{"Muscat, 4 targets", 12, 4, 3, 500 * time.Microsecond, 3 * time.Millisecond}
+	cascadia = figures{"Cascadia", 6, 4, 4, 500 * time.Microsecond, time.Millisecond}
+)
+
+const (
+	meanService = 5 * time.Millisecond
+	timeout     = 2 * time.Second
+	// warmUp is half of the ramp, as an operator would configure it.
+	warmUp       = 5 * time.Second
+	rampDuration = 10 * time.Second
+)
+
+// scenario is one run.
+type scenario struct {
+	figures
+	// load is the offered rate over the rate of all slots of warm targets.
+	load         float64
+	paymentShare float64
+	length       time.Duration
+	// skip is the time at the start that does not count.
+	skip     time.Duration
+	selector func(string, *rand.Rand) choice.Selector
+	hedging  bool
+	noRamp   bool
+	cold     bool
+	phases   func(target int) []slowPhase
+	reports  reports
+	seed     uint64
+	// at is called once with the cluster before the run.
+	prepare func(*cluster)
+}
+
+type reports int
+
+const (
+	exact reports = iota
+	// late reports are 500 ms to 1 s old.
+	late
+	// lying reports are late; the first target always claims to be idle, the last full.
+	lying
+)
+
+type cluster struct {
+	scenario
+	loop     *loop
+	gates    map[table.MemberID]*gate
+	order    []*gate
+	ingress  []*ingress
+	nextID   uint64
+	result   *result
+	arrivals *rand.Rand
+}
+
+func shipped(dataCentre string, r *rand.Rand) choice.Selector {
+	return choice.New(choice.Config{DataCentre: dataCentre}, r)
+}
+
+func baseline(kind choice.BaselineKind) func(string, *rand.Rand) choice.Selector {
+	return func(_ string, r *rand.Rand) choice.Selector { return choice.NewBaseline(kind, r) }
+}
+
+func run(s scenario) *cluster {
+	c := &cluster{scenario: s, loop: &loop{}, gates: map[table.MemberID]*gate{}, result: newResult(s.length)}
+	var targets []choice.Target
+	for i := range s.targets {
+		c.addGate(i)
+		targets = append(targets, choice.Target{ID: c.order[i].id, DataCentre: fmt.Sprint(c.order[i].dataCentre), Slots: s.slots})
+	}
+	for i := range s.targets {
+		r := rand.New(rand.NewPCG(s.seed, uint64(100+i)))
+		in := &ingress{cluster: c, dataCentre: i % s.dataCentres, hedging: s.hedging,
+			selector: s.selector(fmt.Sprint(i%s.dataCentres), r), policy: retry.New(retry.Config{}, r)}
+		in.selector.SetTargets(c.loop.reading(), targets)
+		c.ingress = append(c.ingress, in)
+	}
+	c.reportLoad()
+	c.arrivals = rand.New(rand.NewPCG(s.seed, 1))
+	if s.prepare != nil {
+		s.prepare(c)
+	}
+	c.arrive()
+	c.loop.runUntil(s.length)
+	return c
+}
+
+func (c *cluster) addGate(i int) {
+	config := admission.Config{Slots: c.slots, RampStartSlots: 1, RampDuration: rampDuration, QueueLength: 256}
+	if c.noRamp {
+		config.RampDuration = 0
+	}
+	target := &standIn{loop: c.loop, random: rand.New(rand.NewPCG(c.seed, uint64(10+i))), slots: c.slots, mean: meanService, warmth: 1}
+	if c.cold {
+		target.warmUp, target.warmth = warmUp, 0
+	} else {
+		// A warm target starts at its full limit.
+		config.RampDuration = 0
+	}
+	g := &gate{loop: c.loop, id: table.MemberID(fmt.Sprint("t", i)), dataCentre: i % c.dataCentres,
+		limiter: admission.New(config, c.loop.reading()), target: target, calls: map[uint64]*call{}}
+	if !c.cold && !c.noRamp {
+		config.RampDuration = rampDuration
+		g.limiter.Configure(c.loop.reading(), config)
+	}
+	if c.phases != nil {
+		target.phases = c.phases(i)
+	}
+	c.gates[g.id], c.order = g, append(c.order, g)
+}
+
+// reportLoad gives the targets' own reports to the baselines, and replaces the
+// gates' load in answers if the scenario says so.
+func (c *cluster) reportLoad() {
+	const every = 500 * time.Millisecond
+	for i, g := range c.order {
+		var old, current choice.GateLoad
+		lie := func(l choice.GateLoad) choice.GateLoad {
+			if c.reports == lying && i == 0 {
+				return choice.GateLoad{Limit: c.slots}
+			} else if c.reports == lying && i == len(c.order)-1 {
+				return choice.GateLoad{Running: c.slots, Limit: c.slots, Queued: c.slots}
+			}
+			return l
+		}
+		var refresh func()
+		refresh = func() {
+			s := g.limiter.Status(c.loop.reading())
+			old, current = current, choice.GateLoad{Running: s.Running, Limit: s.Limit, Queued: s.Queued}
+			for _, in := range c.ingress {
+				if b, ok := in.selector.(*choice.Baseline); ok {
+					b.Report(g.id, lie(old))
+				}
+			}
+			c.loop.after(every, refresh)
+		}
+		refresh()
+		if c.reports != exact {
+			g.report = func(admission.Status) choice.GateLoad { return lie(old) }
+		}
+	}
+}
+
+func (c *cluster) delay(a, b int) time.Duration {
+	if a == b {
+		return 0
+	}
+	return c.betweenDataCentres
+}
+
+// arrive makes requests at random times and random processes.
+func (c *cluster) arrive() {
+	rate := c.load * float64(c.targets*c.slots) / meanService.Seconds()
+	c.loop.after(time.Duration(c.arrivals.ExpFloat64()/rate*1e9), func() {
+		now := c.loop.now
+		r := &request{payment: c.arrivals.Float64() < c.paymentShare, arrived: now, deadline: now + timeout}
+		c.ingress[c.arrivals.IntN(len(c.ingress))].accept(r)
+		c.arrive()
+	})
+}
+
+// result collects the latencies that callers see and what was served.
+type result struct {
+	latency [2][]time.Duration // browse, payment
+	// offered and served count requests per class and second of arrival.
+	offered, served [2][]int
+	total, extra    int
+	repeated        int
+}
+
+func newResult(length time.Duration) *result {
+	r := &result{}
+	for class := range 2 {
+		r.offered[class] = make([]int, length/time.Second+1)
+		r.served[class] = make([]int, length/time.Second+1)
+	}
+	return r
+}
+
+func (r *result) finished(c *cluster, q *request, served bool) {
+	class := 0
+	if q.payment {
+		class = 1
+		if q.runs > 1 {
+			r.repeated++
+		}
+	}
+	r.offered[class][q.arrived/time.Second]++
+	if served {
+		r.served[class][q.arrived/time.Second]++
+	}
+	r.total++
+	if q.arrived < c.skip {
+		return
+	}
+	latency := timeout
+	if served {
+		latency = c.loop.now - q.arrived
+	}
+	r.latency[class] = append(r.latency[class], latency+2*c.toCallers)
+}
+
+func percentile(all []time.Duration, p float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(all))
+	return sorted[min(int(p/100*float64(len(sorted))), len(sorted)-1)]
+}
+
+func (r *result) all() []time.Duration { return append(slices.Clone(r.latency[0]), r.latency[1]...) }
+
+func (r *result) extraShare() float64 { return float64(r.extra) / float64(max(r.total, 1)) }
--- /dev/null
+++ b/coord/internal/loadsim/gate_test.go
@@ -0,0 +1,98 @@
+package loadsim
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/admission"
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/table"
+)
+
+// gate drives one Limiter beside one stand-in.
+type gate struct {
+	loop       *loop
+	id         table.MemberID
+	dataCentre int
+	limiter    *admission.Limiter
+	target     *standIn
+	calls      map[uint64]*call
+	ticking    bool
+	report     func(admission.Status) choice.GateLoad
+}
+
+// call is one attempt at a gate.
+type call struct {
+	request *request
+	id      uint64
+	gate    *gate
+	sentAt  time.Duration
+	running bool
+	over    bool
+	// answer is called at the gate with nil or a refusal.
+	answer func(*outcome.Refusal, choice.GateLoad)
+}
+
+func (g *gate) offer(c *call, deadline time.Duration) {
+	g.calls[c.id] = c
+	r := admission.Request{ID: c.id, Deadline: g.loop.reading().Add(deadline - g.loop.now)}
+	if c.request.payment {
+		r.Class = admission.Payment
+	}
+	g.apply(g.limiter.Offer(g.loop.reading(), r))
+}
+
+func (g *gate) apply(actions []admission.Action) {
+	for _, a := range append([]admission.Action(nil), actions...) {
+		c := g.calls[a.ID]
+		if a.Kind == admission.Refuse {
+			delete(g.calls, a.ID)
+			c.answer(a.Refusal, g.load())
+			continue
+		}
+		c.running = true
+		c.request.runs++
+		took := g.target.dispatch()
+		g.loop.after(took, func() {
+			if c.over {
+				return
+			}
+			delete(g.calls, c.id)
+			g.target.end()
+			g.apply(g.limiter.Done(g.loop.reading(), c.id, admission.Sample{ServiceTime: took}))
+			c.answer(nil, g.load())
+		})
+	}
+	g.schedule()
+}
+
+// cancel ends an attempt that the caller gave up.
+func (g *gate) cancel(c *call) {
+	if g.calls[c.id] == nil {
+		return
+	}
+	delete(g.calls, c.id)
+	c.over = true
+	if c.running {
+		g.target.end()
+	}
+	g.apply(g.limiter.Cancel(g.loop.reading(), c.id))
+}
+
+func (g *gate) schedule() {
+	if next, ok := g.limiter.Next(g.loop.reading()); ok && !g.ticking {
+		g.ticking = true
+		g.loop.after(max(next, time.Millisecond), func() {
+			g.ticking = false
+			g.apply(g.limiter.Tick(g.loop.reading()))
+		})
+	}
+}
+
+func (g *gate) load() choice.GateLoad {
+	s := g.limiter.Status(g.loop.reading())
+	if g.report != nil {
+		return g.report(s)
+	}
+	return choice.GateLoad{Running: s.Running, Limit: s.Limit, Queued: s.Queued}
+}
--- /dev/null
+++ b/coord/internal/loadsim/ingress_test.go
@@ -0,0 +1,139 @@
+package loadsim
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/retry"
+	"bramleyquay.example/coord/table"
+)
+
+// request is one request of a caller.
+type request struct {
+	payment  bool
+	arrived  time.Duration // at the ingress
+	deadline time.Duration
+	attempts int
+	tried    []table.MemberID
+	open     []*call
+	hedged   bool
+	done     bool
+	// runs counts how often a target began to run the request.
+	runs int
+}
+
+// ingress drives one Selector and, unless it is a baseline without, one Policy.
+type ingress struct {
+	cluster    *cluster
+	dataCentre int
+	selector   choice.Selector
+	policy     *retry.Policy
+	hedging    bool
+}
+
+func (in *ingress) accept(r *request) {
+	in.policy.Request()
+	loop := in.cluster.loop
+	loop.after(r.deadline-loop.now, func() { in.finish(r, false) })
+	in.send(r)
+	if delay, ok := in.policy.HedgeDelay(loop.reading()); ok && in.hedging && !r.payment {
+		loop.after(delay, func() { in.hedge(r) })
+	}
+}
+
+func (in *ingress) hedge(r *request) {
+	if r.done || len(r.open) != 1 || r.hedged || !in.policy.Hedge(retry.Attempt{Idempotent: true}) {
+		return
+	}
+	r.hedged = true
+	in.cluster.result.extra++
+	in.send(r)
+}
+
+// send makes one attempt at a target that was not tried yet, if there is one.
+func (in *ingress) send(r *request) {
+	loop := in.cluster.loop
+	id, ok := in.selector.Pick(loop.reading(), r.tried...)
+	if !ok {
+		r.tried = r.tried[:0]
+		id, _ = in.selector.Pick(loop.reading())
+	}
+	r.attempts++
+	r.tried = append(r.tried, id)
+	g := in.cluster.gates[id]
+	in.cluster.nextID++
+	c := &call{request: r, id: in.cluster.nextID, gate: g, sentAt: loop.now}
+	r.open = append(r.open, c)
+	in.selector.Started(loop.reading(), id)
+	delay := in.cluster.delay(in.dataCentre, g.dataCentre)
+	c.answer = func(refusal *outcome.Refusal, load choice.GateLoad) {
+		loop.after(delay, func() { in.answered(r, c, refusal, load) })
+	}
+	loop.after(delay, func() {
+		if !c.over {
+			g.offer(c, r.deadline)
+		}
+	})
+}
+
+func (in *ingress) answered(r *request, c *call, refusal *outcome.Refusal, load choice.GateLoad) {
+	if !r.close(c) {
+		return
+	}
+	loop := in.cluster.loop
+	kind := choice.OK
+	if refusal != nil {
+		kind = choice.Refused
+	}
+	in.selector.Finished(loop.reading(), c.gate.id, choice.Result{Latency: loop.now - c.sentAt, Kind: kind, Load: &load})
+	if refusal == nil {
+		in.policy.Observe(loop.reading(), loop.now-r.arrived)
+		in.finish(r, true)
+		return
+	}
+	if len(r.open) > 0 {
+		return
+	}
+	decision := in.policy.Decide(loop.reading(), retry.Attempt{Number: r.attempts, Idempotent: !r.payment, Payment: r.payment,
+		Refusal: refusal, Elsewhere: len(r.tried) < len(in.cluster.gates), Deadline: loop.reading().Add(r.deadline - loop.now)})
+	if !decision.Repeat {
+		in.finish(r, false)
+		return
+	}
+	in.cluster.result.extra++
+	loop.after(decision.Wait, func() {
+		if !r.done {
+			in.send(r)
+		}
+	})
+}
+
+// close removes an attempt from the open ones; false means that it was cancelled.
+func (r *request) close(c *call) bool {
+	for i, o := range r.open {
+		if o == c {
+			r.open = append(r.open[:i], r.open[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// finish answers the caller and cancels the attempts still open.
+func (in *ingress) finish(r *request, served bool) {
+	if r.done {
+		return
+	}
+	r.done = true
+	loop := in.cluster.loop
+	for _, c := range r.open {
+		in.selector.Finished(loop.reading(), c.gate.id, choice.Result{Latency: loop.now - c.sentAt, Kind: choice.Cancelled})
+		loop.after(in.cluster.delay(in.dataCentre, c.gate.dataCentre), func() {
+			c.over = true
+			c.gate.cancel(c)
+		})
+	}
+	r.open = nil
+	in.cluster.result.finished(in.cluster, r, served)
+}
--- /dev/null
+++ b/coord/internal/loadsim/straggler_test.go
@@ -0,0 +1,86 @@
+package loadsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/choice"
+)
+
+// stragglers returns slow phases at ten times the service time for 200 ms to
+// 2 s: one phase begins every three seconds, at the given number of targets at once.
+func stragglers(f figures, atOnce int, length time.Duration) func(int) []slowPhase {
+	random := rand.New(rand.NewPCG(77, uint64(atOnce)))
+	phases := make([][]slowPhase, f.targets)
+	for from := 3 * time.Second; from < length; from += 3 * time.Second {
+		for _, t := range random.Perm(f.targets)[:atOnce] {
+			long := 200*time.Millisecond + time.Duration(random.Int64N(int64(1800*time.Millisecond)))
+			phases[t] = append(phases[t], slowPhase{from, from + long, 10})
+		}
+	}
+	return func(i int) []slowPhase { return phases[i] }
+}
+
+type policy struct {
+	name     string
+	selector func(string, *rand.Rand) choice.Selector
+	hedging  bool
+}
+
+var policies = []policy{
+	{"round robin", baseline(choice.RoundRobin), false},
+	{"least in flight", baseline(choice.LeastInFlight), false},
+	{"least reported", baseline(choice.LeastReported), false},
+	{"two choices", baseline(choice.TwoChoices), false},
+	{"two choices, reported", baseline(choice.TwoChoicesReported), false},
+	{"shipped, no hedging", shipped, false},
+	{"shipped", shipped, true},
+}
+
+// TestStragglers guards against tail latency and load caused by slow targets:
+// the 99th percentile stays within 1.5 times that without stragglers, extra
+// requests within 5%, and no payment runs twice.
+func TestStragglers(t *testing.T) {
+	cases := []struct {
+		figures
+		atOnce  int
+		reports reports
+	}{
+		{muscat3, 1, exact}, {muscat4, 1, exact}, {muscat4, 2, exact}, {cascadia, 1, exact}, {cascadia, 2, exact},
+		{muscat4, 1, late}, {cascadia, 1, lying},
+	}
+	const length, seed = 30 * time.Second, 1
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.name, ", ", c.atOnce, " at once, reports ", c.reports), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := scenario{figures: c.figures, load: 0.4, paymentShare: 0.2, length: length, skip: 2 * time.Second, reports: c.reports, seed: seed}
+			for _, p := range policies {
+				s.selector, s.hedging = p.selector, p.hedging
+				s.phases = nil
+				calm := run(s).result
+				s.phases = stragglers(c.figures, c.atOnce, length)
+				r := run(s).result
+				t.Logf("%-22s p99 %5.1f p99.9 %6.1f | calm p99 %5.1f p99.9 %5.1f | ratio %.2f payments p99 %5.1f ratio %.2f | extra %.2f%% (calm %.2f%%)", p.name,
+					ms(percentile(r.all(), 99)), ms(percentile(r.all(), 99.9)), ms(percentile(calm.all(), 99)), ms(percentile(calm.all(), 99.9)),
+					ratio(r.all(), calm.all()), ms(percentile(r.latency[1], 99)), ratio(r.latency[1], calm.latency[1]),
+					100*r.extraShare(), 100*calm.extraShare())
+				if p.name == "shipped" {
+					is.True(ratio(r.all(), calm.all()) <= 1.5) // 99th percentile against the calm run
+					is.True(r.extraShare() <= 0.05)            // extra requests
+					is.Equal(r.repeated, 0)                    // payments that ran twice
+				}
+			}
+		})
+	}
+}
+
+func ratio(a, b []time.Duration) float64 {
+	return float64(percentile(a, 99)) / float64(percentile(b, 99))
+}
+
+func ms(d time.Duration) float64 { return float64(d) / 1e6 }
--- /dev/null
+++ b/coord/retry/budget.go
@@ -0,0 +1,34 @@
+package retry
+
+// Budget bounds extra requests to a share of all requests. It is a token
+// bucket filled by requests instead of time, so that the share holds at any
+// rate. It starts full.
+type Budget struct {
+	share, burst, tokens float64
+	requests, extra      uint64
+}
+
+// NewBudget returns a budget of share extra requests per request, of which up
+// to burst can be saved up.
+func NewBudget(share, burst float64) *Budget {
+	return &Budget{share: share, burst: burst, tokens: burst}
+}
+
+// Request counts one request of a caller.
+func (b *Budget) Request() {
+	b.requests++
+	b.tokens = min(b.tokens+b.share, b.burst)
+}
+
+// Take uses the budget for one extra request, or returns false.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	b.extra++
+	return true
+}
+
+// Used returns the callers' requests and the extra requests so far.
+func (b *Budget) Used() (requests, extra uint64) { return b.requests, b.extra }
