Reserve parts of the retry budget for repeats and payments

Change: hedges leave half of the burst, browse repeats a quarter. A target that turns cold at 1.2 times the full load still refuses payments that others could take.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -20,9 +20,24 @@
 	b.tokens = min(b.tokens+b.share, b.burst)
 }
 
+// Use states what an extra request is for. Each use leaves a part of the burst
+// to the more important ones.
+type Use uint8
+
+const (
+	// PaymentRepeat may use the whole budget: payments are given up last.
+	PaymentRepeat Use = iota
+	// BrowseRepeat leaves a quarter. Without it the caller gets a refusal.
+	BrowseRepeat
+	// Hedge leaves a half. Without it the caller gets a later answer.
+	Hedge
+
+	reserveStep = 0.25
+)
+
 // Take uses the budget for one extra request, or returns false.
-func (b *Budget) Take() bool {
-	if b.tokens < 1 {
+func (b *Budget) Take(use Use) bool {
+	if b.tokens < 1+float64(use)*reserveStep*b.burst {
 		return false
 	}
 	b.tokens--
--- a/coord/retry/policy.go
+++ b/coord/retry/policy.go
@@ -25,7 +25,7 @@
 // Indexes and values of the latency quantiles.
 const (
 	usual = iota
-	hedge
+	late
 
 	usualPercent = 50
 )
@@ -83,7 +83,11 @@
 		return Decision{Denied: Deadline}
 	}
 	// A request with an unknown outcome may run twice and adds load as well.
-	if (why == load || result != outcome.NotRun) && !p.budget.Take() {
+	use := BrowseRepeat
+	if a.Payment {
+		use = PaymentRepeat
+	}
+	if (why == load || result != outcome.NotRun) && !p.budget.Take(use) {
 		return Decision{Denied: BudgetSpent}
 	}
 	return Decision{Repeat: true, Wait: wait}
@@ -109,7 +113,7 @@
 // without an answer is sent to a second target. It returns false while the
 // latency is unknown or repeats are off.
 func (p *Policy) HedgeDelay(_ clock.Reading) (time.Duration, bool) {
-	delay := p.latency.Quantile(hedge)
+	delay := p.latency.Quantile(late)
 	if !p.on || delay == 0 {
 		return 0, false
 	}
@@ -119,5 +123,5 @@
 // Hedge reports whether the request may be hedged now and uses the budget.
 // Call it when the hedge delay has passed. Payments are never hedged.
 func (p *Policy) Hedge(a Attempt) bool {
-	return p.on && a.Idempotent && !a.Payment && p.budget.Take()
+	return p.on && a.Idempotent && !a.Payment && p.budget.Take(Hedge)
 }
