Add the idempotency package: owner and copies of payment records

Payments need one record per idempotency key, on every copy before the target sees the request. Owner and Copy are state machines without clock or socket. Epoch and version order the states of a key, because a refused key may be started again and messages may arrive late.

Ruled out: ordering by state alone, which cannot tell a late 'refused' from the 'started' that followed it.

--- /dev/null
+++ b/coord/idempotency/answer.go
@@ -0,0 +1,38 @@
+package idempotency
+
+// MaxBody is the largest answer body that is recorded, in bytes. Larger
+// answers are recorded without body to bound memory and copy traffic.
+const MaxBody = 64 << 10
+
+// Answer is a target's response.
+type Answer struct {
+	Status int                 `json:"status" cbor:"1,keyasint"`
+	Header map[string][]string `json:"header,omitempty" cbor:"2,keyasint,omitempty"`
+	Body   []byte              `json:"body,omitempty" cbor:"3,keyasint,omitempty"`
+	// BodyOmitted says that the response had a body larger than MaxBody. A
+	// repeat of the request receives the status without body.
+	BodyOmitted bool `json:"bodyOmitted,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// recorded returns a as it is kept in a record.
+func (a Answer) recorded() *Answer {
+	if len(a.Body) > MaxBody {
+		a.Body, a.BodyOmitted = nil, true
+	}
+	return &a
+}
+
+func (a *Answer) size() int64 {
+	if a == nil {
+		return 0
+	}
+	const answerOverhead, headerOverhead = 64, 48
+	n := int64(answerOverhead + len(a.Body))
+	for name, values := range a.Header {
+		n += int64(headerOverhead + len(name))
+		for _, v := range values {
+			n += int64(16 + len(v))
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/coord/idempotency/assignment.go
@@ -0,0 +1,49 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// Assignment is what the ownership table says about a unit of this member.
+type Assignment struct {
+	Unit  shard.Unit
+	Epoch uint64
+	// Copies hold all records; Joining copies are to be filled.
+	Copies  []Member
+	Joining []Member
+	// Sources held all records at the previous epoch. Without any, an owner
+	// that held the unit before continues with its own records.
+	Sources []Member
+	// RecordsLost means that all holders of the records were lost. Requests
+	// are then answered unknown until Lifetime has passed.
+	RecordsLost bool
+	// Fresh means that the unit never had records.
+	Fresh bool
+	// Lifetime is how long records are kept; zero selects the default.
+	Lifetime time.Duration
+	// Held is what Copy.Take returned for the unit, or nil. It is ignored if
+	// Sources says that this member did not hold all records.
+	Held *Held
+}
+
+func contains(members []Member, id table.MemberID) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id })
+}
+
+// candidates returns the members to read the records from, in order of
+// preference. Copies in sync hold all records as well.
+func (a *Assignment) candidates(self table.MemberID) []table.MemberID {
+	var ids []table.MemberID
+	for _, list := range [][]Member{a.Sources, a.Copies} {
+		for _, m := range list {
+			if m.ID != self && !slices.Contains(ids, m.ID) {
+				ids = append(ids, m.ID)
+			}
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/coord/idempotency/copy_hold.go
@@ -0,0 +1,104 @@
+package idempotency
+
+import (
+	"cmp"
+	"slices"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// Take removes the records of a unit that this member owns from epoch on and
+// returns them, or nil if this copy does not hold all of them. Writes of lower
+// epochs are rejected from now on.
+func (c *Copy) Take(now clock.Reading, unit shard.Unit, epoch uint64) *Held {
+	s := c.unit(unit)
+	s.touched = now
+	if epoch < s.fence {
+		return nil
+	}
+	s.fence = epoch
+	var held *Held
+	if s.complete {
+		held = &Held{Unit: unit, Epoch: epoch, store: s.store}
+	}
+	c.discard(s)
+	return held
+}
+
+// Put stores the records of a unit that this member owned until now.
+func (c *Copy) Put(now clock.Reading, held *Held) {
+	s := c.unit(held.Unit)
+	s.touched = now
+	if held.Epoch < s.fence && s.store != nil {
+		return
+	}
+	c.discard(s)
+	s.fence = max(s.fence, held.Epoch)
+	s.store, s.complete = held.store, true
+	c.bytes += s.store.bytes
+}
+
+// Keep drops the records of units that this member need not hold according to
+// its table: it is neither owner, copy, joining copy nor source. A unit whose
+// copy is ahead of the table is kept. A unit that is not in the table is
+// dropped once nothing has touched it for the time of Margin.
+func (c *Copy) Keep(now clock.Reading, entries []*table.Entry) {
+	known := make(map[shard.Unit]*table.Entry, len(entries))
+	for _, e := range entries {
+		known[e.Unit] = e
+	}
+	for unit, s := range c.units {
+		if s.store == nil {
+			continue
+		}
+		e := known[unit]
+		switch {
+		case e == nil && now.Since(s.touched) < c.cfg.Margin:
+		case e != nil && (e.Epoch < s.fence || e.Holds(c.cfg.Self) || slices.Contains(e.Sources, c.cfg.Self)):
+		default:
+			c.discard(s)
+		}
+	}
+}
+
+// sweepUnits is how many units one call of Tick looks at.
+const sweepUnits = 64
+
+// sweepRecords is how many records of a unit one call of Tick removes.
+const sweepRecords = 256
+
+// Tick removes expired records and old fences.
+func (c *Copy) Tick(now clock.Reading) {
+	if len(c.sweep) == 0 {
+		c.sweep = sortedUnits(c.units)
+	}
+	n := min(sweepUnits, len(c.sweep))
+	for _, unit := range c.sweep[:n] {
+		s := c.units[unit]
+		switch {
+		case s == nil:
+		case s.store != nil:
+			before := s.store.bytes
+			s.store.expire(wallMs(now), c.cfg.Margin, sweepRecords, nil)
+			c.bytes += s.store.bytes - before
+		case now.Since(s.touched) > c.cfg.FenceLifetime:
+			delete(c.units, unit)
+		}
+	}
+	c.sweep = c.sweep[n:]
+}
+
+func sortedUnits[V any](m map[shard.Unit]V) []shard.Unit {
+	units := make([]shard.Unit, 0, len(m))
+	for u := range m {
+		units = append(units, u)
+	}
+	slices.SortFunc(units, compareUnits)
+	return units
+}
+
+func compareUnits(a, b shard.Unit) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Key, b.Key))
+}
--- /dev/null
+++ b/coord/idempotency/peer.go
@@ -0,0 +1,111 @@
+package idempotency
+
+import (
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/table"
+)
+
+// peer is a copy of one unit as its owner sees it.
+type peer struct {
+	id table.MemberID
+	// remote means that the copy is in another data centre than the owner.
+	remote  bool
+	joining bool
+	// fresh means that the unit never had records, so the copy has none yet.
+	fresh bool
+	// open means that the copy accepts records.
+	open bool
+	// incarnation is the copy's process, known from its first reply.
+	incarnation uint64
+	join        *join
+	// synced is set once all records are on a joining copy.
+	synced     bool
+	reportedAt clock.Reading
+}
+
+// join is the transfer of all records to a copy.
+type join struct {
+	id        JoinID
+	startedAt clock.Reading
+	opened    bool
+	// keys are still to be sent.
+	keys []string
+	// covered is the number of keys in the write on its way.
+	covered int
+}
+
+// startPeer opens or continues the exchange with a copy at a new epoch.
+func (o *Owner) startPeer(u *ownedUnit, p *peer) {
+	switch {
+	case p.join != nil:
+		o.sendJoin(u, p)
+		o.sendRuns(u, p)
+	case p.open:
+		o.reportSynced(u, p)
+		o.sendRuns(u, p)
+	case p.joining || p.fresh:
+		o.openJoin(u, p)
+	default:
+		// An empty write raises the fence and tells the incarnation.
+		o.send(u, p, nil, nil, WriteRequest{})
+	}
+}
+
+// openJoin starts a transfer of all records from the beginning.
+func (o *Owner) openJoin(u *ownedUnit, p *peer) {
+	o.pending.dropPeer(u, p)
+	u.forgetAcks(p.id)
+	p.open, p.synced, p.incarnation = false, false, 0
+	p.join = &join{id: JoinID{Epoch: u.epoch, Seq: o.nextSeq()}, startedAt: o.now}
+	o.sendJoin(u, p)
+}
+
+// sendJoin sends the current step. One step is on its way at a time, so that
+// the acknowledged last step proves that all earlier ones were applied.
+func (o *Owner) sendJoin(u *ownedUnit, p *peer) {
+	req := WriteRequest{Step: JoinOpen}
+	if p.join.opened {
+		req.Records, p.join.covered = u.store.page(p.join.keys, o.cfg.PageBytes)
+		req.Step = JoinChunk
+		if p.join.covered == len(p.join.keys) {
+			req.Step = JoinLast
+		}
+	}
+	o.send(u, p, nil, nil, req)
+}
+
+// joinAcked continues a transfer after step was applied.
+func (o *Owner) joinAcked(u *ownedUnit, p *peer, step JoinStep) {
+	switch step {
+	case JoinOpen:
+		p.join.opened, p.open = true, true
+		p.join.keys = u.store.keys()
+		o.sendJoin(u, p)
+		o.sendRuns(u, p)
+	case JoinChunk:
+		p.join.keys = p.join.keys[p.join.covered:]
+		o.sendJoin(u, p)
+	case JoinLast:
+		p.join, p.synced = nil, true
+		o.reportSynced(u, p)
+		o.advanceAll(u)
+	}
+}
+
+func (o *Owner) reportSynced(u *ownedUnit, p *peer) {
+	if p.joining && p.synced {
+		p.reportedAt = o.now
+		o.emit(Synced{Unit: u.unit, Epoch: u.epoch, Copy: p.id})
+	}
+}
+
+func (o *Owner) tickPeers(u *ownedUnit) {
+	for _, p := range u.peers {
+		if p.synced && o.now.Since(p.reportedAt) >= o.cfg.SyncRepeat {
+			o.reportSynced(u, p)
+		}
+	}
+}
+
+// inSync reports whether p holds all records.
+func (p *peer) inSync() bool { return !p.joining && p.open && p.join == nil }
--- /dev/null
+++ b/coord/idempotency/record.go
@@ -0,0 +1,75 @@
+package idempotency
+
+import "time"
+
+// RecordState is the state of the request that a record describes.
+type RecordState uint8
+
+const (
+	// Started means that the target may have seen the request.
+	Started RecordState = iota + 1
+	// Finished means that the target answered; Answer is set.
+	Finished
+	// Refused means that the owner did not dispatch the request and will not.
+	Refused
+)
+
+// String returns the state's name.
+func (s RecordState) String() string {
+	switch s {
+	case Started:
+		return "started"
+	case Finished:
+		return "finished"
+	case Refused:
+		return "refused"
+	default:
+		return "invalid"
+	}
+}
+
+// Record is what is known about one idempotency key of a unit. Records are
+// immutable once they have been passed to an Owner or a Copy.
+type Record struct {
+	Key string `json:"key" cbor:"1,keyasint"`
+	// Digest identifies the request's body. A key is bound to one digest.
+	Digest [32]byte    `json:"digest" cbor:"2,keyasint"`
+	State  RecordState `json:"state" cbor:"3,keyasint"`
+	// CreatedAtMs is the wall-clock time of the latest start, in Unix ms.
+	CreatedAtMs int64 `json:"createdAtMs" cbor:"4,keyasint"`
+	// Answer is set in the state Finished.
+	Answer *Answer `json:"answer,omitempty" cbor:"5,keyasint,omitempty"`
+	// Epoch and Version order the states of one key. Messages may arrive
+	// late, and a refused key may be started again, so the state alone does
+	// not tell which record is newer.
+	Epoch   uint64 `json:"epoch" cbor:"6,keyasint"`
+	Version uint64 `json:"version" cbor:"7,keyasint"`
+}
+
+// newer reports whether r replaces old.
+func (r *Record) newer(old *Record) bool {
+	if r.Epoch != old.Epoch {
+		return r.Epoch > old.Epoch
+	}
+	return r.Version > old.Version
+}
+
+// next returns the record that follows r, written at epoch.
+func (r *Record) next(state RecordState, epoch uint64) *Record {
+	n := *r
+	n.State, n.Epoch, n.Version = state, epoch, r.Version+1
+	return &n
+}
+
+// recordOverhead is the memory of a record beside its key and answer: the
+// struct, the map slot and the entry in the expiry queue, in bytes.
+const recordOverhead = 240
+
+// size estimates the memory of r in bytes.
+func (r *Record) size() int64 {
+	return recordOverhead + int64(len(r.Key)) + r.Answer.size()
+}
+
+func (r *Record) age(nowMs int64) time.Duration {
+	return time.Duration(nowMs-r.CreatedAtMs) * time.Millisecond
+}
