Add process settings with positioned findings

Cause: a process needs settings that are checked as a whole before it starts, with every fault at its line and column.

Ruled out: encoding/json on standardized text. It stops at the first type error, matches field names without case, accepts duplicate fields and gives no position for a missing or contradictory value.

A data folder must exist, because a replica that starts on an unmounted folder would vote without its log.

--- /dev/null
+++ b/router/settings/addresses.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// listeners returns each listener's path and address in a fixed order.
+func (s *Settings) listeners() [][2]string {
+	l := s.Listen
+	return [][2]string{
+		{"listen.caller", l.Caller}, {"listen.peer", l.Peer}, {"listen.platform", l.Platform},
+		{"listen.operator", l.Operator}, {"listen.admin", l.Admin},
+	}
+}
+
+func (c *checker) checkListeners() {
+	if c.settings.Listen.Peer == "" {
+		c.report("listen.peer", "is missing: every process needs a peer listener")
+	}
+	type taken struct {
+		path    string
+		address netip.AddrPort
+	}
+	var before []taken
+	for _, listener := range c.settings.listeners() {
+		path, text := listener[0], listener[1]
+		if text == "" {
+			continue
+		}
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			c.report(path, "%q is not an address with a numeric IP and a port, such as 127.0.0.1:7000 or [::1]:7000", text)
+			continue
+		}
+		for _, other := range before {
+			if overlap(address, other.address) {
+				c.report(path, "%s is also used by %s", text, other.path)
+			}
+		}
+		before = append(before, taken{path, address})
+	}
+}
+
+// overlap reports whether two listeners cannot both be opened. An unspecified
+// address takes the port on every address. Port 0 never collides.
+func overlap(a, b netip.AddrPort) bool {
+	if a.Port() == 0 || a.Port() != b.Port() {
+		return false
+	}
+	x, y := a.Addr().Unmap(), b.Addr().Unmap()
+	return x == y || x.IsUnspecified() || y.IsUnspecified()
+}
+
+func (c *checker) checkPeers() {
+	peers := c.settings.Control.Peers
+	if len(peers) == 0 {
+		c.report("control.peers", "is missing: every process needs the control replicas' addresses")
+	}
+	ids, addresses := map[string]int{}, map[netip.AddrPort]int{}
+	for i, p := range peers {
+		path := fmt.Sprintf("control.peers[%d]", i)
+		c.checkName(path+".id", p.ID)
+		if first, twice := ids[p.ID]; twice && p.ID != "" {
+			c.report(path+".id", "%q is also the id of control.peers[%d]", p.ID, first)
+		} else {
+			ids[p.ID] = i
+		}
+		address, err := netip.ParseAddrPort(p.Address)
+		switch {
+		case p.Address == "":
+			c.report(path+".address", "is missing")
+			continue
+		case err != nil:
+			c.report(path+".address", "%q is not an address with a numeric IP and a port", p.Address)
+			continue
+		case address.Port() == 0 || address.Addr().IsUnspecified():
+			c.report(path+".address", "%q cannot be dialled: name the IP and the port", p.Address)
+			continue
+		}
+		if first, twice := addresses[address]; twice {
+			c.report(path+".address", "%s is also the address of control.peers[%d]", p.Address, first)
+		} else {
+			addresses[address] = i
+		}
+	}
+}
--- /dev/null
+++ b/router/settings/secret.go
@@ -0,0 +1,54 @@
+package settings
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"log/slog"
+)
+
+// MinSecretLength is the fewest characters of a shared secret.
+const MinSecretLength = 16
+
+const hidden = "[secret]"
+
+// Secret holds the shared secret. It never prints itself. The value is behind
+// a pointer, because fmt prints unexported string fields of enclosing structs
+// without calling any method.
+type Secret struct{ value *string }
+
+// NewSecret returns a secret with the given value.
+func NewSecret(value string) Secret { return Secret{value: &value} }
+
+// Bytes returns the value. Callers must not log or send it.
+func (s Secret) Bytes() []byte {
+	if s.value == nil {
+		return nil
+	}
+	return []byte(*s.value)
+}
+
+// IsSet reports whether there is a value, even an empty one.
+func (s Secret) IsSet() bool { return s.value != nil }
+
+// Equal compares in constant time.
+func (s Secret) Equal(other Secret) bool {
+	return subtle.ConstantTimeCompare(s.Bytes(), other.Bytes()) == 1
+}
+
+// SetString implements strictjson.StringSetter.
+func (s *Secret) SetString(value string) { s.value = &value }
+
+// Format implements fmt.Formatter for every verb.
+func (s Secret) Format(f fmt.State, _ rune) { _, _ = f.Write([]byte(hidden)) }
+
+// String returns a fixed text.
+func (s Secret) String() string { return hidden }
+
+// GoString returns a fixed text.
+func (s Secret) GoString() string { return hidden }
+
+// MarshalText returns a fixed text, also for JSON.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(hidden), nil }
+
+// LogValue returns a fixed text.
+func (s Secret) LogValue() slog.Value { return slog.StringValue(hidden) }
--- /dev/null
+++ b/router/settings/settings.go
@@ -0,0 +1,95 @@
+// Package settings reads the settings of one process: JSON with comments,
+// checked as a whole, with every finding at its line and column.
+package settings
+
+// Settings are the settings of one process. They are fixed while it runs.
+type Settings struct {
+	// ID names the process in the cluster. It survives restarts.
+	ID         string `json:"id"`
+	DataCentre string `json:"dataCentre"`
+	// Cluster must be equal in all processes that talk to each other.
+	Cluster string `json:"cluster"`
+	// Secret is shared by all processes of the cluster and its operators. A
+	// text gives either Secret or SecretFile; Load reads the file into Secret.
+	Secret Secret `json:"secret"`
+	// SecretFile is a path; surrounding white space in the file is ignored.
+	SecretFile string  `json:"secretFile"`
+	Listen     Listen  `json:"listen"`
+	Control    Control `json:"control"`
+	Target     Target  `json:"target"`
+	Log        Log     `json:"log"`
+	// ShutdownTimeoutMs bounds a planned stop, in milliseconds. A longer time
+	// interrupts fewer requests and delays a restart.
+	ShutdownTimeoutMs int64 `json:"shutdownTimeoutMs"`
+	TLS               TLS   `json:"tls"`
+}
+
+// Listen holds addresses of the form host:port with a numeric IP address. Port
+// 0 takes any free port. An empty address leaves the listener out.
+type Listen struct {
+	// Caller accepts requests for services.
+	Caller string `json:"caller"`
+	// Peer accepts the other processes of the cluster. Every process has it.
+	Peer string `json:"peer"`
+	// Platform accepts announcements of the target beside the process.
+	Platform string `json:"platform"`
+	// Operator serves the API and the console.
+	Operator string `json:"operator"`
+	// Admin serves metrics and health.
+	Admin string `json:"admin"`
+}
+
+// Control says how the process takes part in the control group.
+type Control struct {
+	// Replica makes the process a member of the replicated log group.
+	Replica bool `json:"replica"`
+	// DataFolder holds the log and snapshots of a replica. It must exist: a
+	// replica that starts on an unmounted folder would vote without its log.
+	DataFolder string `json:"dataFolder"`
+	// Bootstrap founds the group together with the other Peers. It is given at
+	// the first start only and has no effect on a folder that holds a log.
+	Bootstrap bool `json:"bootstrap"`
+	// Peers are the control replicas. Every process needs them.
+	Peers []ControlPeer `json:"peers"`
+}
+
+// ControlPeer is a control replica's peer listener.
+type ControlPeer struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+// Target describes the target beside the process.
+type Target struct {
+	// Expected says that a target will announce itself to this process.
+	Expected bool `json:"expected"`
+	// ChecksFences says that the target refuses requests of an older epoch or
+	// an expired grant. Without it a lost member's units wait a grace period.
+	ChecksFences bool `json:"checksFences"`
+}
+
+// Log says what the process logs.
+type Log struct {
+	// Level is trace, debug, info, warn or error.
+	Level string `json:"level"`
+	// Format is json or console.
+	Format string `json:"format"`
+}
+
+// TLS holds paths of PEM files. With a certificate the operator listener uses
+// TLS; with CAFile it also accepts clients by certificate.
+type TLS struct {
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	CAFile   string `json:"caFile"`
+}
+
+// Values that Load fills in where a text gives none.
+const (
+	DefaultLogLevel          = "info"
+	DefaultLogFormat         = "json"
+	DefaultShutdownTimeoutMs = 30_000
+	// MaxShutdownTimeoutMs is an hour. A longer value is more likely a wrong
+	// unit than an intent.
+	MaxShutdownTimeoutMs = 60 * 60 * 1_000
+)
