Validate the operator's document and read it with positions

Cause: the schema of the document cannot find names that clash, keys without a rule, data centres that do not exist or cannot hold the copies of payment records, and limits that contradict each other.

Ruled out: treating a drained data centre in a rule as an error. Operators take a data centre out of service at short notice, and a document that says so must not be refused because of one pinned rule; it is a warning.

--- /dev/null
+++ b/coord/config/name.go
@@ -0,0 +1,33 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// MaxNameLength bounds names in bytes. Names go into URLs, log lines and every
+// message about a unit.
+const MaxNameLength = 63
+
+// NameFault returns what is wrong with a name, or the empty string. A colon is
+// not allowed because it separates service and rule in key space names, a
+// slash because it separates the parts of a unit and of a URL.
+func NameFault(name string) string {
+	if name == "" {
+		return "is missing"
+	}
+	if len(name) > MaxNameLength {
+		return fmt.Sprintf("is longer than %d characters", MaxNameLength)
+	}
+	if name == "." || name == ".." {
+		return "may not be . or .., which a URL cannot carry"
+	}
+	if strings.ContainsFunc(name, func(r rune) bool { return !nameRune(r) }) {
+		return "may hold letters, digits, '-', '_' and '.' only"
+	}
+	return ""
+}
+
+func nameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.'
+}
--- /dev/null
+++ b/router/document/canonical.go
@@ -0,0 +1,42 @@
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"bramleyquay.example/coord/config"
+)
+
+// Canonical writes a document as indented JSON with fields in a fixed order.
+// Lists keep their order, because operators arrange them. Parsing the result
+// gives the same document.
+func Canonical(d *config.Document) []byte {
+	full := *d
+	full.DataCentres = orEmpty(full.DataCentres)
+	full.Services = append([]config.Service{}, full.Services...)
+	for i := range full.Services {
+		s := &full.Services[i]
+		s.DataCentres = orEmpty(s.DataCentres)
+		s.Rules = append([]config.KeyRule(nil), s.Rules...)
+		for j := range s.Rules {
+			s.Rules[j].DataCentres = orEmpty(s.Rules[j].DataCentres)
+		}
+	}
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(full); err != nil {
+		// Documents hold only strings, numbers, switches and lists of these.
+		panic("document: cannot encode a document: " + err.Error())
+	}
+	return out.Bytes()
+}
+
+// orEmpty returns a list that is written as [] instead of null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- a/router/settings/checker.go
+++ b/router/settings/checker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"bramleyquay.example/coord/config"
 	"bramleyquay.example/router/strictjson"
 )
 
@@ -56,23 +57,9 @@
 	}
 }
 
-// maxName bounds names in bytes; names go into every log line and message.
-const maxName = 63
-
-// checkName allows what is safe in paths, messages and unit names.
 func (c *checker) checkName(path, name string) {
-	if name == "" {
-		c.report(path, "is missing")
-		return
-	}
-	if len(name) > maxName {
-		c.report(path, "is longer than %d characters", maxName)
-	}
-	valid := func(r rune) bool {
-		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.'
-	}
-	if i := strings.IndexFunc(name, func(r rune) bool { return !valid(r) }); i >= 0 {
-		c.report(path, "may hold letters, digits, '-', '_' and '.' only")
+	if fault := config.NameFault(name); fault != "" {
+		c.report(path, "%s", fault)
 	}
 }
 
--- a/router/settings/finding.go
+++ b/router/settings/finding.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -15,14 +16,32 @@
 	Column int    `json:"column"`
 	Path   string `json:"path"`
 	Text   string `json:"text"`
+	// Warning marks a finding that does not keep the file from being used.
+	Warning bool `json:"warning,omitempty"`
 }
 
-// String returns file:line:column: path: text.
+// String returns file:line:column: path: text. The text of a warning says so.
 func (f Finding) String() string {
-	if f.Path == "" {
-		return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Text)
+	text := f.Text
+	if f.Warning {
+		text = "warning: " + text
 	}
-	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Path, f.Text)
+	if f.Path != "" {
+		text = f.Path + ": " + text
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, text)
+}
+
+// HasErrors reports whether a finding is more than a warning.
+func HasErrors(findings []Finding) bool {
+	return slices.ContainsFunc(findings, func(f Finding) bool { return !f.Warning })
+}
+
+// Sort orders findings by position.
+func Sort(findings []Finding) {
+	slices.SortStableFunc(findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
 }
 
 // FromText adds the file name and sorts the findings by position.
@@ -31,11 +50,6 @@
 	for _, f := range found {
 		out = append(out, Finding{File: file, Line: f.Line, Column: f.Column, Path: f.Path, Text: f.Text})
 	}
-	slices.SortStableFunc(out, func(a, b Finding) int {
-		if a.Line != b.Line {
-			return a.Line - b.Line
-		}
-		return a.Column - b.Column
-	})
+	Sort(out)
 	return out
 }
