--- /dev/null
+++ b/router/operator/actions.go
@@ -0,0 +1,116 @@
+package operator
+
+import "bramleyquay.example/coord/config"
+
+// Scope says what a drain applies to.
+type Scope string
+
+const (
+	// ScopeTarget drains the target beside a member; the member stays.
+	ScopeTarget Scope = "target"
+	// ScopeInstance drains a whole member.
+	ScopeInstance Scope = "instance"
+	// ScopeDataCentre drains everything in a data centre.
+	ScopeDataCentre Scope = "dataCentre"
+)
+
+// DrainRequest takes something out of service (On) or returns it.
+type DrainRequest struct {
+	Scope Scope `json:"scope"`
+	// Name is a member's id or a data centre's name.
+	Name     string `json:"name"`
+	On       bool   `json:"on"`
+	ChangeID string `json:"changeId"`
+	Author   string `json:"author"`
+}
+
+// MoveRequest moves a unit to a member.
+type MoveRequest struct {
+	// Unit has the form that shard.Unit prints.
+	Unit     string `json:"unit"`
+	To       string `json:"to"`
+	ChangeID string `json:"changeId"`
+	Author   string `json:"author"`
+}
+
+// SplitRequest splits a key out of its shard.
+type SplitRequest struct {
+	Service  string `json:"service"`
+	Key      string `json:"key"`
+	ChangeID string `json:"changeId"`
+	Author   string `json:"author"`
+}
+
+// MergeRequest returns a split key to its shard.
+type MergeRequest struct {
+	Unit     string `json:"unit"`
+	ChangeID string `json:"changeId"`
+	Author   string `json:"author"`
+}
+
+// AutomationOp is what an AutomationRequest does.
+type AutomationOp string
+
+const (
+	AutomationList    AutomationOp = "list"
+	AutomationApprove AutomationOp = "approve"
+	AutomationDismiss AutomationOp = "dismiss"
+	AutomationOn      AutomationOp = "on"
+	AutomationOff     AutomationOp = "off"
+)
+
+// AllActions stands for every automatic action in an AutomationRequest. Off
+// sets config.Automation.AllOff and On clears it, so that the single switches
+// are as before afterwards.
+const AllActions config.Action = "all"
+
+// AutomationRequest acts on switches or on pending actions.
+type AutomationRequest struct {
+	Op AutomationOp `json:"op"`
+	// Action is needed by on and off.
+	Action config.Action `json:"action,omitempty"`
+	// ID names the pending action to approve or dismiss.
+	ID       string `json:"id,omitempty"`
+	ChangeID string `json:"changeId,omitempty"`
+	Author   string `json:"author,omitempty"`
+}
+
+// AutomationReply holds the state after the request.
+type AutomationReply struct {
+	Result   Result            `json:"result"`
+	Switches config.Automation `json:"switches"`
+	Pending  []PendingAction   `json:"pending"`
+}
+
+// ControlOp is what a ControlChangeRequest does.
+type ControlOp string
+
+const (
+	// ControlAdd adds a learner.
+	ControlAdd ControlOp = "add"
+	// ControlPromote makes a learner that has the whole log a voter.
+	ControlPromote ControlOp = "promote"
+	// ControlRemove removes a replica.
+	ControlRemove ControlOp = "remove"
+)
+
+// ControlChangeRequest changes the members of the control group.
+type ControlChangeRequest struct {
+	Op ControlOp `json:"op"`
+	ID string    `json:"id"`
+	// Address is the replica's peer address; only add needs it.
+	Address  string `json:"address,omitempty"`
+	ChangeID string `json:"changeId"`
+	Author   string `json:"author"`
+}
+
+// Result says what an action did.
+type Result struct {
+	// Text is one sentence for the operator.
+	Text string `json:"text"`
+	// Already is set if there was nothing left to do, for example because the
+	// same change was accepted before.
+	Already bool `json:"already,omitempty"`
+	// Revision is the document's revision if the action made a new one.
+	Revision uint64 `json:"revision,omitempty"`
+}
--- /dev/null
+++ b/router/operator/change.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"time"
+
+	"bramleyquay.example/router/settings"
+)
+
+// ApplyRequest asks for a new document.
+type ApplyRequest struct {
+	// Base is the revision that Text was made from.
+	Base uint64 `json:"base"`
+	// ChangeID is chosen by the sender and equal in every resend of a change.
+	ChangeID string `json:"changeId"`
+	// Author names the operator in the history.
+	Author string `json:"author"`
+	// Text is the document as JSON with comments.
+	Text string `json:"text"`
+}
+
+// ApplyReply answers an ApplyRequest.
+type ApplyReply struct {
+	// Revision is the accepted revision, or 0 if nothing was accepted.
+	Revision uint64 `json:"revision,omitempty"`
+	// Conflict is set if Base is not the current revision.
+	Conflict *Conflict          `json:"conflict,omitempty"`
+	Findings []settings.Finding `json:"findings,omitempty"`
+}
+
+// Conflict holds the current document, which another change has made.
+type Conflict struct {
+	Revision uint64 `json:"revision"`
+	Author   string `json:"author"`
+	Text     string `json:"text"`
+}
+
+// PreviewRequest is the body of a preview.
+type PreviewRequest struct {
+	Text string `json:"text"`
+}
+
+// PreviewReply says what a document would change.
+type PreviewReply struct {
+	// Base is the current revision, against which the preview was made.
+	Base uint64 `json:"base"`
+	// UnitsMoved is the number of units that would get another owner.
+	UnitsMoved int `json:"unitsMoved"`
+	// LoadMoved is the share of the current load on these units, from 0 to 1.
+	LoadMoved float64            `json:"loadMoved"`
+	Findings  []settings.Finding `json:"findings,omitempty"`
+	// Diff is the difference by line; see document.Diff.
+	Diff string `json:"diff"`
+}
+
+// Change is one accepted change of the document.
+type Change struct {
+	Revision uint64    `json:"revision"`
+	Author   string    `json:"author"`
+	ChangeID string    `json:"changeId"`
+	At       time.Time `json:"at"`
+	// Summary is a short sentence, such as "switches changed".
+	Summary string `json:"summary,omitempty"`
+}
+
+// DocumentReply is one revision of the document.
+type DocumentReply struct {
+	Revision uint64    `json:"revision"`
+	Author   string    `json:"author"`
+	At       time.Time `json:"at"`
+	Text     string    `json:"text"`
+}
--- /dev/null
+++ b/router/operator/status.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+)
+
+// Status is the state of a cluster as the control leader sees it.
+type Status struct {
+	Cluster string    `json:"cluster"`
+	At      time.Time `json:"at"`
+	// Leader is the leading replica's id, empty if there is none.
+	Leader        string             `json:"leader"`
+	Term          uint64             `json:"term"`
+	Replicas      []ReplicaStatus    `json:"replicas"`
+	Members       []MemberStatus     `json:"members"`
+	DataCentres   []DataCentreStatus `json:"dataCentres"`
+	Services      []ServiceStatus    `json:"services"`
+	Moves         []MoveStatus       `json:"moves"`
+	Pending       []PendingAction    `json:"pending"`
+	Automation    config.Automation  `json:"automation"`
+	TableRevision uint64             `json:"tableRevision"`
+	Config        ConfigStatus       `json:"config"`
+}
+
+// ReplicaStatus describes a control replica.
+type ReplicaStatus struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	// Voter is false for a learner, whose loss counts for nothing.
+	Voter bool `json:"voter"`
+	// Position is the index of the last log entry that the replica holds.
+	Position uint64 `json:"position"`
+	// Behind is the number of entries that the leader has and it has not.
+	Behind uint64 `json:"behind"`
+	// Reachable says whether it answered within an election timeout.
+	Reachable bool `json:"reachable"`
+}
+
+// MemberStatus describes a registered member.
+type MemberStatus struct {
+	ID         string              `json:"id"`
+	DataCentre string              `json:"dataCentre"`
+	Service    string              `json:"service,omitempty"`
+	Address    string              `json:"address"`
+	State      control.MemberState `json:"state"`
+	Load       control.Load        `json:"load"`
+	// Slots is what the target announced.
+	Slots int `json:"slots"`
+	// Ramping is set while the limit rises after a cold start.
+	Ramping          bool  `json:"ramping,omitempty"`
+	LeaseRemainingMs int64 `json:"leaseRemainingMs"`
+	Units            int   `json:"units"`
+	// ConfigRevision is the newest document that the member holds.
+	ConfigRevision uint64 `json:"configRevision"`
+	// ConfigDelayMs is the time from the acceptance of that document until
+	// the member had it.
+	ConfigDelayMs int64 `json:"configDelayMs"`
+}
+
+// DataCentreStatus sums up the members of a data centre.
+type DataCentreStatus struct {
+	Name    string `json:"name"`
+	Region  string `json:"region,omitempty"`
+	Drained bool   `json:"drained"`
+	Members int    `json:"members"`
+	Units   int    `json:"units"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+	// Rate is in requests per second.
+	Rate float64 `json:"rate"`
+}
+
+// ServiceStatus sums up the units of a service.
+type ServiceStatus struct {
+	Name  string `json:"name"`
+	Units int    `json:"units"`
+	// Unserved is the number of units without a serving owner now.
+	Unserved int `json:"unserved"`
+	// LongestGapMs is the longest time that a unit had no serving owner since
+	// the leader took office.
+	LongestGapMs int64 `json:"longestGapMs"`
+}
+
+// MoveStatus is a move in progress.
+type MoveStatus struct {
+	Unit    string `json:"unit"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	SinceMs int64  `json:"sinceMs"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// PendingAction is an automatic action that waits for an operator because its
+// switch is off.
+type PendingAction struct {
+	ID     string        `json:"id"`
+	Action config.Action `json:"action"`
+	// Text is one sentence: what would be done and why.
+	Text  string    `json:"text"`
+	Since time.Time `json:"since"`
+}
+
+// ConfigStatus says how far the newest document has come.
+type ConfigStatus struct {
+	Revision uint64 `json:"revision"`
+	// Everywhere is set once every member holds Revision.
+	Everywhere bool `json:"everywhere"`
+	// EverywhereMs is the time from acceptance until the last member had it,
+	// or the time passed so far.
+	EverywhereMs int64 `json:"everywhereMs"`
+	// Missing is the number of members that hold an older document.
+	Missing int `json:"missing"`
+}
