Add the daemon, the operators' path to the leader, the stand-in target and the demo

Cause: the parts did not run as processes. Change: daemon with graceful shutdown, dumps and metrics; operators' requests reach the control leader from any process; a harness starts clusters of real processes; make demo kills a process and takes a data centre out under load. Ruled out: ending a dispatched payment when its ingress dies; the demo showed one unknown outcome from it, so a payment now goes on without its caller.

--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,10 @@
 	cd coord && $(GO) test -timeout 8m ./...
 	cd router && $(GO) test -timeout 8m ./...
 
+# Starts a small cluster, breaks it under load and prints what callers saw.
+demo: build
+	cd router && $(GO) build -o ../$(BIN)/ ./examples/standin ./examples/demo
+	$(BIN)/demo --daemon=$(BIN)/bramleyquay --standin=$(BIN)/standin --examples=examples/muscat
+
 clean:
 	rm -rf $(BIN)
--- a/router/cmd/bramleyquay/main.go
+++ b/router/cmd/bramleyquay/main.go
@@ -2,4 +2,10 @@
 // control replicas.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"bramleyquay.example/router/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/router/controlnode/propose.go
+++ b/router/controlnode/propose.go
@@ -6,6 +6,7 @@
 
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/timesource"
 )
 
 // errLost means that another leader's entry took the proposal's place: the
@@ -127,3 +128,18 @@
 	})
 	return st, formed, err
 }
+
+// ControllerStatus returns the leader's view for dumps; nil on other replicas.
+func (n *Node) ControllerStatus(ctx context.Context) *control.Status {
+	var st *control.Status
+	err := n.do(ctx, func() {
+		if n.leading {
+			view := n.controller.Status(timesource.Now(), n.state)
+			st = &view
+		}
+	})
+	if err != nil {
+		return nil
+	}
+	return st
+}
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -12,6 +12,7 @@
 	plog "github.com/phuslu/log"
 	"github.com/zeebo/errs"
 
+	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/lease"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
@@ -137,7 +138,7 @@
 	cfg := controlnode.Config{
 		ID: d.cfg.ID, Cluster: d.cfg.Cluster, Folder: d.cfg.Control.DataFolder,
 		Bootstrap: d.cfg.Control.Bootstrap, Lease: lease.Default(),
-		SnapshotEntries: controlnode.DefaultSnapshotEntries, Seed: uint64(time.Now().UnixNano()),
+		Controller: control.DefaultConfig(), SnapshotEntries: controlnode.DefaultSnapshotEntries, Seed: uint64(time.Now().UnixNano()),
 	}
 	for _, p := range d.cfg.Control.Peers {
 		cfg.Peers = append(cfg.Peers, controlnode.Peer{ID: p.ID, Address: p.Address})
@@ -148,6 +149,7 @@
 		return err
 	}
 	d.control.Register(d.rpc)
+	d.buildOperators()
 	return nil
 }
 
@@ -222,6 +224,10 @@
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: quietErrors(logging.Part(d.logs, name)),
 	}
+	d.run(name, s, l)
+}
+
+func (d *Daemon) run(name string, s *http.Server, l net.Listener) {
 	d.servers = append(d.servers, s)
 	go func() {
 		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
--- /dev/null
+++ b/router/daemon/main.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+// commands is the command line of the daemon.
+type commands struct {
+	Run     runCommand       `cmd:"" default:"withargs" help:"Run the process until SIGTERM; a second SIGTERM ends it at once."`
+	Check   checkCommand     `cmd:"" help:"Check a settings file and report every finding."`
+	Version kong.VersionFlag `help:"Print the version."`
+}
+
+type runCommand struct {
+	File string `arg:"" help:"Settings file, JSON with comments."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Settings file, JSON with comments."`
+}
+
+// Main runs the daemon's command line and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	var cmds commands
+	code := -1
+	parser, err := kong.New(&cmds,
+		kong.Name("bramleyquay"), kong.Vars{"version": Version()}, kong.Writers(out, errs),
+		kong.Description("Routes requests to targets that each own their keys exclusively."),
+		kong.Exit(func(c int) { code = c }))
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, "bramleyquay:", err) // nothing else can be told
+		return exitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, "bramleyquay:", err) // the exit code tells as well
+		return exitInvalid
+	}
+	if ctx.Command() == "check <file>" {
+		return check(cmds.Check.File, out, errs)
+	}
+	return run(cmds.Run.File, errs)
+}
+
+// Version returns the module's version as the toolchain recorded it.
+func Version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
+// load reads the settings and reports findings. It returns nil if the process
+// must not run with them.
+func load(file string, errs io.Writer) (*settings.Settings, int) {
+	cfg, findings, err := settings.Load(file)
+	for _, f := range findings {
+		_, _ = fmt.Fprintln(errs, f.String()) // the exit code tells as well
+	}
+	switch {
+	case err != nil:
+		_, _ = fmt.Fprintln(errs, "bramleyquay:", err) // the exit code tells as well
+		return nil, exitInvalid
+	case settings.HasErrors(findings):
+		return nil, exitInvalid
+	}
+	return cfg, exitOK
+}
+
+func check(file string, out, errs io.Writer) int {
+	cfg, code := load(file, errs)
+	if cfg != nil {
+		_, _ = fmt.Fprintf(out, "%s: no findings\n", file) // the exit code tells as well
+	}
+	return code
+}
+
+func run(file string, errs io.Writer) int {
+	cfg, code := load(file, errs)
+	if cfg == nil {
+		return code
+	}
+	logs := logging.New(errs, cfg.Log.Level, cfg.Log.Format == "console")
+	d, err := New(cfg, logs, Version())
+	if err != nil {
+		logging.Part(logs, "daemon").Errorf("%v", err)
+		return exitFailed
+	}
+	stop, kill := signals()
+	if err := d.Run(stop, kill); err != nil {
+		d.log.Errorf("%v", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// signals returns contexts that the first and the second signal cancel.
+func signals() (stop, kill context.Context) {
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
+	stop, first := context.WithCancel(context.Background())
+	kill, second := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		first()
+		<-received
+		second()
+	}()
+	return stop, kill
+}
--- /dev/null
+++ b/router/examples/demo/demo.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"bramleyquay.example/router/harness"
+	"bramleyquay.example/router/operator"
+)
+
+// demo is one run.
+type demo struct {
+	cluster *harness.Cluster
+	loads   []*harness.Load
+	// down is the node that the demo has killed.
+	down atomic.Pointer[harness.Node]
+	// broken lists the promises that did not hold.
+	broken []string
+}
+
+func run(ctx context.Context, o options) error {
+	folder, clean, err := workFolder(o)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	layout := harness.Muscat()
+	layout.Folder, layout.Daemon, layout.Standin = folder, o.Daemon, o.Standin
+	layout.Template = filepath.Join(o.Examples, "process.hujson.tmpl")
+	c, err := harness.New(layout)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	d := &demo{cluster: c}
+	if err := d.start(ctx, filepath.Join(o.Examples, "document.hujson")); err != nil {
+		return err
+	}
+	if err := d.play(ctx); err != nil {
+		return err
+	}
+	return d.report()
+}
+
+func workFolder(o options) (string, func(), error) {
+	if o.Folder != "" {
+		return o.Folder, func() {}, os.MkdirAll(o.Folder, 0o700)
+	}
+	folder, err := os.MkdirTemp("", "bramleyquay-demo-")
+	if err != nil || o.Keep {
+		fmt.Println("folder:", folder)
+		return folder, func() {}, err
+	}
+	return folder, func() { _ = os.RemoveAll(folder) }, nil // a leftover is harmless
+}
+
+func (d *demo) start(ctx context.Context, document string) error {
+	say("starting 3 control replicas, 11 targets and the 11 processes beside them")
+	text, err := os.ReadFile(document)
+	if err != nil {
+		return err
+	}
+	if err := d.cluster.Start(); err != nil {
+		return err
+	}
+	reply, err := d.cluster.Apply(ctx, 0, "demo-1", string(text))
+	if err != nil {
+		return err
+	}
+	if reply.Revision == 0 {
+		return fmt.Errorf("the document was not accepted: %v", reply.Findings)
+	}
+	say("document accepted as revision %d", reply.Revision)
+	if err := d.cluster.AwaitServing(ctx); err != nil {
+		return err
+	}
+	d.startLoad()
+	return nil
+}
+
+func (d *demo) startLoad() {
+	d.loads = []*harness.Load{
+		{Service: "catalogue", Keyed: true, Callers: 24, Pause: 5 * time.Millisecond},
+		{Service: "enrolment", Payments: true, Callers: 8, Pause: 10 * time.Millisecond},
+		{Service: "learners", Callers: 8, Pause: 10 * time.Millisecond},
+	}
+	for _, l := range d.loads {
+		l.Entry, l.Timeout = d.entry, 3*time.Second
+		l.Start()
+	}
+}
+
+// entry picks a process that is not down.
+func (d *demo) entry(r *rand.Rand) string {
+	for {
+		n := d.cluster.Nodes[r.IntN(len(d.cluster.Nodes))]
+		if n != d.down.Load() {
+			return n.Caller
+		}
+	}
+}
+
+func (d *demo) play(ctx context.Context) error {
+	say("all units are served; browsing and payments begin")
+	if err := wait(ctx, 4*time.Second); err != nil {
+		return err
+	}
+	victim := d.cluster.Of("catalogue")[1]
+	say("killing %s (SIGKILL)", victim.ID)
+	d.down.Store(victim)
+	victim.Daemon.Kill()
+	if err := wait(ctx, 4*time.Second); err != nil {
+		return err
+	}
+	say("starting %s again", victim.ID)
+	if err := victim.Daemon.Start(); err != nil {
+		return err
+	}
+	if err := wait(ctx, 3*time.Second); err != nil {
+		return err
+	}
+	d.down.Store(nil)
+	return d.drain(ctx, "mct-2")
+}
+
+// drain takes a data centre out and returns it.
+func (d *demo) drain(ctx context.Context, name string) error {
+	say("taking data centre %s out of service", name)
+	if err := d.cluster.Drain(ctx, operator.ScopeDataCentre, name, true); err != nil {
+		return err
+	}
+	if err := wait(ctx, 6*time.Second); err != nil {
+		return err
+	}
+	st, err := d.cluster.Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, dc := range st.DataCentres {
+		if dc.Name == name {
+			say("data centre %s owns %d units and runs %d requests", name, dc.Units, dc.Running)
+			d.require(dc.Units == 0, "the drained data centre still owns units")
+		}
+	}
+	say("returning data centre %s", name)
+	if err := d.cluster.Drain(ctx, operator.ScopeDataCentre, name, false); err != nil {
+		return err
+	}
+	return wait(ctx, 6*time.Second)
+}
+
+func (d *demo) require(ok bool, text string) {
+	if !ok {
+		d.broken = append(d.broken, text)
+	}
+}
+
+// maxGap is the time within which a key is served again after a loss, with the
+// callers' own pause between two requests for one key.
+const maxGap = 2500 * time.Millisecond
+
+func (d *demo) report() error {
+	fmt.Printf("\n%-12s %8s %8s %8s %8s %12s\n", "service", "served", "not-run", "unknown", "resent", "longest gap")
+	for _, l := range d.loads {
+		l.Stop()
+		n := l.Counts()
+		fmt.Printf("%-12s %8d %8d %8d %8d %12s\n", l.Service, n.Served, n.NotRun, n.Unknown, n.Resent, l.LongestGap().Round(time.Millisecond))
+		for reason, times := range n.ByReason {
+			fmt.Printf("  %5d x %s\n", times, reason)
+		}
+		d.require(n.Served > 0, l.Service+" served nothing")
+		d.require(len(l.Wrong()) == 0, fmt.Sprintf("%s gave %d answers that belong to other requests", l.Service, len(l.Wrong())))
+		d.require(l.LongestGap() <= maxGap, fmt.Sprintf("%s had a gap of %s", l.Service, l.LongestGap()))
+	}
+	runs, err := d.cluster.Runs()
+	if err != nil {
+		return err
+	}
+	twice, missing := harness.CheckPayments(runs, d.loads[1].Paid())
+	fmt.Printf("\npayments run: %d\npayments run twice: %d\npayments confirmed without a run: %d\n", len(runs), twice, missing)
+	d.require(twice == 0, "payments ran twice")
+	d.require(missing == 0, "payments were confirmed without a run")
+	if len(d.broken) > 0 {
+		return errors.New("broken promises: " + fmt.Sprint(d.broken))
+	}
+	fmt.Println("every promise held")
+	return nil
+}
+
+var began = time.Now()
+
+func say(format string, args ...any) {
+	fmt.Printf("%6.1fs  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -34,6 +34,8 @@
 	payments *payments
 	rates    *rates
 	target   atomic.Pointer[target]
+	// grantNow asks for a grant at once, for a target that has just arrived.
+	grantNow chan struct{}
 
 	// leaseMu guards the context of requests that depend on the lease.
 	leaseMu     sync.Mutex
@@ -50,9 +52,10 @@
 func New(cfg Config, members Membership, caller Caller, log logging.Logger) *Gate {
 	g := &Gate{
 		cfg: cfg, members: members, log: log,
-		units: newUnits(cfg.Self),
-		slots: newAdmitter(admission.Config{Slots: 1}),
-		rates: newRates(),
+		units:    newUnits(cfg.Self),
+		slots:    newAdmitter(admission.Config{Slots: 1}),
+		rates:    newRates(),
+		grantNow: make(chan struct{}, 1),
 	}
 	g.payments = newPayments(g, caller)
 	g.leaseCtx, g.leaseCancel = context.WithCancel(context.Background())
@@ -153,5 +156,9 @@
 		old.close()
 	}
 	g.members.Wake()
+	select {
+	case g.grantNow <- struct{}{}:
+	default:
+	}
 	return ""
 }
--- a/router/gate/granter.go
+++ b/router/gate/granter.go
@@ -38,6 +38,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-g.grantNow:
 		}
 		if t := g.target.Load(); t != nil && t.ChecksFences {
 			g.grant(ctx, t)
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -29,10 +29,15 @@
 	if d.refusal != nil || d.answer != nil {
 		return result(d)
 	}
+	// Once dispatched, a payment goes on without its caller until its deadline:
+	// a resend then finds the answer instead of an unknown outcome.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
 	resp, refusal := p.gate.run(ctx, c)
 	if refusal != nil {
+		cancel()
 		return nil, p.notAnswered(id, refusal, decided)
 	}
+	resp.Body = &closingBody{ReadCloser: resp.Body, cancel: cancel}
 	return p.finish(id, resp, decided)
 }
 
@@ -108,6 +113,19 @@
 // Close implements io.Closer.
 func (b *joinedBody) Close() error { return b.closer.Close() }
 
+// closingBody ends the request's context when the answer is closed.
+type closingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *closingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
+
 func result(d decision) (*call.Response, *outcome.Refusal) {
 	if d.refusal != nil {
 		return nil, d.refusal
--- a/router/gate/payments.go
+++ b/router/gate/payments.go
@@ -117,7 +117,9 @@
 		case idempotency.Released:
 			p.copies.Put(timesource.Now(), a.Held)
 		case idempotency.Ready:
-			p.reportSynced(control.CopySynced{Unit: a.Unit, Epoch: a.Epoch, Copy: p.gate.cfg.Self})
+			if e := p.gate.members.View().Table.Entry(a.Unit); e != nil && awaits(e, p.gate.cfg.Self) {
+				p.reportSynced(control.CopySynced{Unit: a.Unit, Epoch: a.Epoch, Copy: p.gate.cfg.Self})
+			}
 		}
 	}
 }
--- a/router/gate/rates.go
+++ b/router/gate/rates.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bramleyquay.example/coord/control"
-	"bramleyquay.example/coord/hotkey"
 	"bramleyquay.example/coord/shard"
 )
 
@@ -24,14 +23,13 @@
 	since   time.Time
 	total   int
 	counts  map[shard.Unit]int
-	sketch  map[string]*hotkey.Sketch
 	rate    float64
 	byUnit  []control.UnitLoad
 	hotKeys []control.HotKey
 }
 
 func newRates() *rates {
-	return &rates{since: time.Now(), counts: map[shard.Unit]int{}, sketch: map[string]*hotkey.Sketch{}}
+	return &rates{since: time.Now(), counts: map[shard.Unit]int{}}
 }
 
 // count records one request.
@@ -43,12 +41,6 @@
 		return
 	}
 	r.counts[unit]++
-	s := r.sketch[unit.Service]
-	if s == nil {
-		s = hotkey.NewSketch(hotkey.SketchConfig{})
-		r.sketch[unit.Service] = s
-	}
-	s.Observe(hash)
 }
 
 // tick closes the window when it has passed.
--- a/router/gate/report.go
+++ b/router/gate/report.go
@@ -13,7 +13,7 @@
 	r := member.Report{
 		Load: control.Load{
 			Running: st.Running, Limit: st.Limit, Queued: st.Queued, Rate: rate,
-			ServiceTimeUs: st.ServiceTime.Microseconds(),
+			ServiceTimeUs: st.MedianServiceTime.Microseconds(),
 		},
 		Released:  g.units.released(),
 		Synced:    g.payments.syncedReports(),
--- /dev/null
+++ b/router/harness/cluster.go
@@ -0,0 +1,227 @@
+package harness
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"text/template"
+)
+
+// Node is one process of the system and the stand-in target beside it.
+type Node struct {
+	ID, DataCentre, Service                 string
+	Caller, Peer, Platform, Operator, Admin string
+	Daemon                                  *Process
+	// Target is nil for control-only processes.
+	Target *Process
+	// RunLog lists the payments that the target ran.
+	RunLog string
+}
+
+// Cluster is a set of running nodes.
+type Cluster struct {
+	Layout  Layout
+	Nodes   []*Node
+	Control []*Node
+	Secret  string
+	tmpl    *template.Template
+}
+
+// New writes the settings of a cluster. Nothing is started.
+func New(l Layout) (*Cluster, error) {
+	c := &Cluster{Layout: l, Secret: randomSecret()}
+	var err error
+	if c.tmpl, err = template.ParseFiles(l.Template); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(c.secretFile(), []byte(c.Secret), 0o600); err != nil {
+		return nil, err
+	}
+	if err := c.place(); err != nil {
+		return nil, err
+	}
+	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
+		if err := c.prepare(n); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func randomSecret() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails, by its documentation
+	return hex.EncodeToString(b[:])
+}
+
+func (c *Cluster) secretFile() string { return filepath.Join(c.Layout.Folder, "secret") }
+
+// place names the nodes and gives them ports.
+func (c *Cluster) place() error {
+	ports, err := freePorts(5 * (c.Layout.Replicas + c.targets()))
+	if err != nil {
+		return err
+	}
+	next := func() string {
+		addr := ports[0]
+		ports = ports[1:]
+		return addr
+	}
+	for i := range c.Layout.Replicas {
+		c.Control = append(c.Control, &Node{
+			ID: fmt.Sprintf("control-%d", i+1), DataCentre: c.dataCentre(i), Peer: next(), Operator: next(), Admin: next(),
+		})
+	}
+	at := 0
+	for _, s := range c.Layout.Services {
+		for i := range s.Targets {
+			id := fmt.Sprintf("%s-%d", s.Name, i+1)
+			c.Nodes = append(c.Nodes, &Node{
+				ID: id, DataCentre: c.dataCentre(at), Service: s.Name, Caller: next(), Peer: next(), Platform: next(), Admin: next(),
+				RunLog: filepath.Join(c.Layout.Folder, id+".runs"),
+			})
+			at++
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) targets() int {
+	n := 0
+	for _, s := range c.Layout.Services {
+		n += s.Targets
+	}
+	return n
+}
+
+func (c *Cluster) dataCentre(i int) string {
+	return c.Layout.DataCentres[i%len(c.Layout.DataCentres)]
+}
+
+// freePorts returns loopback addresses that nothing listened on a moment ago.
+func freePorts(n int) ([]string, error) {
+	addrs := make([]string, 0, n)
+	open := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range open {
+			_ = l.Close() // only the number was needed
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// values fill the settings template.
+type values struct {
+	Node
+	SecretFile, DataFolder, LogLevel string
+	Control                          []replica
+	Target, ChecksFences             bool
+}
+
+type replica struct{ ID, Address string }
+
+// prepare writes a node's settings and describes its processes.
+func (c *Cluster) prepare(n *Node) error {
+	v := values{Node: *n, SecretFile: c.secretFile(), LogLevel: c.Layout.LogLevel, Target: n.Service != ""}
+	for _, r := range c.Control {
+		v.Control = append(v.Control, replica{ID: r.ID, Address: r.Peer})
+	}
+	s := c.service(n.Service)
+	if s != nil {
+		v.ChecksFences = s.ChecksFences
+	} else {
+		v.DataFolder = c.DataFolder(n)
+		if err := os.MkdirAll(v.DataFolder, 0o700); err != nil {
+			return err
+		}
+	}
+	file := filepath.Join(c.Layout.Folder, n.ID+".hujson")
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := c.tmpl.Execute(f, v); err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	n.Daemon = newProcess(n.ID, c.Layout.Folder, c.Layout.Daemon, "run", file)
+	if s != nil {
+		n.Target = newProcess(n.ID+"-target", c.Layout.Folder, c.Layout.Standin, standinArgs(s, n)...)
+	}
+	return nil
+}
+
+func standinArgs(s *Service, n *Node) []string {
+	args := append([]string{"--service=" + s.Name, "--platform=" + n.Platform, "--run-log=" + n.RunLog}, s.Standin...)
+	if s.ChecksFences {
+		args = append(args, "--checks-fences")
+	}
+	return args
+}
+
+// DataFolder returns the folder of a control replica.
+func (c *Cluster) DataFolder(n *Node) string { return filepath.Join(c.Layout.Folder, "data-"+n.ID) }
+
+func (c *Cluster) service(name string) *Service {
+	for i := range c.Layout.Services {
+		if c.Layout.Services[i].Name == name {
+			return &c.Layout.Services[i]
+		}
+	}
+	return nil
+}
+
+// Of returns the nodes of a service.
+func (c *Cluster) Of(service string) []*Node {
+	var list []*Node
+	for _, n := range c.Nodes {
+		if n.Service == service {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Start starts every process.
+func (c *Cluster) Start() error {
+	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts a node's processes that do not run.
+func (n *Node) Start() error {
+	if err := n.Daemon.Start(); err != nil {
+		return err
+	}
+	if n.Target == nil {
+		return nil
+	}
+	return n.Target.Start()
+}
+
+// Stop kills every process that still runs.
+func (c *Cluster) Stop() {
+	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
+		n.Daemon.Kill()
+		if n.Target != nil {
+			n.Target.Kill()
+		}
+	}
+}
--- /dev/null
+++ b/router/harness/operate.go
@@ -0,0 +1,149 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"bramleyquay.example/router/daemon"
+	"bramleyquay.example/router/operator"
+	"bramleyquay.example/router/settings"
+)
+
+// operate calls the operators' interface of any control process.
+func (c *Cluster) operate(ctx context.Context, method, path string, in, out any) error {
+	var last error
+	for ctx.Err() == nil {
+		for _, n := range c.Control {
+			if last = c.operateAt(ctx, n, method, path, in, out); last == nil {
+				return nil
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("%s: %w (last: %v)", path, ctx.Err(), last)
+}
+
+func (c *Cluster) operateAt(ctx context.Context, n *Node, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.Operator+"/api/v1"+path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+operator.Token(settings.NewSecret(c.Secret)))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s: %s: %s", path, resp.Status, bytes.TrimSpace(data))
+	}
+	return json.Unmarshal(data, out)
+}
+
+// Apply makes a document the newest one.
+func (c *Cluster) Apply(ctx context.Context, base uint64, changeID, text string) (operator.ApplyReply, error) {
+	var reply operator.ApplyReply
+	err := c.operate(ctx, http.MethodPost, "/apply", operator.ApplyRequest{Base: base, ChangeID: changeID, Author: "harness", Text: text}, &reply)
+	return reply, err
+}
+
+// Drain takes something out of service or returns it.
+func (c *Cluster) Drain(ctx context.Context, scope operator.Scope, name string, on bool) error {
+	var reply operator.Result
+	q := operator.DrainRequest{Scope: scope, Name: name, On: on, ChangeID: fmt.Sprintf("drain-%s-%t-%d", name, on, time.Now().UnixNano()), Author: "harness"}
+	return c.operate(ctx, http.MethodPost, "/drain", q, &reply)
+}
+
+// Status returns the cluster's state as the leader sees it.
+func (c *Cluster) Status(ctx context.Context) (operator.Status, error) {
+	var st operator.Status
+	err := c.operate(ctx, http.MethodGet, "/status", nil, &st)
+	return st, err
+}
+
+// Dump returns a process's state.
+func (n *Node) Dump(ctx context.Context) (daemon.Dump, error) {
+	var d daemon.Dump
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Admin+"/dump", nil)
+	if err != nil {
+		return d, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return d, err
+	}
+	defer resp.Body.Close()
+	return d, json.NewDecoder(resp.Body).Decode(&d)
+}
+
+// AwaitServing waits until every unit has a serving owner and every node knows
+// the newest configuration.
+func (c *Cluster) AwaitServing(ctx context.Context) error {
+	why := "no status yet"
+	for ; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		st, err := c.Status(ctx)
+		if err != nil {
+			why = err.Error()
+			continue
+		}
+		if why = notServing(st, len(c.Nodes)); why == "" {
+			return nil
+		}
+	}
+	return fmt.Errorf("the cluster does not serve: %s", why)
+}
+
+func notServing(st operator.Status, nodes int) string {
+	active := 0
+	for _, m := range st.Members {
+		if m.Service != "" && m.State == "active" {
+			active++
+		}
+	}
+	if active < nodes {
+		return fmt.Sprintf("%d of %d targets are active", active, nodes)
+	}
+	for _, s := range st.Services {
+		if s.Unserved > 0 {
+			return fmt.Sprintf("service %s has %d units without owner", s.Name, s.Unserved)
+		}
+	}
+	if !st.Config.Everywhere {
+		return "the configuration is not everywhere"
+	}
+	return ""
+}
+
+// Leader returns the control node that leads.
+func (c *Cluster) Leader(ctx context.Context) (*Node, error) {
+	st, err := c.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range c.Control {
+		if st.Leader == n.ID {
+			return n, nil
+		}
+	}
+	return nil, fmt.Errorf("leader %q is not a node of the layout", st.Leader)
+}
--- a/router/ingress/metrics.go
+++ b/router/ingress/metrics.go
@@ -6,7 +6,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bramleyquay.example/coord/choice"
 	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/router/timesource"
 )
 
 // hedges counts second tries that were started because the first was late.
@@ -24,3 +26,25 @@
 		metrics.GetOrCreateHistogram(fmt.Sprintf("bramleyquay_ingress_answer_seconds{service=%q}", service)).UpdateDuration(begin)
 	}
 }
+
+// Status is the ingress's part of a state dump.
+type Status struct {
+	// Held is the number of calls that wait for an owner.
+	Held     int                         `json:"held"`
+	Suspects map[string][]choice.Suspect `json:"suspects"`
+}
+
+// Status returns the ingress's state.
+func (in *Ingress) Status() Status {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	st := Status{Held: len(in.held), Suspects: map[string][]choice.Suspect{}}
+	for name, s := range in.services {
+		s.mu.Lock()
+		if list := s.chooser.Suspects(timesource.Now()); len(list) > 0 {
+			st.Suspects[name] = list
+		}
+		s.mu.Unlock()
+	}
+	return st
+}
--- a/router/ingress/service.go
+++ b/router/ingress/service.go
@@ -55,7 +55,7 @@
 	for _, m := range members {
 		list = append(list, choice.Target{
 			ID: m.ID, DataCentre: m.DataCentre, Slots: m.Target.Slots,
-			Draining: m.State == control.Draining || m.Leaving,
+			Draining: m.State != control.Active || m.Leaving,
 		})
 	}
 	return list
--- /dev/null
+++ b/router/leader/preview.go
@@ -0,0 +1,60 @@
+package leader
+
+import (
+	"context"
+	"slices"
+
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/document"
+	"bramleyquay.example/router/operator"
+)
+
+// Preview implements operator.Control. It counts the units whose owner may not
+// keep them under the new document; rebalancing that follows is not included.
+func (l *Local) Preview(ctx context.Context, text string) (operator.PreviewReply, error) {
+	doc, findings := document.Parse("document", []byte(text))
+	reply := operator.PreviewReply{Findings: findings}
+	if doc == nil {
+		return reply, nil
+	}
+	err := l.read(ctx, func(s *control.State, _ *control.Controller) {
+		revision, old, current := s.Config()
+		reply.Base = revision
+		reply.Diff = document.Diff(current, document.Canonical(doc))
+		moved, total := countMoved(s, old, doc)
+		reply.UnitsMoved = moved
+		if total > 0 {
+			reply.LoadMoved = float64(moved) / float64(total)
+		}
+	})
+	return reply, err
+}
+
+func countMoved(s *control.State, old, next *config.Document) (moved, total int) {
+	s.Table().Each(func(e *table.Entry) bool {
+		total++
+		m, ok := s.Member(e.Owner)
+		if ok && mayKeep(old, e, m) && !mayKeep(next, e, m) {
+			moved++
+		}
+		return true
+	})
+	return moved, total
+}
+
+// mayKeep reports whether a document lets a member own a unit.
+func mayKeep(doc *config.Document, e *table.Entry, m control.Member) bool {
+	if dc := doc.DataCentre(m.DataCentre); dc != nil && dc.Drained {
+		return false
+	}
+	for i := range doc.Services {
+		for _, k := range doc.Services[i].Keyspaces() {
+			if k.Name == e.Unit.Service {
+				return len(k.DataCentres) == 0 || slices.Contains(k.DataCentres, m.DataCentre)
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/router/leader/status.go
@@ -0,0 +1,127 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/operator"
+	"bramleyquay.example/router/timesource"
+)
+
+// Status implements operator.Control.
+func (l *Local) Status(ctx context.Context) (operator.Status, error) {
+	st := operator.Status{Cluster: l.cluster, At: time.Now(), Moves: []operator.MoveStatus{}}
+	err := l.read(ctx, func(s *control.State, c *control.Controller) {
+		now := timesource.Now()
+		view := c.Status(now, s)
+		_, doc, _ := s.Config()
+		st.Automation, st.Pending, st.TableRevision = doc.Automation, l.pending(s), view.TableRevision
+		fillMembers(&st, view)
+		fillServices(&st, s, doc)
+		fillDataCentres(&st, view, doc)
+		for _, m := range view.Moves {
+			st.Moves = append(st.Moves, operator.MoveStatus{Unit: m.Unit.String(), From: string(m.From), To: string(m.To)})
+		}
+		st.Config = l.configStatus(view)
+	})
+	if err != nil {
+		return st, err
+	}
+	group, _, err := l.node.Status(ctx)
+	if err != nil {
+		return st, l.failure(err)
+	}
+	st.Leader, st.Term, st.Replicas = string(group.ID), group.Term, replicas(group)
+	return st, nil
+}
+
+func replicas(group raft.Status) []operator.ReplicaStatus {
+	list := []operator.ReplicaStatus{{ID: string(group.ID), Voter: group.Membership.IsVoter(group.ID), Position: group.LastIndex, Reachable: true}}
+	for id, p := range group.Progress {
+		list = append(list, operator.ReplicaStatus{
+			ID: string(id), Voter: !p.Learner, Position: p.Match, Behind: group.LastIndex - min(p.Match, group.LastIndex), Reachable: p.Active,
+		})
+	}
+	slices.SortFunc(list, func(a, b operator.ReplicaStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func fillMembers(st *operator.Status, view control.Status) {
+	st.Members = make([]operator.MemberStatus, 0, len(view.Members))
+	for _, m := range view.Members {
+		ms := operator.MemberStatus{
+			ID: string(m.ID), DataCentre: m.DataCentre, Address: m.PeerAddr, State: m.State, Load: m.Load,
+			LeaseRemainingMs: m.LeaseMs, Units: m.Owned, ConfigRevision: m.ConfigRevision, Ramping: m.Ramp < 1,
+		}
+		if m.Target != nil {
+			ms.Service, ms.Slots = m.Target.Service, m.Target.Slots
+		}
+		st.Members = append(st.Members, ms)
+	}
+}
+
+func fillServices(st *operator.Status, s *control.State, doc *config.Document) {
+	st.Services = make([]operator.ServiceStatus, 0, len(doc.Services))
+	for i := range doc.Services {
+		service := operator.ServiceStatus{Name: doc.Services[i].Name}
+		for _, k := range doc.Services[i].Keyspaces() {
+			s.Table().EachOf(k.Name, func(e *table.Entry) bool {
+				service.Units++
+				if e.Owner == "" || e.Phase != table.Serving {
+					service.Unserved++
+				}
+				return true
+			})
+		}
+		st.Services = append(st.Services, service)
+	}
+}
+
+func fillDataCentres(st *operator.Status, view control.Status, doc *config.Document) {
+	byName := map[string]*operator.DataCentreStatus{}
+	for _, dc := range doc.DataCentres {
+		byName[dc.Name] = &operator.DataCentreStatus{Name: dc.Name, Region: dc.Region, Drained: dc.Drained}
+	}
+	for _, d := range view.Drains {
+		if dc := byName[d.Name]; dc != nil && d.Scope == control.DrainDataCentre {
+			dc.Drained = true
+		}
+	}
+	for _, m := range st.Members {
+		dc := byName[m.DataCentre]
+		if dc == nil {
+			dc = &operator.DataCentreStatus{Name: m.DataCentre}
+			byName[m.DataCentre] = dc
+		}
+		dc.Members++
+		dc.Units += m.Units
+		dc.Slots += m.Slots
+		dc.Running += m.Load.Running
+		dc.Queued += m.Load.Queued
+		dc.Rate += m.Load.Rate
+	}
+	for _, dc := range byName {
+		st.DataCentres = append(st.DataCentres, *dc)
+	}
+	slices.SortFunc(st.DataCentres, func(a, b operator.DataCentreStatus) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// configStatus counts the members that lack the newest document.
+func (l *Local) configStatus(view control.Status) operator.ConfigStatus {
+	c := operator.ConfigStatus{Revision: view.ConfigRevision, Everywhere: true}
+	for _, m := range view.Members {
+		if m.State != control.Lost && m.ConfigRevision < view.ConfigRevision {
+			c.Missing++
+			c.Everywhere = false
+		}
+	}
+	c.EverywhereMs = l.watch.spread(view.ConfigRevision, c.Everywhere).Milliseconds()
+	return c
+}
--- /dev/null
+++ b/router/standin/bodies.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// largeBytes is the default size of the answer at /large.
+const largeBytes = 100 << 20
+
+// large streams ?bytes=N bytes.
+func large(w http.ResponseWriter, r *http.Request) {
+	size, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+	if err != nil {
+		size = largeBytes
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	block := make([]byte, 64<<10)
+	for size > 0 {
+		n := min(size, int64(len(block)))
+		if _, err := w.Write(block[:n]); err != nil {
+			return
+		}
+		size -= n
+	}
+}
+
+// broken ends an answer of unknown length in the middle.
+func broken(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write([]byte("the first part")) // the reader may have gone away
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/router/standin/config.go
@@ -0,0 +1,20 @@
+// Package standin is a stand-in target for demos and tests.
+package standin
+
+import "time"
+
+// Config describes a stand-in target.
+type Config struct {
+	Service  string `required:"" help:"Name of the service."`
+	Platform string `required:"" help:"Platform address of the process beside the target."`
+	Listen   string `default:"127.0.0.1:0" help:"Address to listen on."`
+	Slots    int    `default:"12" help:"Requests that the target runs at once."`
+	// ServiceTime is the time of one request on a warm target.
+	ServiceTime time.Duration `default:"2ms" help:"Time of one request."`
+	// ColdTime is the time after the start in which the target is cold.
+	ColdTime time.Duration `default:"0s" help:"Time after the start in which the target is cold."`
+	// ColdFactor multiplies the service time of a cold target.
+	ColdFactor   int    `default:"4" help:"Slowdown of a cold target."`
+	ChecksFences bool   `help:"Refuse requests outside of grants and of older epochs."`
+	RunLog       string `help:"File to which each payment that ran is appended."`
+}
