Add the replicated log and the store

Cause: the control group needs a durable log before its state machine. Generated schedules in virtual time check the log. Ruled out: applying a membership when it is committed; in force on append needs no rule for a leader that has not applied it yet.

--- /dev/null
+++ b/coord/raft/errors.go
@@ -0,0 +1,94 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+)
+
+var (
+	// ErrTransferring refuses a proposal while leadership is handed over. The
+	// proposal was not appended and may be repeated.
+	ErrTransferring = errors.New("raft: leadership is being transferred")
+	// ErrTransferTarget refuses a transfer to a replica that is not a voter,
+	// is this replica, or has not answered lately.
+	ErrTransferTarget = errors.New("raft: transfer target is not another voter that answers")
+	// ErrCompacted refuses a compaction at or before the latest snapshot.
+	ErrCompacted = errors.New("raft: index is already covered by a snapshot")
+	// ErrNotApplied refuses a compaction after the last applied entry.
+	ErrNotApplied = errors.New("raft: index is not applied")
+)
+
+// Reasons of a MembershipError.
+var (
+	// ErrChangeInProgress means that an earlier change is not committed yet,
+	// or that the leader has not committed an entry of its term. Retry later.
+	ErrChangeInProgress = errors.New("an earlier change is in progress")
+	// ErrNotCaughtUp means that the learner lacks committed entries or has
+	// not answered lately. Retry later.
+	ErrNotCaughtUp = errors.New("the learner has not caught up")
+	// ErrLosesQuorum means that the remaining voters that answer are fewer
+	// than a majority.
+	ErrLosesQuorum = errors.New("the remaining voters that answer are no majority")
+	// ErrRemovesLeader means that leadership must be transferred first.
+	ErrRemovesLeader = errors.New("the leader cannot remove itself; transfer leadership first")
+	// ErrUnknownMember means that the replica is not in the required list.
+	ErrUnknownMember = errors.New("the replica is not a member of the required kind")
+	// ErrAlreadyMember means that the replica is a voter or learner already.
+	ErrAlreadyMember = errors.New("the replica is a member already")
+	// ErrInvalidChange means that the kind is unknown or the id is empty.
+	ErrInvalidChange = errors.New("the change is not valid")
+)
+
+// NotLeaderError refuses a request that only the leader takes. Nothing was
+// appended.
+type NotLeaderError struct {
+	// Leader is the leader if known, else empty.
+	Leader ID
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "raft: not the leader; the leader is not known"
+	}
+	return fmt.Sprintf("raft: not the leader; the leader is %q", e.Leader)
+}
+
+// MembershipError refuses a change of the membership. Nothing was appended.
+type MembershipError struct {
+	Change MembershipChange
+	Reason error
+}
+
+// Error implements error.
+func (e *MembershipError) Error() string {
+	return fmt.Sprintf("raft: %s %q refused: %v", e.Change.Kind, e.Change.ID, e.Reason)
+}
+
+// Unwrap returns the reason.
+func (e *MembershipError) Unwrap() error { return e.Reason }
+
+// MalformedError reports a message that a correct replica never sends. The
+// message did not change the log.
+type MalformedError struct {
+	Kind   MessageKind
+	From   ID
+	Reason string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("raft: malformed %s message from %q: %s", e.Kind, e.From, e.Reason)
+}
+
+// StoredError reports stored state with which a replica must not start.
+type StoredError struct{ Reason string }
+
+// Error implements error.
+func (e *StoredError) Error() string { return "raft: stored state is inconsistent: " + e.Reason }
+
+// ConfigError reports an unusable Config.
+type ConfigError struct{ Field, Reason string }
+
+// Error implements error.
+func (e *ConfigError) Error() string { return fmt.Sprintf("raft: Config.%s %s", e.Field, e.Reason) }
--- /dev/null
+++ b/coord/raft/node.go
@@ -0,0 +1,206 @@
+package raft
+
+// Role is a replica's part in the current term.
+type Role uint8
+
+const (
+	// Follower takes entries from a leader or waits for one.
+	Follower Role = iota
+	// PreCandidate asks whether it could win an election.
+	PreCandidate
+	// Candidate asks for votes in its term.
+	Candidate
+	// Leader proposes entries and replicates them.
+	Leader
+)
+
+var roleNames = [...]string{"follower", "pre-candidate", "candidate", "leader"}
+
+// String implements fmt.Stringer.
+func (r Role) String() string {
+	if int(r) < len(roleNames) {
+		return roleNames[r]
+	}
+	return "invalid"
+}
+
+// Node is one replica of the log. Create it with New.
+type Node struct {
+	cfg       Config
+	term      uint64
+	vote      ID
+	savedHard HardState
+	log       raftLog
+	history   membershipHistory
+
+	role   Role
+	leader ID
+	now    uint64 // ticks since New
+	heard  uint64 // tick at which a leader was last heard; 0 at the start
+	timer  int    // ticks since the election timer was reset
+	limit  int    // ticks after which the timer fires
+	votes  map[ID]bool
+
+	lead leadership
+
+	reads           readQueue
+	messages        []Message
+	pendingSnapshot *Snapshot
+	outstanding     bool // a Ready was taken and not advanced
+}
+
+// New returns a replica that continues from stored. The caller has already
+// restored its state machine from stored.Snapshot; committed entries after it
+// come with the first Ready.
+func New(cfg Config, stored Stored) (*Node, error) {
+	cfg, err := cfg.checked()
+	if err != nil {
+		return nil, err
+	}
+	if err := stored.check(); err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, term: stored.Hard.Term, vote: stored.Hard.Vote, savedHard: stored.Hard, log: newLog(stored)}
+	if n.term < stored.Snapshot.Term {
+		// The snapshot was synced and the hard state was not. No vote in the
+		// snapshot's term can have been sent before its hard state was synced.
+		n.term, n.vote = stored.Snapshot.Term, ""
+	}
+	n.history = membershipHistory{{index: stored.Snapshot.Index, membership: stored.Snapshot.Membership.clone()}}
+	n.history.record(stored.Entries)
+	n.resetTimer()
+	return n, nil
+}
+
+// Tick advances the replica's time by one tick.
+func (n *Node) Tick() {
+	n.now++
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	n.timer++
+	if n.timer >= n.limit && n.membership().IsVoter(n.cfg.ID) {
+		n.preCampaign()
+	}
+}
+
+// Step handles a received message. It returns a *MalformedError for a message
+// that no correct replica sends; such a message does not change the log.
+func (n *Node) Step(m Message) error {
+	if err := m.check(n.cfg.ID); err != nil {
+		return err
+	}
+	switch {
+	case m.Kind == MsgPreVote:
+		n.stepPreVote(m)
+		return nil
+	case m.Kind == MsgVote:
+		n.stepVote(m)
+		return nil
+	case m.Term < n.term:
+		n.refuseOldTerm(m)
+		return nil
+	case m.Kind == MsgPreVoteReply && !m.Reject:
+		n.stepPreVoteReply(m)
+		return nil
+	case m.Kind == MsgTimeoutNow:
+		n.stepTimeoutNow(m)
+		return nil
+	}
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, "")
+	}
+	switch m.Kind {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		return n.stepFromLeader(m)
+	case MsgAppendReply, MsgHeartbeatReply:
+		if n.role == Leader {
+			return n.stepReply(m)
+		}
+	case MsgVoteReply:
+		n.stepVoteReply(m)
+	}
+	return nil
+}
+
+// refuseOldTerm answers a leader of an earlier term with the current term, so
+// that it steps down. Without the answer a replica whose term is higher could
+// never rejoin.
+func (n *Node) refuseOldTerm(m Message) {
+	switch m.Kind {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.send(Message{Kind: MsgAppendReply, To: m.From, Index: m.Index, Reject: true})
+	}
+}
+
+// Propose appends a command to the leader's log. The entry may still be lost
+// until it is seen in Ready.Committed; see Position.
+func (n *Node) Propose(data []byte) (Position, error) {
+	if err := n.canPropose(); err != nil {
+		return Position{}, err
+	}
+	return n.appendOwn(EntryCommand, data), nil
+}
+
+func (n *Node) canPropose() error {
+	if n.role != Leader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if n.lead.transfer != "" {
+		return ErrTransferring
+	}
+	return nil
+}
+
+// Compact records data as the state after the entry at index, which must be
+// applied, and drops the entries before it. The caller persists the result of
+// Snapshot.
+func (n *Node) Compact(index uint64, data []byte) error {
+	switch {
+	case index > n.log.applied:
+		return ErrNotApplied
+	case index <= n.log.snapshot.Index:
+		return ErrCompacted
+	}
+	term, _ := n.log.term(index)
+	n.log.compact(Snapshot{Index: index, Term: term, Membership: n.history.at(index).clone(), Data: data},
+		uint64(n.cfg.KeepEntries))
+	n.history.compact(n.log.baseIndex)
+	return nil
+}
+
+// Snapshot returns the latest snapshot: the one the replica started with, the
+// last one installed by a leader, or the last one made by Compact.
+func (n *Node) Snapshot() Snapshot { return n.log.snapshot }
+
+func (n *Node) membership() Membership { return n.history.current().membership }
+
+// send adds a message; its term is the current one unless set.
+func (n *Node) send(m Message) {
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+// becomeFollower enters term, or stays in it. Pending reads are lost if the
+// replica led.
+func (n *Node) becomeFollower(term uint64, leader ID) {
+	if term > n.term {
+		n.term, n.vote = term, ""
+	}
+	if n.role == Leader {
+		n.reads.loseAll()
+		n.lead = leadership{}
+	}
+	n.role, n.leader, n.votes = Follower, leader, nil
+	n.resetTimer()
+}
+
+// resetTimer starts a new election timeout of one to two ElectionTicks.
+func (n *Node) resetTimer() {
+	n.timer = 0
+	n.limit = n.cfg.ElectionTicks + 1 + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
+}
--- /dev/null
+++ b/coord/raft/ready.go
@@ -0,0 +1,116 @@
+package raft
+
+// Ready is the work that the caller carries out; see the package comment.
+type Ready struct {
+	// Hard is nil if there is nothing to persist. A change of Commit alone is
+	// only included together with entries, to save a sync.
+	Hard *HardState
+	// Snapshot, if not nil, replaces the whole stored log and the applied
+	// state.
+	Snapshot *Snapshot
+	// Entries are to be stored. The first one replaces any stored entry with
+	// the same index and all after it.
+	Entries []Entry
+	// Committed entries are to be applied in order. They are stored already,
+	// or included in Entries.
+	Committed []Entry
+	// Messages are sent after Hard, Snapshot and Entries are synced.
+	Messages []Message
+	// Reads can be answered once Committed is applied.
+	Reads []Read
+}
+
+// Read is the answer to Node.ReadIndex.
+type Read struct {
+	ID uint64
+	// Index is the commit index that the read observes.
+	Index uint64
+	// Lost means that leadership was lost before it could be confirmed. The
+	// read must not be answered from this replica's state.
+	Lost bool
+}
+
+// HasReady reports whether Ready would return any work. It is false between
+// Ready and Advance.
+func (n *Node) HasReady() bool {
+	if n.outstanding {
+		return false
+	}
+	n.flush()
+	return n.hardChanged() || n.pendingSnapshot != nil || n.log.stable < n.log.last() ||
+		n.log.applied < n.log.commit || len(n.messages) > 0 || n.reads.hasDone(n.log.commit)
+}
+
+// Ready returns the next work. It returns an empty Ready if the previous one
+// was not advanced.
+func (n *Node) Ready() Ready {
+	if n.outstanding {
+		return Ready{}
+	}
+	n.flush()
+	r := Ready{
+		Snapshot:  n.pendingSnapshot,
+		Entries:   n.log.slice(n.log.stable+1, n.log.last()),
+		Committed: n.log.slice(n.appliedAfterSnapshot()+1, n.log.commit),
+		Messages:  n.messages,
+		Reads:     n.reads.takeDone(n.log.commit),
+	}
+	if n.hardChanged() {
+		hard := n.hardState()
+		r.Hard = &hard
+	}
+	n.messages = nil
+	n.outstanding = true
+	return r
+}
+
+// appliedAfterSnapshot is the applied index once a pending snapshot is
+// applied.
+func (n *Node) appliedAfterSnapshot() uint64 {
+	if n.pendingSnapshot != nil {
+		return max(n.log.applied, n.pendingSnapshot.Index)
+	}
+	return n.log.applied
+}
+
+// Advance reports that r, the last Ready, was carried out. Messages may have
+// been stepped in between.
+func (n *Node) Advance(r Ready) {
+	if !n.outstanding {
+		return
+	}
+	n.outstanding = false
+	if r.Hard != nil {
+		n.savedHard = *r.Hard
+	}
+	if s := r.Snapshot; s != nil {
+		if n.pendingSnapshot == s {
+			n.pendingSnapshot = nil
+			n.log.stable = max(n.log.stable, s.Index)
+		}
+		n.log.applied = max(n.log.applied, s.Index)
+	}
+	if len(r.Entries) > 0 {
+		// The entry may have been replaced since Ready; then it is not stable.
+		if e := r.Entries[len(r.Entries)-1]; n.log.matches(e.Index, e.Term) {
+			n.log.stable = max(n.log.stable, e.Index)
+		}
+	}
+	if len(r.Committed) > 0 {
+		n.log.applied = max(n.log.applied, r.Committed[len(r.Committed)-1].Index)
+	}
+	if n.role == Leader {
+		n.maybeCommit()
+	}
+}
+
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
+}
+
+func (n *Node) hardChanged() bool {
+	if n.term != n.savedHard.Term || n.vote != n.savedHard.Vote {
+		return true
+	}
+	return n.log.stable < n.log.last() && n.log.commit != n.savedHard.Commit
+}
--- /dev/null
+++ b/coord/raft/sim_test.go
@@ -0,0 +1,299 @@
+package raft
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+// tickTime is the nominal length of a tick in virtual time units.
+const tickTime = 1000
+
+// failer is the part of testing.TB and rapid.T that the simulation uses.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+type event struct {
+	at  int64
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	e := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return e
+}
+
+// replica is one simulated process with its disk. node is nil while it is
+// down.
+type replica struct {
+	id       ID
+	node     *Node
+	disk     Stored // synced
+	first    Stored // disk at the last start
+	ready    *Ready // taken and not finished
+	life     int    // events of an earlier life are dropped
+	period   int64
+	nextTick int64
+	frozen   int64 // end of a suspension
+	value    uint64
+	applied  uint64
+	writes   map[Position]*operation
+	reads    map[uint64]*operation
+}
+
+// sim runs replicas in virtual time over a link that loses, duplicates,
+// delays and reorders messages.
+type sim struct {
+	t        failer
+	rnd      *rand.Rand
+	cfg      Config
+	now      int64
+	seq      int
+	events   eventHeap
+	replicas []*replica
+	cuts     map[[2]ID]bool
+	loss     float64
+	dup      float64
+	delay    int64 // longest delay of a message
+	drift    int64 // largest deviation of a tick, in thousandths
+	noHard   bool  // fault: term and vote are not persisted
+	noSync   bool  // fault: what was written since the start is lost at a crash
+	invariants
+	clients
+}
+
+func newSim(t failer, seed uint64, voters int) *sim {
+	s := &sim{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]ID]bool{}, delay: 300, drift: 30,
+		cfg:        Config{ElectionTicks: 10, HeartbeatTicks: 2, MaxInflight: 4, MaxBatchBytes: 64},
+		invariants: newInvariants(),
+	}
+	ids := make([]ID, voters)
+	for i := range ids {
+		ids[i] = ID(fmt.Sprintf("n%d", i+1))
+	}
+	for _, id := range ids {
+		s.start(s.add(id, Bootstrap(ids)))
+	}
+	return s
+}
+
+func (s *sim) add(id ID, disk Stored) *replica {
+	r := &replica{id: id, disk: disk, period: tickTime}
+	if s.drift > 0 {
+		r.period += s.rnd.Int64N(2*s.drift+1) - s.drift
+	}
+	s.replicas = append(s.replicas, r)
+	return r
+}
+
+func (s *sim) at(at int64, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: at, seq: s.seq, run: run})
+}
+
+// during runs f at a time unless the replica was restarted in between. A
+// frozen replica first makes up for the ticks it missed.
+func (s *sim) during(r *replica, at int64, f func()) {
+	life := r.life
+	s.at(at, func() {
+		switch {
+		case r.life != life || r.node == nil:
+		case r.frozen > s.now:
+			s.during(r, r.frozen, f)
+		default:
+			s.catchUp(r)
+			f()
+			s.pump(r)
+		}
+	})
+}
+
+// catchUp calls Tick for every tick interval that has passed.
+func (s *sim) catchUp(r *replica) {
+	for ; r.nextTick <= s.now; r.nextTick += r.period {
+		r.node.Tick()
+	}
+}
+
+func (s *sim) start(r *replica) {
+	cfg := s.cfg
+	cfg.ID, cfg.Rand = r.id, rand.New(rand.NewPCG(s.rnd.Uint64(), 2))
+	disk := r.disk
+	disk.Entries = slices.Clone(disk.Entries)
+	node, err := New(cfg, disk)
+	if err != nil {
+		s.t.Fatalf("%s does not start: %v", r.id, err)
+	}
+	r.node, r.life, r.frozen, r.ready, r.first = node, r.life+1, 0, nil, r.disk
+	r.writes, r.reads = map[Position]*operation{}, map[uint64]*operation{}
+	r.applied, r.value = disk.Snapshot.Index, decodeValue(disk.Snapshot.Data)
+	r.nextTick = s.now + 1 + s.rnd.Int64N(r.period)
+	s.scheduleTick(r)
+}
+
+func (s *sim) scheduleTick(r *replica) {
+	s.during(r, r.nextTick, func() { s.scheduleTick(r) })
+}
+
+// crash stops a replica. What it was about to sync is lost, or stored up to
+// one of the points between two syncs.
+func (s *sim) crash(r *replica) {
+	if r.node == nil {
+		return
+	}
+	if rd := r.ready; rd != nil {
+		switch s.rnd.IntN(3) {
+		case 1:
+			s.persist(r, Ready{Snapshot: rd.Snapshot})
+		case 2:
+			s.persist(r, *rd)
+		}
+	}
+	if s.noSync {
+		r.disk = r.first
+	}
+	r.node, r.ready = nil, nil
+	r.life++
+}
+
+// pump carries out one Ready, at once or after the time of a slow disk.
+func (s *sim) pump(r *replica) {
+	if r.node == nil || !r.node.HasReady() {
+		return
+	}
+	rd := r.node.Ready()
+	r.ready = &rd
+	if s.rnd.IntN(4) > 0 {
+		s.finish(r, rd)
+		return
+	}
+	s.during(r, s.now+s.rnd.Int64N(2*tickTime), func() { s.finish(r, rd) })
+}
+
+func (s *sim) finish(r *replica, rd Ready) {
+	s.persist(r, rd)
+	for _, m := range rd.Messages {
+		s.transmit(m)
+	}
+	if rd.Snapshot != nil {
+		r.applied, r.value = rd.Snapshot.Index, decodeValue(rd.Snapshot.Data)
+	}
+	for _, e := range rd.Committed {
+		s.apply(r, e)
+	}
+	s.answerReads(r, rd.Reads)
+	r.ready = nil
+	r.node.Advance(rd)
+	s.pump(r)
+}
+
+func (s *sim) persist(r *replica, rd Ready) {
+	if rd.Snapshot != nil {
+		r.disk.Snapshot, r.disk.Entries = *rd.Snapshot, nil
+	}
+	if rd.Hard != nil {
+		r.disk.Hard = *rd.Hard
+		if s.noHard {
+			r.disk.Hard = HardState{Term: r.disk.Snapshot.Term}
+		}
+	}
+	if len(rd.Entries) > 0 {
+		keep := rd.Entries[0].Index - r.disk.Snapshot.Index - 1
+		r.disk.Entries = append(slices.Clone(r.disk.Entries[:keep]), rd.Entries...)
+	}
+	if s.noHard && len(r.disk.Entries) > 0 {
+		r.disk.Hard.Term = r.disk.Entries[len(r.disk.Entries)-1].Term // or it would not start
+	}
+	r.disk.Hard.Commit = min(r.disk.Hard.Commit, r.disk.Snapshot.Index+uint64(len(r.disk.Entries)))
+}
+
+func (s *sim) compact(r *replica) {
+	if r.node == nil || r.node.Compact(r.node.log.applied, binary.LittleEndian.AppendUint64(nil, r.value)) != nil {
+		return
+	}
+	snapshot := r.node.Snapshot()
+	r.disk.Entries = slices.Clone(r.disk.Entries[snapshot.Index-r.disk.Snapshot.Index:])
+	r.disk.Snapshot = snapshot
+}
+
+func (s *sim) transmit(m Message) {
+	copies := 1
+	if s.rnd.Float64() < s.dup {
+		copies = 2
+	}
+	for range copies {
+		if s.cuts[[2]ID{m.From, m.To}] || s.rnd.Float64() < s.loss {
+			continue
+		}
+		to := s.find(m.To)
+		if to == nil {
+			continue
+		}
+		s.during(to, s.now+1+s.rnd.Int64N(s.delay), func() {
+			if err := to.node.Step(m); err != nil {
+				s.t.Fatalf("%s at %d: %v", to.id, s.now, err)
+			}
+		})
+	}
+}
+
+func (s *sim) find(id ID) *replica {
+	for _, r := range s.replicas {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// run executes all events of the next ticks and checks after each one.
+func (s *sim) run(ticks int) {
+	end := s.now + int64(ticks)*tickTime
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+		s.check()
+	}
+	s.now = end
+}
+
+// leader returns the running leader of the highest term, if any.
+func (s *sim) leader() *replica {
+	var best *replica
+	for _, r := range s.replicas {
+		if r.node != nil && r.node.role == Leader && (best == nil || r.node.term > best.node.term) {
+			best = r
+		}
+	}
+	return best
+}
+
+// isolate cuts or restores all links of a replica.
+func (s *sim) isolate(r *replica, cut bool) {
+	for _, other := range s.replicas {
+		s.cuts[[2]ID{r.id, other.id}], s.cuts[[2]ID{other.id, r.id}] = cut, cut
+	}
+}
+
+func decodeValue(data []byte) uint64 {
+	if len(data) != 8 {
+		return 0
+	}
+	return binary.LittleEndian.Uint64(data)
+}
--- /dev/null
+++ b/router/store/names.go
@@ -0,0 +1,52 @@
+package store
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const (
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".tmp"
+)
+
+func logName(generation uint64) string { return fmt.Sprintf("%s%016x", logPrefix, generation) }
+func snapshotName(generation uint64) string {
+	return fmt.Sprintf("%s%016x", snapshotPrefix, generation)
+}
+
+// generationOf returns the generation in a name with the given prefix.
+func generationOf(name, prefix string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok || len(digits) != 16 {
+		return 0, false
+	}
+	g, err := strconv.ParseUint(digits, 16, 64)
+	return g, err == nil && g > 0
+}
+
+// folder is what List found.
+type folder struct {
+	logs, snapshots []uint64 // generations
+	temporaries     []string
+}
+
+func readFolder(fsys FS) (folder, error) {
+	names, err := fsys.List()
+	if err != nil {
+		return folder{}, err
+	}
+	var f folder
+	for _, name := range names {
+		if g, ok := generationOf(name, logPrefix); ok {
+			f.logs = append(f.logs, g)
+		} else if g, ok := generationOf(name, snapshotPrefix); ok {
+			f.snapshots = append(f.snapshots, g)
+		} else if strings.HasSuffix(name, temporary) {
+			f.temporaries = append(f.temporaries, name)
+		}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/router/store/open.go
@@ -0,0 +1,165 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"slices"
+
+	"bramleyquay.example/coord/raft"
+)
+
+// Open reads the folder back and makes it ready for writing. It reports true
+// if nothing was ever stored. A *CorruptError means that the replica must not
+// start with this folder.
+func Open(fsys FS) (*Store, raft.Stored, bool, error) {
+	f, err := readFolder(fsys)
+	if err != nil {
+		return nil, raft.Stored{}, false, fmt.Errorf("store: %w", err)
+	}
+	s := &Store{fsys: fsys}
+	if len(f.logs) == 0 {
+		if len(f.snapshots) > 0 {
+			name := snapshotName(slices.Max(f.snapshots))
+			// The first generation has no snapshot, so its log came before.
+			return nil, raft.Stored{}, false, &CorruptError{File: name, Reason: "there is a snapshot and no log"}
+		}
+		if err := s.begin(f); err != nil {
+			return nil, raft.Stored{}, false, err
+		}
+		return s, raft.Stored{}, true, nil
+	}
+	stored, err := s.load(f)
+	if err != nil {
+		return nil, raft.Stored{}, false, err
+	}
+	empty := stored.Hard == raft.HardState{} && stored.Snapshot.Index == 0 && len(stored.Entries) == 0
+	return s, stored, empty, nil
+}
+
+// begin writes the first generation, which has no snapshot.
+func (s *Store) begin(f folder) error {
+	if err := s.removeAll(f.temporaries); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	log, state, err := s.writeLog(logHeader{Generation: 1}, nil)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	s.log, s.state = log, state
+	return nil
+}
+
+// load reads the latest generation and removes what is left of others.
+func (s *Store) load(f folder) (raft.Stored, error) {
+	generation := slices.Max(f.logs)
+	name := logName(generation)
+	data, err := readFile(s.fsys, name)
+	if err != nil {
+		return raft.Stored{}, fmt.Errorf("store: %w", err)
+	}
+	state, err := replayLog(name, data)
+	if err != nil {
+		return raft.Stored{}, err
+	}
+	if state.header.Generation != generation {
+		return raft.Stored{}, &CorruptError{File: name, Reason: fmt.Sprintf("the header is of generation %d", state.header.Generation)}
+	}
+	snapshot, err := s.loadSnapshot(state.header)
+	if err != nil {
+		return raft.Stored{}, err
+	}
+	s.state = state
+	// The rename of this log may not be durable if only the process ended.
+	// Nothing else may be removed before it is.
+	if err := s.fsys.SyncDir(); err != nil {
+		return raft.Stored{}, fmt.Errorf("store: %w", err)
+	}
+	if err := s.reopen(name, int64(len(data))); err != nil {
+		return raft.Stored{}, fmt.Errorf("store: %w", err)
+	}
+	if err := s.removeOthers(f, generation); err != nil {
+		return raft.Stored{}, errors.Join(fmt.Errorf("store: %w", err), s.log.Close())
+	}
+	return raft.Stored{Hard: state.hard, Snapshot: snapshot, Entries: slices.Clone(state.entries)}, nil
+}
+
+// loadSnapshot reads the snapshot that a log follows.
+func (s *Store) loadSnapshot(h logHeader) (raft.Snapshot, error) {
+	if h.SnapshotIndex == 0 {
+		return raft.Snapshot{}, nil
+	}
+	name := snapshotName(h.Generation)
+	corrupt := func(reason string) (raft.Snapshot, error) {
+		return raft.Snapshot{}, &CorruptError{File: name, Reason: reason}
+	}
+	data, err := readFile(s.fsys, name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return corrupt("the snapshot is missing")
+	}
+	if err != nil {
+		return raft.Snapshot{}, fmt.Errorf("store: %w", err)
+	}
+	payload, rest, ok := nextRecord(data)
+	if !ok || len(rest) > 0 {
+		return corrupt("the snapshot is damaged")
+	}
+	var snapshot raft.Snapshot
+	if err := decoder.Unmarshal(payload, &snapshot); err != nil {
+		return corrupt(err.Error())
+	}
+	if snapshot.Index != h.SnapshotIndex || snapshot.Term != h.SnapshotTerm {
+		return corrupt(fmt.Sprintf("the snapshot is at index %d, term %d; the log follows index %d, term %d",
+			snapshot.Index, snapshot.Term, h.SnapshotIndex, h.SnapshotTerm))
+	}
+	return snapshot, nil
+}
+
+// reopen opens the log for appending and cuts off a torn last record.
+func (s *Store) reopen(name string, size int64) error {
+	f, err := s.fsys.Open(name)
+	if err != nil {
+		return err
+	}
+	if size > s.state.size {
+		if err := f.Truncate(s.state.size); err != nil {
+			return errors.Join(err, f.Close())
+		}
+	}
+	// What was read may be in the page cache only: the process that wrote it
+	// may have ended before its sync. The replica relies on it from now on.
+	if err := f.Sync(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	s.log = f
+	return nil
+}
+
+// removeOthers removes temporary files and every other generation.
+func (s *Store) removeOthers(f folder, generation uint64) error {
+	names := slices.Clone(f.temporaries)
+	for _, g := range f.logs {
+		if g != generation {
+			names = append(names, logName(g))
+		}
+	}
+	for _, g := range f.snapshots {
+		if g != generation || s.state.header.SnapshotIndex == 0 {
+			names = append(names, snapshotName(g))
+		}
+	}
+	return s.removeAll(names)
+}
+
+// removeAll removes files and syncs the folder.
+func (s *Store) removeAll(names []string) error {
+	for _, name := range names {
+		if err := s.fsys.Remove(name); err != nil {
+			return err
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return s.fsys.SyncDir()
+}
--- /dev/null
+++ b/router/store/record.go
@@ -0,0 +1,87 @@
+package store
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// A record is: length of the payload (4 bytes), CRC-32C of the length (4),
+// CRC-32C of the payload (4), all little-endian, then the payload. The length
+// has a checksum of its own, because a damaged length in the middle of a file
+// would otherwise look like a last record that was torn.
+const headerSize = 12
+
+// maxPayload bounds one record. Larger ones are refused before a write.
+const maxPayload = 1 << 30
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: math.MaxInt32,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// encodeRecord returns v as a whole record.
+func encodeRecord(v any) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, &OrderError{Reason: fmt.Sprintf("record cannot be encoded: %v", err)}
+	}
+	if len(payload) > maxPayload {
+		return nil, &OrderError{Reason: fmt.Sprintf("record of %d bytes is larger than %d", len(payload), maxPayload)}
+	}
+	record := make([]byte, headerSize, headerSize+len(payload))
+	binary.LittleEndian.PutUint32(record, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(record[4:], crc32.Checksum(record[:4], castagnoli))
+	binary.LittleEndian.PutUint32(record[8:], crc32.Checksum(payload, castagnoli))
+	return append(record, payload...), nil
+}
+
+// payloadLength returns the payload length of the record at the start of
+// data, if its header is whole.
+func payloadLength(data []byte) (int, bool) {
+	if len(data) < headerSize || crc32.Checksum(data[:4], castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return 0, false
+	}
+	n := binary.LittleEndian.Uint32(data)
+	return int(n), n <= maxPayload
+}
+
+// nextRecord returns the payload of the record at the start of data and the
+// data after it. It reports false if the record is damaged or not whole.
+func nextRecord(data []byte) (payload, rest []byte, ok bool) {
+	n, ok := payloadLength(data)
+	if !ok || n > len(data)-headerSize {
+		return nil, nil, false
+	}
+	payload = data[headerSize : headerSize+n]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[8:]) {
+		return nil, nil, false
+	}
+	return payload, data[headerSize+n:], true
+}
+
+// torn reports whether the damaged record at the start of data can be the
+// last write before a crash: nothing follows it that was written later. A
+// whole record further on shows that this one was complete once.
+func torn(data []byte) bool {
+	if n, ok := payloadLength(data); ok {
+		return n >= len(data)-headerSize
+	}
+	for i := 1; i+headerSize <= len(data); i++ {
+		if _, _, ok := nextRecord(data[i:]); ok {
+			return false
+		}
+	}
+	return true
+}
