--- /dev/null
+++ b/router/store/example_test.go
@@ -0,0 +1,39 @@
+package store_test
+
+import (
+	"fmt"
+	"os"
+
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/store"
+)
+
+// A first start writes the bootstrap state; later starts read it back.
+func Example() {
+	dir, err := os.MkdirTemp("", "store")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+
+	s, stored, empty, err := store.Open(store.OS(dir))
+	if err != nil {
+		panic(err)
+	}
+	if empty {
+		stored = raft.Bootstrap([]raft.ID{"n1", "n2", "n3"})
+		if err := s.SaveSnapshot(stored.Snapshot); err != nil {
+			panic(err)
+		}
+		if err := s.Save(&stored.Hard, nil); err != nil {
+			panic(err)
+		}
+	}
+	if err := s.Close(); err != nil {
+		panic(err)
+	}
+
+	_, stored, empty, err = store.Open(store.OS(dir))
+	fmt.Println(empty, stored.Hard.Term, stored.Snapshot.Membership.Voters, err)
+	// Output: false 1 [n1 n2 n3] <nil>
+}
