Add the control state machine, the leader's decisions, placement and drain pacing

Cause: the lead's process needs the replicated state and the leader's decisions behind a fixed API. Change: coord/control gets Command with a CBOR codec, State with resend memory, documents, directory, drains and pending actions, and Controller with leases, losses, planned moves, record copies and balancing. coord/placement plans assignments and moves and holds the two hash baselines. coord/drain paces moves. lease.Tracker reports the remaining time of a lease.

--- /dev/null
+++ b/coord/control/apply.go
@@ -0,0 +1,84 @@
+package control
+
+// Apply applies the command at a log index. It accepts any input: a command
+// that is stale, wrong or empty is refused and changes nothing.
+func (s *State) Apply(index uint64, c Command) Result {
+	s.index = max(s.index, index)
+	origin := c.Origin()
+	digest := uint64(0)
+	if origin.ChangeID != "" {
+		digest = commandDigest(c)
+		if first, known := s.changes.find(origin.ChangeID); known {
+			if first.Digest != digest {
+				return s.stamp(refuse(RefusedChangeID, "change id "+origin.ChangeID+" was used for another change"))
+			}
+			return first.Result
+		}
+	}
+	e := s.newEdit()
+	res := s.dispatch(e, c)
+	e.commit()
+	res = s.stamp(res)
+	if origin.ChangeID != "" {
+		s.changes.add(changeRecord{ID: origin.ChangeID, Digest: digest, Result: res})
+	}
+	return res
+}
+
+func (s *State) stamp(r Result) Result {
+	r.ConfigRevision = s.documents.last().Revision
+	r.TableRevision = s.tbl.Revision()
+	return r
+}
+
+func (s *State) dispatch(e *edit, c Command) Result {
+	switch {
+	case c.ApplyDocument != nil:
+		return s.applyDocument(e, c.ApplyDocument)
+	case c.RegisterMember != nil:
+		return s.registerMember(e, c.RegisterMember)
+	case c.MembersLost != nil:
+		return s.membersLost(e, c.MembersLost)
+	case c.Assign != nil:
+		return s.assign(e, c.Assign)
+	case c.BeginMove != nil:
+		return s.beginMove(e, c.BeginMove)
+	case c.FinishMove != nil:
+		return s.finishMove(e, c.FinishMove)
+	case c.CancelMove != nil:
+		return s.cancelMove(e, c.CancelMove)
+	case c.CopySynced != nil:
+		return s.copySynced(e, c.CopySynced)
+	case c.ChangeCopies != nil:
+		return s.changeCopies(e, c.ChangeCopies)
+	case c.SplitKey != nil:
+		return s.splitKey(e, c.SplitKey)
+	case c.MergeKey != nil:
+		return s.mergeKey(e, c.MergeKey)
+	case c.ClearRecordsLost != nil:
+		return s.clearRecordsLost(e, c.ClearRecordsLost)
+	default:
+		return s.dispatchAdmin(e, c)
+	}
+}
+
+func (s *State) dispatchAdmin(e *edit, c Command) Result {
+	switch {
+	case c.SetDrain != nil:
+		return s.setDrain(e, c.SetDrain)
+	case c.SetMemberState != nil:
+		return s.setMemberState(e, c.SetMemberState)
+	case c.RemoveMember != nil:
+		return s.removeMember(e, c.RemoveMember)
+	case c.ProposeAction != nil:
+		return s.proposeAction(c.ProposeAction)
+	case c.ApproveAction != nil:
+		return s.approveAction(e, c.ApproveAction)
+	case c.DismissAction != nil:
+		return s.dismissAction(c.DismissAction)
+	case c.ReleaseKeyspace != nil:
+		return s.releaseKeyspace(e, c.ReleaseKeyspace)
+	default:
+		return refuse(RefusedInvalid, "the command is empty or of an unknown kind")
+	}
+}
--- /dev/null
+++ b/coord/control/apply_split.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// splitKey makes a unit of one key. It starts with the shard's owner and
+// copies, so nothing changes hands; a planned move follows if it is to.
+func (s *State) splitKey(e *edit, c *SplitKey) Result {
+	count := s.tbl.Shards(c.Keyspace)
+	if count == 0 || c.Hash == 0 {
+		return refuse(RefusedUnknown, fmt.Sprintf("no key space %q, or no key hash", c.Keyspace))
+	}
+	whole, ok := e.get(shard.Unit{Service: c.Keyspace, Shard: shard.Index(c.Hash, count)})
+	if !ok || whole.Phase != table.Serving {
+		return refuse(RefusedInUse, fmt.Sprintf("the shard of key %016x is not served at present", c.Hash))
+	}
+	n := whole
+	n.Unit.Key = c.Hash
+	if _, exists := e.get(n.Unit); exists {
+		return refuse(RefusedStale, fmt.Sprintf("key %016x is split already", c.Hash))
+	}
+	n.Epoch = max(whole.Epoch, s.epochFloor) + 1
+	n.Sources = with(whole.Copies, whole.Owner)
+	e.put(n)
+	return Result{}
+}
+
+// mergeKey returns a split key to its shard. The shard's epoch rises above the
+// key's, so that a fence of either is passed.
+func (s *State) mergeKey(e *edit, c *MergeKey) Result {
+	n, ok := e.get(c.Unit)
+	if !ok || !c.Unit.IsSplit() {
+		return refuse(RefusedUnknown, fmt.Sprintf("no split key %s", c.Unit))
+	}
+	whole, ok := e.get(shard.Unit{Service: n.Unit.Service, Shard: n.Unit.Shard})
+	if !ok || n.Phase != table.Serving || whole.Phase != table.Serving || n.Owner != whole.Owner {
+		return refuse(RefusedInUse, fmt.Sprintf("key %s and its shard are not served by the same member", c.Unit))
+	}
+	// The copies of the shard must hold the key's records too.
+	if s.copiesOf(n.Unit.Service) > 0 && !sameMembers(whole.Copies, n.Copies) {
+		return refuse(RefusedInUse, fmt.Sprintf("key %s and its shard have different record copies", c.Unit))
+	}
+	whole.Epoch = max(whole.Epoch, n.Epoch) + 1
+	whole.Joining = without(whole.Joining, func(m table.MemberID) bool { return !slices.Contains(n.Joining, m) })
+	whole.RecordsLost = whole.RecordsLost || n.RecordsLost
+	e.put(table.Entry{Unit: n.Unit, Epoch: n.Epoch, Removed: true})
+	e.put(whole)
+	return Result{}
+}
+
+func sameMembers(a, b []table.MemberID) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(a, b)
+}
--- /dev/null
+++ b/coord/control/apply_units.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+func (s *State) assign(e *edit, c *Assign) Result {
+	done := 0
+	for _, a := range c.Assignments {
+		n, ok := e.get(a.Unit)
+		if ok && n.Owner == "" && n.Epoch == a.Epoch && s.give(e, n, a) {
+			done++
+		}
+	}
+	if done == 0 {
+		return refuse(RefusedStale, "no assignment fits any more")
+	}
+	return Result{}
+}
+
+// at returns the entry of a unit in a phase at an epoch.
+func (s *State) at(e *edit, u shard.Unit, epoch uint64, phase table.Phase) (table.Entry, *Result) {
+	n, ok := e.get(u)
+	if !ok {
+		r := refuse(RefusedUnknown, fmt.Sprintf("no unit %s", u))
+		return n, &r
+	}
+	if n.Epoch != epoch || n.Phase != phase {
+		r := refuse(RefusedStale, fmt.Sprintf("unit %s is %s at epoch %d", u, n.Phase, n.Epoch))
+		return n, &r
+	}
+	return n, nil
+}
+
+func (s *State) beginMove(e *edit, c *BeginMove) Result {
+	n, refused := s.at(e, c.Unit, c.Epoch, table.Serving)
+	if refused != nil {
+		return *refused
+	}
+	if n.Owner == c.To {
+		return refuse(RefusedInvalid, fmt.Sprintf("member %s owns unit %s already", c.To, c.Unit))
+	}
+	if !s.eligible(c.Unit.Service, c.To) {
+		return refuse(RefusedInvalid, fmt.Sprintf("member %s may not own unit %s: not active, another service or another data centre", c.To, c.Unit))
+	}
+	n.Phase, n.Next = table.Moving, c.To
+	e.put(n)
+	return Result{}
+}
+
+func (s *State) finishMove(e *edit, c *FinishMove) Result {
+	n, refused := s.at(e, c.Unit, c.Epoch, table.Moving)
+	if refused != nil {
+		return *refused
+	}
+	n.Sources = with(n.Copies, n.Owner)
+	n.Owner, n.Next, n.Phase = n.Next, "", table.Serving
+	n.Copies = without(n.Copies, only(n.Owner))
+	n.Joining = without(n.Joining, only(n.Owner))
+	n.Epoch++
+	e.put(n)
+	return Result{}
+}
+
+func (s *State) cancelMove(e *edit, c *CancelMove) Result {
+	n, refused := s.at(e, c.Unit, c.Epoch, table.Moving)
+	if refused != nil {
+		return *refused
+	}
+	n.Phase, n.Next = table.Serving, ""
+	n.Epoch++
+	e.put(n)
+	return Result{}
+}
+
+// copySynced makes a joining copy an in-sync one. For the owner itself it
+// records that the owner has read the unit's records.
+func (s *State) copySynced(e *edit, c *CopySynced) Result {
+	n, refused := s.at(e, c.Unit, c.Epoch, table.Serving)
+	if refused != nil {
+		return *refused
+	}
+	if c.Copy == n.Owner {
+		if slices.Contains(n.Sources, n.Owner) {
+			return Result{}
+		}
+		n.Sources = with(n.Copies, n.Owner)
+		e.put(n)
+		return Result{}
+	}
+	if !slices.Contains(n.Joining, c.Copy) {
+		return refuse(RefusedStale, fmt.Sprintf("member %s is not joining unit %s", c.Copy, c.Unit))
+	}
+	n.Joining = without(n.Joining, only(c.Copy))
+	n.Copies = with(n.Copies, c.Copy)
+	n.Sources = with(n.Copies, n.Owner)
+	n.Epoch++
+	e.put(n)
+	return Result{}
+}
+
+func (s *State) changeCopies(e *edit, c *ChangeCopies) Result {
+	n, refused := s.at(e, c.Unit, c.Epoch, table.Serving)
+	if refused != nil {
+		return *refused
+	}
+	before := n
+	dropped := func(m table.MemberID) bool { return slices.Contains(c.Drop, m) }
+	n.Copies = without(n.Copies, dropped)
+	n.Joining = without(n.Joining, dropped)
+	for _, m := range c.Join {
+		if s.mayCopy(&n, m) {
+			n.Joining = with(n.Joining, m)
+		}
+	}
+	if slices.Equal(before.Copies, n.Copies) && slices.Equal(before.Joining, n.Joining) {
+		return refuse(RefusedStale, fmt.Sprintf("the copies of unit %s need no such change", c.Unit))
+	}
+	n.Epoch++
+	e.put(n)
+	return Result{}
+}
+
+func (s *State) clearRecordsLost(e *edit, c *ClearRecordsLost) Result {
+	n, ok := e.get(c.Unit)
+	if !ok {
+		return refuse(RefusedUnknown, fmt.Sprintf("no unit %s", c.Unit))
+	}
+	if !n.RecordsLost || (c.Since != 0 && c.Since != s.recordsLost[c.Unit]) {
+		return refuse(RefusedStale, fmt.Sprintf("the records of unit %s are not lost since table revision %d", c.Unit, c.Since))
+	}
+	n.RecordsLost = false
+	e.put(n)
+	return Result{}
+}
--- /dev/null
+++ b/coord/control/command_members.go
@@ -0,0 +1,66 @@
+package control
+
+import "bramleyquay.example/coord/table"
+
+// MemberIncarnation names one process start of a member.
+type MemberIncarnation struct {
+	ID          table.MemberID `json:"id" cbor:"1,keyasint"`
+	Incarnation uint64         `json:"incarnation" cbor:"2,keyasint"`
+}
+
+// RegisterMember adds a member, replaces a lost incarnation of it, or changes
+// the address or target of the registered incarnation.
+type RegisterMember struct {
+	Member Member `json:"member" cbor:"1,keyasint"`
+}
+
+// MembersLost declares members lost whose leases have ended.
+type MembersLost struct {
+	Members     []MemberIncarnation `json:"members" cbor:"1,keyasint"`
+	Assignments []Assignment        `json:"assignments,omitempty" cbor:"2,keyasint,omitempty"`
+	// KeepUnits leaves the members' units reserved for them, without service,
+	// because automatic failover is off. A later MembersLost without it
+	// releases them.
+	KeepUnits bool `json:"keepUnits,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// SetMemberState changes what a member is to do.
+type SetMemberState struct {
+	ID          table.MemberID `json:"id" cbor:"1,keyasint"`
+	Incarnation uint64         `json:"incarnation" cbor:"2,keyasint"`
+	// State is Active or Draining. Active does not undo a drain.
+	State MemberState `json:"state" cbor:"3,keyasint"`
+	// Leaving records that the process stops.
+	Leaving  bool   `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"`
+	ChangeID string `json:"changeId,omitempty" cbor:"5,keyasint,omitempty"`
+	Author   string `json:"author,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// RemoveMember removes a member that is lost or owns nothing.
+type RemoveMember struct {
+	ID          table.MemberID `json:"id" cbor:"1,keyasint"`
+	Incarnation uint64         `json:"incarnation" cbor:"2,keyasint"`
+	ChangeID    string         `json:"changeId,omitempty" cbor:"3,keyasint,omitempty"`
+	Author      string         `json:"author,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// DrainScope says what a drain covers.
+type DrainScope string
+
+const (
+	// DrainTarget covers the target beside one member.
+	DrainTarget DrainScope = "target"
+	// DrainInstance covers one member, or every member at one IP address.
+	DrainInstance DrainScope = "instance"
+	// DrainDataCentre covers every member in a data centre.
+	DrainDataCentre DrainScope = "dataCentre"
+)
+
+// SetDrain starts or ends a drain.
+type SetDrain struct {
+	Scope    DrainScope `json:"scope" cbor:"1,keyasint"`
+	Name     string     `json:"name" cbor:"2,keyasint"`
+	On       bool       `json:"on" cbor:"3,keyasint"`
+	ChangeID string     `json:"changeId,omitempty" cbor:"4,keyasint,omitempty"`
+	Author   string     `json:"author,omitempty" cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/coord/control/controller_config.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/drain"
+	"bramleyquay.example/coord/lease"
+	"bramleyquay.example/coord/placement"
+)
+
+// Config holds the leader's times and limits.
+type Config struct {
+	Lease     lease.Config
+	Placement placement.Config
+	Drain     drain.Config
+	// ProposalTimeout is the time after which a proposal that was not applied
+	// is made again. A shorter time repeats commands during a slow commit.
+	ProposalTimeout time.Duration
+	// ScanInterval is the least time between two scans of the whole table for
+	// units and copies to be moved. A scan of 66,000 units costs milliseconds.
+	ScanInterval time.Duration
+	// RebalanceInterval is the time between two looks at the balance.
+	RebalanceInterval time.Duration
+	// MovesPerMinute limits moves for balance and of hot keys, per service.
+	MovesPerMinute int
+	// MovedShare raises that limit to a share of all units each minute.
+	MovedShare float64
+	// LoadHalfLife smooths the reported load of units. A longer time reacts
+	// later and less to noise.
+	LoadHalfLife time.Duration
+	// MinUnitRate is the mean rate in requests per second and unit from which
+	// units are balanced by load; below it they are counted.
+	MinUnitRate float64
+	// CopyChanges bounds the changes of record copies in one scan.
+	CopyChanges int
+	// ForgetLost is the time after which a lost member that holds nothing is
+	// removed from the directory.
+	ForgetLost time.Duration
+	// ActionCooldown is the time for which a dismissed action is not proposed
+	// again.
+	ActionCooldown time.Duration
+	// HotKeys decides on splits and merges; nil leaves hot keys alone.
+	HotKeys HotKeyPlanner
+}
+
+// DefaultConfig returns the project's values.
+func DefaultConfig() Config {
+	return Config{
+		Lease: lease.Default(), Placement: placement.Default(), Drain: drain.Default(),
+		ProposalTimeout: time.Second, ScanInterval: 100 * time.Millisecond,
+		RebalanceInterval: 2 * time.Second, MovesPerMinute: 120, MovedShare: 0.1,
+		LoadHalfLife: 30 * time.Second, MinUnitRate: 1, CopyChanges: 256,
+		ForgetLost: time.Hour, ActionCooldown: 10 * time.Minute,
+	}
+}
--- a/coord/control/messages.go
+++ b/coord/control/messages.go
@@ -138,6 +138,9 @@
 	Active MemberState = "active"
 	// Draining members finish what they have and receive no new work.
 	Draining MemberState = "draining"
+	// Lost members were declared lost. They stay listed until they return with
+	// a new incarnation or are removed.
+	Lost MemberState = "lost"
 )
 
 // Member is an entry of the directory.
--- /dev/null
+++ b/coord/control/scan.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/placement"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// rescan is the time after which the table is scanned even without a change,
+// because leases and ramps change without one.
+const rescan = time.Second
+
+// scan looks for units whose owner or copies are in the wrong place.
+func (c *Controller) scan(now clock.Reading, s *State) {
+	current := revisions{s.tbl.Revision(), s.directory.revision, s.documents.last().Revision}
+	waited := now.MonoSince(c.scanned)
+	due := c.unfinished || current != c.scannedAt
+	if waited < c.cfg.ScanInterval || (!due && waited < rescan) {
+		return
+	}
+	c.scanned, c.scannedAt, c.unfinished = now, current, false
+	c.observeMoves(s)
+	var misplaced []*table.Entry
+	var copies []copyPlan
+	s.tbl.Each(func(e *table.Entry) bool {
+		if e.Phase != table.Serving || c.busy(e.Unit) {
+			return true
+		}
+		k := s.keyspaces[e.Unit.Service]
+		if c.misplaced(now, s, e, &k) {
+			misplaced = append(misplaced, e)
+		} else if k.copies > 0 || len(e.Copies)+len(e.Joining) > 0 {
+			if p, work := c.planCopies(now, s, e, k.copies); work {
+				copies = append(copies, p)
+			}
+		}
+		return true
+	})
+	c.moveAway(now, s, misplaced)
+	if len(copies) > 0 {
+		c.tendCopies(now, s, copies)
+	}
+}
+
+// misplaced reports whether a unit has to leave its owner, which is alive.
+func (c *Controller) misplaced(now clock.Reading, s *State, e *table.Entry, k *keyspace) bool {
+	r := s.members[e.Owner]
+	if r == nil || r.Member.State == Lost || c.expired(now, &r.Member) {
+		return false
+	}
+	return r.Member.State == Draining || !k.serves(&r.Member)
+}
+
+// moveAway proposes paced moves for units that have to leave their owners.
+// Drains are not automatic actions, so no switch applies.
+func (c *Controller) moveAway(now clock.Reading, s *State, entries []*table.Entry) {
+	groups := map[string][]placement.Unit{}
+	for _, e := range entries {
+		k := s.keyspaces[e.Unit.Service]
+		groups[k.Service] = append(groups[k.Service], placement.Unit{
+			ID: e.Unit, Prefer: e.Copies, Avoid: []table.MemberID{e.Owner}, DataCentres: k.DataCentres,
+		})
+	}
+	for _, service := range sortedKeys(groups) {
+		members := c.candidates(now, s, service)
+		for _, a := range c.planner(service).Assign(groups[service], members, owned(s, members)) {
+			move := BeginMove{Unit: a.Unit, Epoch: s.tbl.Entry(a.Unit).Epoch, To: a.To}
+			if c.pace(now, s, move) {
+				c.propose(now, Command{BeginMove: &move})
+			}
+		}
+		c.unfinished = true
+	}
+}
+
+// pace reports whether a move may start now.
+func (c *Controller) pace(now clock.Reading, s *State, move BeginMove) bool {
+	to := s.members[move.To]
+	if to == nil || c.busy(move.Unit) {
+		return false
+	}
+	return c.pacer.Begin(now, move.Unit, move.To, c.ramp(now, s, &to.Member))
+}
+
+// observeMoves tells the pacer which moves are in progress.
+func (c *Controller) observeMoves(s *State) {
+	moves := make(map[shard.Unit]table.MemberID, len(s.moving))
+	for u, to := range s.moving {
+		moves[u] = to
+	}
+	for sub, f := range c.flights {
+		if f.to != "" {
+			moves[sub.unit] = f.to
+		}
+	}
+	c.pacer.Observe(moves)
+}
+
+// finishMoves repeats the end of moves whose owner has released the unit.
+func (c *Controller) finishMoves(now clock.Reading, s *State) {
+	for _, u := range sortedUnits(c.released) {
+		e := s.tbl.Entry(u)
+		if e == nil || e.Phase != table.Moving || e.Epoch != c.released[u] {
+			delete(c.released, u)
+			continue
+		}
+		c.propose(now, Command{FinishMove: &FinishMove{Unit: u, Epoch: e.Epoch}})
+	}
+}
+
+// releaseBarriers ends the wait of key spaces once every member has reached
+// the revision or has no lease.
+func (c *Controller) releaseBarriers(now clock.Reading, s *State) {
+	for _, b := range s.Barriers() {
+		reached := true
+		for id, r := range s.members {
+			v := c.seen[id]
+			acts := r.Member.State != Lost && !c.expired(now, &r.Member)
+			if acts && (v == nil || v.table < b.TableRevision || v.config < b.ConfigRevision) {
+				reached = false
+				break
+			}
+		}
+		if reached {
+			c.propose(now, Command{ReleaseKeyspace: &ReleaseKeyspace{Name: b.Keyspace, Revision: b.TableRevision}})
+		}
+	}
+}
+
+// expireRecords ends the time in which units answer unknown because their
+// records were lost. It counts from when this leader first saw the loss.
+func (c *Controller) expireRecords(now clock.Reading, s *State) {
+	for u := range c.records {
+		if _, still := s.recordsLost[u]; !still {
+			delete(c.records, u)
+		}
+	}
+	for _, u := range sortedUnits(s.recordsLost) {
+		revision := s.recordsLost[u]
+		r, known := c.records[u]
+		if !known || r.revision != revision {
+			c.records[u] = recordsLoss{revision: revision, since: now}
+			continue
+		}
+		lifetime := time.Duration(s.keyspaces[u.Service].lifetimeMs) * time.Millisecond
+		if now.MonoSince(r.since) >= lifetime {
+			c.propose(now, Command{ClearRecordsLost: &ClearRecordsLost{Unit: u, Since: revision}})
+		}
+	}
+}
--- /dev/null
+++ b/coord/control/smoke_test.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/table"
+)
+
+// rig is one State with one Controller and members that always renew.
+type rig struct {
+	t       testing.TB
+	s       *State
+	c       *Controller
+	now     time.Duration
+	index   uint64
+	renew   map[table.MemberID]*Renewal
+	replies map[table.MemberID]RenewalReply
+	change  int
+}
+
+func newRig(t testing.TB) *rig {
+	r := &rig{t: t, s: NewState(), c: NewController(DefaultConfig(), rand.New(rand.NewPCG(1, 2))), renew: map[table.MemberID]*Renewal{}, replies: map[table.MemberID]RenewalReply{}}
+	r.c.Lead(clock.At(0))
+	return r
+}
+
+func (r *rig) apply(c Command) Result {
+	r.index++
+	res := r.s.Apply(r.index, c)
+	r.c.Applied(clock.At(r.now), r.s, c, res)
+	return res
+}
+
+func (r *rig) applyAll(cs []Command) {
+	for _, c := range cs {
+		r.apply(c)
+	}
+}
+
+func (r *rig) document(doc config.Document) Result {
+	text, err := json.Marshal(doc)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.change++
+	revision, _, _ := r.s.Config()
+	return r.apply(Command{ApplyDocument: &ApplyDocument{Base: revision, ChangeID: fmt.Sprint("doc-", r.change), Author: "ann", Text: text}})
+}
+
+func (r *rig) join(id, dc, service string) {
+	r.renew[table.MemberID(id)] = &Renewal{ID: table.MemberID(id), Incarnation: 1, DataCentre: dc, PeerAddr: "10.0.0.1:1",
+		Target: &Target{Service: service, Slots: 12, Incarnation: 1}}
+}
+
+// step lets every member renew once, with the releases and copies that the
+// table asks for, then ticks.
+func (r *rig) step() {
+	r.now += 50 * time.Millisecond
+	for _, id := range sortedIDs(r.renew) {
+		n := r.renew[id]
+		n.Seq++
+		n.Released, n.Synced = nil, nil
+		if last, ok := r.replies[id]; ok && last.Status == Granted {
+			n.TableRevision = last.TableRevision
+			if last.Config != nil {
+				n.ConfigRevision = last.Config.Revision
+			}
+			r.s.Table().Each(func(e *table.Entry) bool {
+				if e.Owner == id && e.Phase == table.Moving {
+					n.Released = append(n.Released, UnitEpoch{e.Unit, e.Epoch})
+				}
+				if e.Owner == id && e.Phase == table.Serving {
+					for _, j := range e.Joining {
+						n.Synced = append(n.Synced, CopySynced{e.Unit, e.Epoch, j})
+					}
+				}
+				return true
+			})
+		}
+		reply, commands := r.c.Renew(clock.At(r.now), r.s, *n)
+		r.replies[id] = reply
+		r.applyAll(commands)
+	}
+	r.applyAll(r.c.Tick(clock.At(r.now), r.s))
+}
+
+func (r *rig) run(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.step()
+	}
+}
+
+func sortedIDs[V any](m map[table.MemberID]V) []table.MemberID {
+	var out []table.MemberID
+	for _, k := range sortedKeys(asStrings(m)) {
+		out = append(out, table.MemberID(k))
+	}
+	return out
+}
+
+func asStrings[V any](m map[table.MemberID]V) map[string]V {
+	out := map[string]V{}
+	for k, v := range m {
+		out[string(k)] = v
+	}
+	return out
+}
+
+func (r *rig) ownedBy() map[table.MemberID]int {
+	out := map[table.MemberID]int{}
+	r.s.Table().Each(func(e *table.Entry) bool {
+		if e.Phase == table.Serving {
+			out[e.Owner]++
+		}
+		return true
+	})
+	return out
+}
+
+func testDocument() config.Document {
+	return config.Document{
+		DataCentres: []config.DataCentre{{Name: "a"}, {Name: "b"}, {Name: "c"}},
+		Services: []config.Service{
+			{Name: "clubs", Keyed: true, DataCentres: []string{"a", "b", "c"}, Shards: 64, Ramp: config.Ramp{DurationMs: 1000}},
+			{Name: "pay", Payments: true, DataCentres: []string{"a", "b", "c"}, Shards: 16, Ramp: config.Ramp{DurationMs: 1000}},
+		},
+		Automation: config.AllAutomation(),
+	}
+}
+
+func TestSmoke(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	is.True(r.document(testDocument()).Accepted())
+	for i, dc := range []string{"a", "b", "c", "a"} {
+		r.join(fmt.Sprint("m", i), dc, "clubs")
+	}
+	for i, dc := range []string{"a", "b", "c"} {
+		r.join(fmt.Sprint("p", i), dc, "pay")
+	}
+	r.run(60 * time.Second)
+	t.Log(r.ownedBy(), r.s.Table().Revision())
+	delete(r.renew, "m1")
+	delete(r.renew, "p1")
+	r.run(2 * time.Second)
+	t.Log(r.ownedBy(), r.s.Table().Revision())
+	r.apply(Command{SetDrain: &SetDrain{Scope: DrainDataCentre, Name: "a", On: true, ChangeID: "d1", Author: "ann"}})
+	r.run(6 * time.Second)
+	t.Log(r.ownedBy(), r.s.Table().Revision())
+	r.apply(Command{SetDrain: &SetDrain{Scope: DrainDataCentre, Name: "a", On: false, ChangeID: "d2", Author: "ann"}})
+	r.run(60 * time.Second)
+	t.Log(r.ownedBy(), r.s.Table().Revision())
+	r.s.Table().EachOf("pay", func(e *table.Entry) bool { t.Logf("%+v", *e); return true })
+	snap, err := r.s.Snapshot()
+	is.NoErr(err)
+	back, err := Restore(snap)
+	is.NoErr(err)
+	again, err := back.Snapshot()
+	is.NoErr(err)
+	is.Equal(snap, again)
+	is.Equal(back.holdings, r.s.holdings)
+	is.Equal(back.unowned, r.s.unowned)
+}
--- /dev/null
+++ b/coord/control/status.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// Status is the leader's view for dumps and the console.
+type Status struct {
+	Leading        bool            `json:"leading"`
+	TableRevision  uint64          `json:"tableRevision"`
+	ConfigRevision uint64          `json:"configRevision"`
+	Units          int             `json:"units"`
+	Unowned        int             `json:"unowned"`
+	Members        []MemberStatus  `json:"members"`
+	Moves          []MoveStatus    `json:"moves,omitempty"`
+	Drains         []DrainInfo     `json:"drains,omitempty"`
+	Actions        []PendingAction `json:"actions,omitempty"`
+	Barriers       []Barrier       `json:"barriers,omitempty"`
+	RecordsLost    []shard.Unit    `json:"recordsLost,omitempty"`
+	InFlight       int             `json:"inFlight"`
+}
+
+// MemberStatus is one member with its volatile state.
+type MemberStatus struct {
+	Member
+	// LeaseMs is the remaining time, in milliseconds, until the leader may
+	// declare the member lost; 0 once it may.
+	LeaseMs int64 `json:"leaseMs"`
+	// Losing is set while the member's loss is proposed and not applied.
+	Losing bool `json:"losing,omitempty"`
+	// Ramp is the share of its capacity that the member should carry.
+	Ramp   float64 `json:"ramp"`
+	Load   Load    `json:"load"`
+	Owned  int     `json:"owned"`
+	Copies int     `json:"copies"`
+	// The revisions that the member reported last.
+	TableRevision  uint64 `json:"tableRevision"`
+	ConfigRevision uint64 `json:"configRevision"`
+}
+
+// MoveStatus is a planned move in progress.
+type MoveStatus struct {
+	Unit     shard.Unit     `json:"unit"`
+	Epoch    uint64         `json:"epoch"`
+	From     table.MemberID `json:"from"`
+	To       table.MemberID `json:"to"`
+	Released bool           `json:"released,omitempty"`
+}
+
+// Status returns the leader's view. On a follower it lacks volatile state.
+func (c *Controller) Status(now clock.Reading, s *State) Status {
+	out := Status{
+		Leading: c.leading, TableRevision: s.tbl.Revision(), ConfigRevision: s.documents.last().Revision,
+		Units: s.tbl.Len(), Unowned: len(s.unowned), Drains: s.Drains(), Actions: s.Actions(), Barriers: s.Barriers(),
+		RecordsLost: sortedUnits(s.recordsLost), InFlight: len(c.flights) + len(c.losing),
+	}
+	for _, m := range s.Members() {
+		out.Members = append(out.Members, c.memberStatus(now, s, m))
+	}
+	for u, to := range s.moving {
+		e := s.tbl.Entry(u)
+		epoch, released := c.released[u]
+		out.Moves = append(out.Moves, MoveStatus{Unit: u, Epoch: e.Epoch, From: e.Owner, To: to, Released: released && epoch == e.Epoch})
+	}
+	slices.SortFunc(out.Moves, func(a, b MoveStatus) int {
+		return cmp.Or(compareUnits(a.Unit, b.Unit), cmp.Compare(a.Epoch, b.Epoch))
+	})
+	return out
+}
+
+func (c *Controller) memberStatus(now clock.Reading, s *State, m Member) MemberStatus {
+	h := s.held(m.ID)
+	st := MemberStatus{Member: m, Ramp: 1, Owned: len(h.owned), Copies: len(h.copies)}
+	if !c.leading {
+		return st
+	}
+	_, st.Losing = c.losing[m.ID]
+	st.Ramp = c.ramp(now, s, &m)
+	if m.State != Lost {
+		st.LeaseMs = c.tracker.Remaining(m.ID, m.Target != nil && m.Target.ChecksFences, now).Milliseconds()
+	}
+	if v := c.seen[m.ID]; v != nil {
+		st.Load, st.TableRevision, st.ConfigRevision = v.load, v.table, v.config
+	}
+	return st
+}
--- /dev/null
+++ b/coord/control/strip.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"slices"
+
+	"bramleyquay.example/coord/table"
+)
+
+// strip takes lost members out of an entry. With keep, a lost owner stays
+// named while the unit is unowned, so that it alone can resume it.
+func (s *State) strip(e *edit, n *table.Entry, gone func(table.MemberID) bool, keep bool) {
+	old := *n
+	n.Copies = without(old.Copies, gone)
+	n.Joining = without(old.Joining, gone)
+	n.Sources = without(old.Sources, gone)
+	ownerGone := old.Owner != "" && gone(old.Owner)
+	nextGone := old.Next != "" && gone(old.Next)
+	if ownerGone {
+		n.Phase, n.Next = table.Unowned, ""
+		n.Sources = slices.Clone(n.Copies)
+		if !keep {
+			n.Owner = ""
+		}
+	} else if nextGone {
+		n.Phase, n.Next = table.Serving, ""
+	}
+	if ownerGone || nextGone || len(n.Copies) != len(old.Copies) || len(n.Joining) != len(old.Joining) {
+		n.Epoch = old.Epoch + 1
+	}
+	if s.copiesOf(old.Unit.Service) > 0 && lostRecords(&old, n, ownerGone) {
+		n.RecordsLost = true
+		e.lostAgain(n.Unit)
+	}
+}
+
+// lostRecords reports whether no member is known to hold the unit's records
+// any more. An owner that had sources at its epoch and is not among them may
+// not have read them yet; it reports itself as synced once it has.
+func lostRecords(old, n *table.Entry, ownerGone bool) bool {
+	if len(n.Copies) > 0 {
+		return false
+	}
+	if ownerGone || old.Owner == "" {
+		return len(old.Copies) > 0 || ownerGone && old.Phase != table.Unowned
+	}
+	return len(old.Sources) > 0 && !slices.Contains(old.Sources, old.Owner) && len(n.Sources) == 0
+}
+
+// give makes a member the owner of a unit without one. It does nothing if the
+// member may not have the unit or its key space waits.
+func (s *State) give(e *edit, n table.Entry, a Assignment) bool {
+	if _, waits := s.barriers[n.Unit.Service]; waits || !s.eligible(n.Unit.Service, a.To) {
+		return false
+	}
+	n.Owner, n.Phase, n.Next = a.To, table.Serving, ""
+	n.Sources = slices.Clone(n.Copies)
+	n.Copies = without(n.Copies, only(a.To))
+	n.Joining = without(n.Joining, only(a.To))
+	for _, m := range a.Join {
+		if s.mayCopy(&n, m) {
+			n.Joining = with(n.Joining, m)
+		}
+	}
+	n.Epoch++
+	e.put(n)
+	return true
+}
+
+// eligible reports whether a member may own units of a key space.
+func (s *State) eligible(name string, id table.MemberID) bool {
+	k, ok := s.keyspaces[name]
+	r := s.members[id]
+	return ok && r != nil && r.Member.State == Active && k.serves(&r.Member)
+}
+
+// serves reports whether a member's target and data centre fit a key space.
+func (k *keyspace) serves(m *Member) bool {
+	return m.Target != nil && m.Target.Service == k.Service &&
+		(len(k.DataCentres) == 0 || slices.Contains(k.DataCentres, m.DataCentre))
+}
+
+// mayCopy reports whether a member may become a record copy of a unit.
+func (s *State) mayCopy(n *table.Entry, id table.MemberID) bool {
+	r, owner := s.members[id], s.members[n.Owner]
+	return r != nil && r.Member.State == Active && !n.Holds(id) &&
+		(owner == nil || owner.Member.DataCentre != r.Member.DataCentre)
+}
--- a/coord/lease/tracker.go
+++ b/coord/lease/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/table"
@@ -42,15 +43,28 @@
 // Expired reports whether m's lease has surely ended. checksFences says that
 // m's target refuses work outside its grants, so no grace is needed.
 func (t *Tracker) Expired(m table.MemberID, checksFences bool, now clock.Reading) bool {
-	from, ok := t.heard[m]
-	if !ok {
-		from = t.started
+	return now.MonoSince(t.from(m)) > t.wait(checksFences)
+}
+
+// Remaining returns the time until Expired reports true; zero if it does.
+func (t *Tracker) Remaining(m table.MemberID, checksFences bool, now clock.Reading) time.Duration {
+	return max(t.wait(checksFences)-now.MonoSince(t.from(m)), 0)
+}
+
+// from returns the last moment at which m's lease may have been renewed.
+func (t *Tracker) from(m table.MemberID) clock.Reading {
+	if from, ok := t.heard[m]; ok {
+		return from
 	}
-	wait := t.cfg.Duration + t.cfg.Drift
-	if !checksFences {
-		wait += t.cfg.Grace
+	return t.started
+}
+
+// wait is the time after a renewal at which the holder's lease has ended.
+func (t *Tracker) wait(checksFences bool) time.Duration {
+	if checksFences {
+		return t.cfg.Duration + t.cfg.Drift
 	}
-	return now.MonoSince(from) > wait
+	return t.cfg.Duration + t.cfg.Drift + t.cfg.Grace
 }
 
 // Heard returns when m last renewed in this leader term.
