--- a/coord/control/apply_document.go
+++ b/coord/control/apply_document.go
@@ -81,11 +81,13 @@
 
 // replaceKeyspaces creates and removes key spaces. A new one waits behind a
 // barrier, because members may still serve its keys under an earlier document.
+// A removed one leaves a barrier, so that no member that may still serve it is
+// removed from the directory and thereby forgotten.
 func (s *State) replaceKeyspaces(e *edit, spaces map[string]keyspace, gains []string) {
 	for _, name := range s.tbl.Services() {
 		if _, kept := spaces[name]; !kept {
 			e.resize(name, 0)
-			delete(s.barriers, name)
+			s.raise(name)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(spaces)) {
--- a/coord/control/apply_members.go
+++ b/coord/control/apply_members.go
@@ -19,7 +19,7 @@
 	if old != nil && old.Member.Incarnation == m.Incarnation {
 		return s.updateMember(e, old, m)
 	}
-	if old != nil && old.Member.State != Lost && !(old.Member.Leaving && !s.needed(m.ID)) {
+	if old != nil && old.Member.State != Lost && !(old.Member.Leaving && s.idle(m.ID)) {
 		return refuse(RefusedInUse, fmt.Sprintf("incarnation %d of member %s is registered", old.Member.Incarnation, m.ID))
 	}
 	if old != nil {
@@ -70,6 +70,11 @@
 	return false
 }
 
+// idle reports whether a member can serve nothing, whatever table it has: it
+// has released all its units, and no barrier says that it may not have seen
+// that a key space was taken from it.
+func (s *State) idle(id table.MemberID) bool { return len(s.barriers) == 0 && !s.needed(id) }
+
 // resume gives a lost member that returns with a new incarnation the units
 // that were kept for it. Its memory is gone: records come from the copies.
 func (s *State) resume(e *edit, id table.MemberID) {
@@ -140,8 +145,8 @@
 	if r == nil || r.Member.Incarnation != c.Incarnation {
 		return refuse(RefusedUnknown, fmt.Sprintf("no member %s with incarnation %d", c.ID, c.Incarnation))
 	}
-	if r.Member.State != Lost && len(s.held(c.ID).owned) > 0 {
-		return refuse(RefusedInUse, fmt.Sprintf("member %s owns units; drain it or wait until it is lost", c.ID))
+	if r.Member.State != Lost && (len(s.held(c.ID).owned) > 0 || len(s.barriers) > 0) {
+		return refuse(RefusedInUse, fmt.Sprintf("member %s owns units or may serve units of an earlier document; drain it or wait until it is lost", c.ID))
 	}
 	s.retired.add(MemberIncarnation{c.ID, c.Incarnation})
 	s.stripAll(e, map[table.MemberID]bool{c.ID: true}, false)
--- a/coord/control/losses.go
+++ b/coord/control/losses.go
@@ -25,7 +25,7 @@
 		if l, losing := c.losing[id]; losing && now.MonoSince(l.proposed) <= c.cfg.ProposalTimeout {
 			continue
 		}
-		if m.Leaving && !s.needed(id) {
+		if m.Leaving && s.idle(id) {
 			left = append(left, m)
 			continue
 		}
--- a/coord/control/messages.go
+++ b/coord/control/messages.go
@@ -19,15 +19,20 @@
 	Target *Target `json:"target,omitempty"`
 	// Leaving asks that all units are moved away because the process stops.
 	Leaving bool `json:"leaving,omitempty"`
-	// The newest revisions that the member holds.
+	// The newest revisions that the member holds. A revision is reported only
+	// once work on units that it took away has ended: a barrier relies on it.
 	TableRevision     uint64 `json:"tableRevision"`
 	ConfigRevision    uint64 `json:"configRevision"`
 	DirectoryRevision uint64 `json:"directoryRevision"`
 
-	Load     Load         `json:"load"`
-	Released []UnitEpoch  `json:"released,omitempty"`
-	Synced   []CopySynced `json:"synced,omitempty"`
-	HotKeys  []HotKey     `json:"hotKeys,omitempty"`
+	Load Load `json:"load"`
+	// Released repeats the moving units that the member has stopped serving,
+	// at their present epochs, until the table shows the next owner.
+	Released []UnitEpoch `json:"released,omitempty"`
+	// Synced repeats the joining copies that hold all records, and the member
+	// itself for a unit whose records it has read from Sources.
+	Synced  []CopySynced `json:"synced,omitempty"`
+	HotKeys []HotKey     `json:"hotKeys,omitempty"`
 	// UnitLoads gives the request rate of the units that the member owns.
 	UnitLoads []UnitLoad `json:"unitLoads,omitempty"`
 }
@@ -101,6 +106,9 @@
 type RenewalReply struct {
 	Status RenewalStatus `json:"status"`
 	Seq    uint64        `json:"seq"`
+	// Incarnation is that of the renewal. A member ignores answers to an
+	// earlier incarnation, whose sequence numbers may be the same.
+	Incarnation uint64 `json:"incarnation"`
 	// TableRevision is the revision after Table is applied.
 	TableRevision uint64       `json:"tableRevision"`
 	Table         *table.Delta `json:"table,omitempty"`
--- a/coord/control/renew.go
+++ b/coord/control/renew.go
@@ -12,7 +12,7 @@
 // the newest table and document.
 func (c *Controller) Renew(now clock.Reading, s *State, r Renewal) (RenewalReply, []Command) {
 	c.out = nil
-	reply := RenewalReply{Status: Pending, Seq: r.Seq}
+	reply := RenewalReply{Status: Pending, Seq: r.Seq, Incarnation: r.Incarnation}
 	c.attach(s, r, &reply)
 	if !c.leading || r.ID == "" || r.Incarnation == 0 {
 		return reply, nil
@@ -58,7 +58,7 @@
 	c.tracker.Renewed(r.ID, now)
 	reply.Status = Granted
 	reply.Draining = m.State == Draining
-	reply.MayStop = m.Leaving && !s.needed(m.ID)
+	reply.MayStop = m.Leaving && s.idle(m.ID)
 	if v := c.seen[r.ID]; v != nil {
 		v.load, v.table, v.config = r.Load, r.TableRevision, r.ConfigRevision
 	}
@@ -105,7 +105,7 @@
 // replace handles a new incarnation. It waits until the lease of the old one
 // has ended, unless that one left or is lost already.
 func (c *Controller) replace(now clock.Reading, s *State, old Member, r Renewal) {
-	if old.State == Lost || (old.Leaving && !s.needed(old.ID)) {
+	if old.State == Lost || (old.Leaving && s.idle(old.ID)) {
 		c.register(now, r)
 		return
 	}
--- /dev/null
+++ b/coord/control/sim_member_test.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/lease"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// simMember is a process beside a target, as far as ownership goes.
+type simMember struct {
+	s           *sim
+	id          table.MemberID
+	dc          string
+	service     string
+	fences      bool
+	clock       simClock
+	incarnation uint64
+	holder      *lease.Holder
+	tbl         *table.Table
+	doc         *config.Document
+	revision    uint64
+	leaving     bool
+	down        bool
+	stopped     bool
+	cutOut      bool // renewals do not reach control
+	cutIn       bool // answers do not reach the member
+	released    map[shard.Unit]uint64
+	boot        int
+}
+
+func newSimMember(s *sim, i int) *simMember {
+	m := &simMember{s: s, id: table.MemberID(fmt.Sprint("m", i)), dc: []string{"a", "b", "c"}[i%3], service: "pay", fences: i%2 == 0}
+	m.clock = newClock(s.rng)
+	m.start()
+	return m
+}
+
+// start begins a new incarnation with an empty memory.
+func (m *simMember) start() {
+	m.boot++
+	m.down = false
+	m.incarnation = m.s.rng.Uint64() | 1
+	m.holder = lease.NewHolder(lease.Default())
+	m.tbl, m.doc, m.revision = table.Empty(), &config.Document{}, 0
+	m.leaving = false
+	m.released = map[shard.Unit]uint64{}
+	boot := m.boot
+	m.s.after(m.s.between(0, 250*time.Millisecond), func() { m.timer(boot) })
+}
+
+func (m *simMember) crash() {
+	m.down = true
+	m.boot++
+	m.s.check.refresh(m)
+}
+
+// timer sends a renewal four times a second.
+func (m *simMember) timer(boot int) {
+	if m.boot != boot {
+		return
+	}
+	m.s.after(250*time.Millisecond, func() { m.timer(boot) })
+	if m.clock.paused {
+		return
+	}
+	m.renew()
+}
+
+func (m *simMember) renew() {
+	r := Renewal{
+		ID: m.id, Incarnation: m.incarnation, DataCentre: m.dc, PeerAddr: "127.0.0.1:1",
+		Seq: m.holder.Sent(m.clock.at(m.s.now)), Target: &Target{Service: m.service, Slots: 4, ChecksFences: m.fences},
+		Leaving: m.leaving, TableRevision: m.tbl.Revision(), ConfigRevision: m.revision,
+	}
+	m.tbl.Each(func(e *table.Entry) bool {
+		switch {
+		case e.Owner != m.id:
+		case e.Phase == table.Moving && m.released[e.Unit] == e.Epoch:
+			r.Released = append(r.Released, UnitEpoch{e.Unit, e.Epoch})
+		case e.Phase == table.Serving:
+			for _, c := range e.Joining {
+				r.Synced = append(r.Synced, CopySynced{e.Unit, e.Epoch, c})
+			}
+			r.Synced = append(r.Synced, CopySynced{e.Unit, e.Epoch, m.id})
+		}
+		return true
+	})
+	if !m.cutOut {
+		m.s.send(func() { m.s.receive(m, r) })
+	}
+}
+
+// receive is the leader's side of a renewal.
+func (s *sim) receive(m *simMember, r Renewal) {
+	if s.leader < 0 || s.replicas[s.leader].clock.paused {
+		return
+	}
+	l := s.replicas[s.leader]
+	reply, commands := l.ctl.Renew(l.clock.at(s.now), l.state, r)
+	s.propose(commands)
+	if !m.cutIn {
+		s.send(func() { m.answer(reply) })
+	}
+}
+
+// answer takes a reply. A paused process takes it when it resumes.
+func (m *simMember) answer(reply RenewalReply) {
+	if m.clock.paused {
+		m.s.after(10*time.Millisecond, func() { m.answer(reply) })
+		return
+	}
+	if m.down || reply.Incarnation != m.incarnation {
+		return
+	}
+	defer m.s.check.refresh(m)
+	if reply.Table != nil {
+		next, err := m.tbl.Apply(*reply.Table)
+		if err != nil {
+			return
+		}
+		m.tbl = next
+	}
+	if reply.Config != nil && reply.Config.Revision > m.revision {
+		m.revision, m.doc = reply.Config.Revision, &config.Document{}
+		if err := json.Unmarshal(reply.Config.Document, m.doc); err != nil {
+			panic(err)
+		}
+	}
+	m.s.check.revisions(m)
+	switch reply.Status {
+	case Fenced:
+		m.holder.Revoke()
+		m.incarnation = m.s.rng.Uint64() | 1
+		m.leaving = false
+	case Granted:
+		if m.tbl.Revision() >= reply.TableRevision {
+			m.holder.Granted(reply.Seq, m.clock.at(m.s.now))
+		}
+	}
+	m.beginReleases()
+	if reply.MayStop && m.leaving && !m.stopped {
+		m.stopped = true
+		m.crash()
+	}
+}
+
+// beginReleases ends the work in progress of moving units after a while.
+func (m *simMember) beginReleases() {
+	boot := m.boot
+	m.tbl.Each(func(e *table.Entry) bool {
+		if e.Owner == m.id && e.Phase == table.Moving && m.released[e.Unit] != e.Epoch {
+			m.s.after(m.s.between(0, 100*time.Millisecond), func() { m.release(boot, e) })
+		}
+		return true
+	})
+}
+
+func (m *simMember) release(boot int, e *table.Entry) {
+	if m.boot != boot || m.clock.paused {
+		return
+	}
+	now := m.tbl.Entry(e.Unit)
+	if now == nil || now.Epoch != e.Epoch || now.Phase != table.Moving || now.Owner != m.id || m.released[e.Unit] == e.Epoch {
+		return
+	}
+	m.released[e.Unit] = e.Epoch
+	m.s.check.refresh(m)
+	m.renew()
+}
+
+// acts reports whether the member works on a key as far as its table goes. A
+// moving unit may have work in progress until it is released.
+func (m *simMember) acts(key string) (shard.Unit, bool) {
+	service := m.doc.Service(m.service)
+	if service == nil {
+		return shard.Unit{}, false
+	}
+	name, ok := service.KeyspaceOf(key)
+	if !ok {
+		return shard.Unit{}, false
+	}
+	e := m.tbl.Lookup(name, shard.Hash(key))
+	if e == nil || e.Owner != m.id {
+		return shard.Unit{}, false
+	}
+	if e.Phase == table.Serving || (e.Phase == table.Moving && m.released[e.Unit] != e.Epoch) {
+		return e.Unit, true
+	}
+	return e.Unit, false
+}
+
+// leaseEnd returns the true time at which the member's lease ends. The process
+// is not paused, so its clocks run on.
+func (m *simMember) leaseEnd() time.Duration {
+	now := m.s.now
+	left := m.holder.Remaining(m.clock.at(now))
+	low, high := now, now+2*left
+	for high-low > time.Microsecond {
+		mid := (low + high) / 2
+		if m.holder.Valid(m.clock.at(mid)) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
+var simKeys = func() []string {
+	var out []string
+	for i := range 12 {
+		out = append(out, fmt.Sprint("a", i), fmt.Sprint("b", i))
+	}
+	slices.Sort(out)
+	return out
+}()
