Count refusals and known queues in the choice of target

Cause: a gate that refuses at once has few requests in progress and looked idle, so a target that turned cold at 1.2 times the full load attracted requests and refused them. Requests behind a long queue counted as slow and made their targets suspects under overload. Change: recent refusals count as waiting requests and decay over the age of a report; the latency that counts as slow grows with a queue beyond the limit. Ruled out: counting the whole queue in that latency.

--- a/coord/choice/chooser.go
+++ b/coord/choice/chooser.go
@@ -93,11 +93,14 @@
 	if s == nil {
 		return
 	}
-	late := c.late()
+	late := c.late(s)
 	s.finish(now, r.Latency)
 	if r.Load != nil {
 		s.report(now, r.Load)
 	}
+	if r.Kind == Refused {
+		s.refused(now, c.config.ReportAge)
+	}
 	switch {
 	case r.Kind == Failed, r.Kind != Refused && late > 0 && r.Latency > late:
 		s.suspect.bad(c.config.SuspectEvidence)
@@ -107,20 +110,19 @@
 	if r.Kind == OK {
 		c.latency.Record(now, r.Latency)
 	}
-	c.review(now, s, late)
+	c.review(now, s, c.late(s))
 }
 
-// late is the latency above which a request counts as slow, or zero while the
-// level of the service is unknown.
-func (c *Chooser) late() time.Duration {
+// late is the latency above which a request at the target counts as slow, or
+// zero while the level of the service is unknown.
+func (c *Chooser) late(s *state) time.Duration {
 	m, t := c.latency.Quantile(median), c.latency.Quantile(tail)
 	if m == 0 {
 		return 0
 	}
 	t = min(t, time.Duration(widestTail*float64(m)))
-	return max(c.config.MinSlow,
-		time.Duration(c.config.SlowFactor*float64(m)),
-		time.Duration(c.config.TailMargin*float64(t)))
+	late := max(c.config.SlowFactor*float64(m), c.config.TailMargin*float64(t))
+	return max(c.config.MinSlow, time.Duration(late*s.patience()))
 }
 
 // review begins or ends the suspicion of one target.
@@ -138,9 +140,8 @@
 // those requests end. Pick does the same for the targets that it compares;
 // call Overdue on a timer if picks are rare.
 func (c *Chooser) Overdue(now clock.Reading) {
-	late := c.late()
 	for _, s := range c.targets {
-		c.review(now, s, late)
+		c.review(now, s, c.late(s))
 	}
 }
 
@@ -151,7 +152,7 @@
 	for _, s := range c.targets {
 		if p := &s.suspect; p.active {
 			list = append(list, Suspect{ID: s.ID, For: now.Mono - p.since, Evidence: p.evidence,
-				Overdue: s.overdue(now, c.late()), Applied: c.ejection})
+				Overdue: s.overdue(now, c.late(s)), Applied: c.ejection})
 		}
 	}
 	return list
--- a/coord/choice/pick.go
+++ b/coord/choice/pick.go
@@ -11,10 +11,10 @@
 // are crowded, or if there is no other target: ejection never empties a service.
 func (c *Chooser) Pick(now clock.Reading, exclude ...table.MemberID) (table.MemberID, bool) {
 	c.picks++
-	late := c.late()
 	var healthy, suspect best
 	for i := range c.comparisons() {
 		s := c.candidate(i)
+		late := c.late(s)
 		c.review(now, s, late)
 		if !s.eligible(exclude) {
 			continue
--- a/coord/choice/target.go
+++ b/coord/choice/target.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,9 +16,12 @@
 	// others is the number of other processes' requests at the last report.
 	others   int
 	reported time.Duration
-	// limit is the gate's limit at the last report, or zero before one.
-	limit   int
-	suspect suspicion
+	// limit and queued are the gate's state at the last report, or zero before one.
+	limit, queued int
+	// refusals is the number of recent refusals, which decays from refusedAt on.
+	refusals  float64
+	refusedAt time.Duration
+	suspect   suspicion
 }
 
 // finish removes the request in progress whose start is nearest to the one
@@ -38,7 +42,30 @@
 func (s *state) report(now clock.Reading, load *GateLoad) {
 	s.others = max(load.Running+load.Queued-len(s.starts), 0)
 	s.reported = now.Mono
-	s.limit = load.Limit
+	s.limit, s.queued = load.Limit, load.Queued
+}
+
+// patience is the factor by which a latency may exceed the usual one: a request
+// behind a long queue waits, which does not make the target a straggler. The
+// gate of a slow target keeps its queue within the limit, so that only a longer
+// queue counts.
+func (s *state) patience() float64 {
+	limit := max(s.limit, 1)
+	return 1 + float64(max(s.queued-limit, 0))/float64(limit)
+}
+
+// refused counts a refusal. A gate that refuses at once has few requests in
+// progress and would otherwise look idle and attract every request.
+func (s *state) refused(now clock.Reading, decay time.Duration) {
+	s.refusals = s.recentRefusals(now, decay) + 1
+	s.refusedAt = now.Mono
+}
+
+func (s *state) recentRefusals(now clock.Reading, decay time.Duration) float64 {
+	if s.refusals == 0 {
+		return 0
+	}
+	return s.refusals * math.Exp(-float64(now.Mono-s.refusedAt)/float64(decay))
 }
 
 // overdue returns the number of requests in progress for longer than late.
@@ -68,5 +95,6 @@
 	if s.limit > 0 {
 		limit = min(float64(s.limit), slots)
 	}
-	return load/slots + queueWeight*max(load-limit, 0)/limit
+	waiting := max(load-limit, 0) + s.recentRefusals(now, reportAge)
+	return load/slots + queueWeight*waiting/limit
 }
--- a/coord/internal/loadsim/cluster_test.go
+++ b/coord/internal/loadsim/cluster_test.go
@@ -63,6 +63,8 @@
 	lying
 )
 
+func (r reports) String() string { return [...]string{"exact", "late", "false"}[r] }
+
 type cluster struct {
 	scenario
 	loop     *loop
--- a/coord/internal/loadsim/coldstart_test.go
+++ b/coord/internal/loadsim/coldstart_test.go
@@ -35,10 +35,10 @@
 			const length = 16 * time.Second
 			s := scenario{figures: f, load: 2, paymentShare: 0.3, length: length, cold: true, selector: shipped, hedging: true, seed: 2}
 			c := run(s)
-			c.logSeconds(t, "ramp")
+			c.logSeconds(t, f.name+", ramp")
 			s.noRamp = true
 			without := run(s)
-			without.logSeconds(t, "no ramp")
+			without.logSeconds(t, f.name+", no ramp")
 
 			last := int(length/time.Second) - int(timeout/time.Second) - 1
 			for second := 1; second <= last; second++ {
@@ -71,7 +71,7 @@
 					c.loop.after(coldAt, c.order[0].target.turnCold)
 				}
 				c := run(s)
-				c.logSeconds(t, "ramp")
+				c.logSeconds(t, f.name+", ramp")
 				status := c.order[0].limiter.Status(c.loop.reading())
 				t.Logf("load %.1f: cold restarts %d, reductions %d, ramp %.2f, warmth %.2f", load, status.ColdRestarts, status.Reductions, status.RampShare, c.order[0].target.warmth)
 				s.noRamp = true
--- a/coord/internal/loadsim/straggler_test.go
+++ b/coord/internal/loadsim/straggler_test.go
@@ -55,7 +55,8 @@
 	}
 	const length, seed = 30 * time.Second, 1
 	for _, c := range cases {
-		t.Run(fmt.Sprint(c.name, ", ", c.atOnce, " at once, reports ", c.reports), func(t *testing.T) {
+		name := fmt.Sprintf("%s, %d at once, %s reports", c.name, c.atOnce, c.reports)
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			s := scenario{figures: c.figures, load: 0.4, paymentShare: 0.2, length: length, skip: 2 * time.Second, reports: c.reports, seed: seed}
@@ -65,7 +66,7 @@
 				calm := run(s).result
 				s.phases = stragglers(c.figures, c.atOnce, length)
 				r := run(s).result
-				t.Logf("%-22s p99 %5.1f p99.9 %6.1f | calm p99 %5.1f p99.9 %5.1f | ratio %.2f payments p99 %5.1f ratio %.2f | extra %.2f%% (calm %.2f%%) | failed %.3f%%", p.name,
+				t.Logf("%-40s | %-22s | p99 %5.1f p99.9 %6.1f | calm p99 %5.1f p99.9 %5.1f | ratio %.2f payments p99 %5.1f ratio %.2f | extra %.2f%% (calm %.2f%%) | failed %.3f%%", name, p.name,
 					ms(percentile(r.all(), 99)), ms(percentile(r.all(), 99.9)), ms(percentile(calm.all(), 99)), ms(percentile(calm.all(), 99.9)),
 					ratio(r.all(), calm.all()), ms(percentile(r.latency[1], 99)), ratio(r.latency[1], calm.latency[1]),
 					100*r.extraShare(), 100*calm.extraShare(), 100*r.failedShare())
