Serve the operator's API and console

Cause: operators need one way to change the document and to act on the cluster, from bqctl and from a browser without scripts.

Ruled out: server-side sessions, because the processes share no session state; the cookie is signed with a key derived from the shared secret, so that any process accepts it. Path redirection of the web library is off: it answered /console/ with a permanent redirect before the login check.

Change: operator.Handler with the JSON API below /api/v1/ and the console below /console/: one form each for services, data centres, rules and switches, findings beside their field, the difference before saving, both versions after a conflict, the state with a chart of load per data centre. controlfake holds an operator.Control in memory for tests.

Conclusion: the handlers can be served as soon as the control leader implements operator.Control.

--- a/router/operator/actions.go
+++ b/router/operator/actions.go
@@ -114,3 +114,15 @@
 	// Revision is the document's revision if the action made a new one.
 	Revision uint64 `json:"revision,omitempty"`
 }
+
+func (r DrainRequest) change() (id, author string) { return r.ChangeID, r.Author }
+
+func (r MoveRequest) change() (id, author string) { return r.ChangeID, r.Author }
+
+func (r SplitRequest) change() (id, author string) { return r.ChangeID, r.Author }
+
+func (r MergeRequest) change() (id, author string) { return r.ChangeID, r.Author }
+
+func (r AutomationRequest) change() (id, author string) { return r.ChangeID, r.Author }
+
+func (r ControlChangeRequest) change() (id, author string) { return r.ChangeID, r.Author }
--- /dev/null
+++ b/router/operator/console_diff.go
@@ -0,0 +1,23 @@
+package operator
+
+import "strings"
+
+// diffLine is a line of a difference with its CSS class.
+type diffLine struct{ Class, Text string }
+
+func diffLines(diff string) []diffLine {
+	var out []diffLine
+	for _, text := range strings.Split(strings.TrimSuffix(diff, "\n"), "\n") {
+		class := "same"
+		switch {
+		case strings.HasPrefix(text, "+"):
+			class = "added"
+		case strings.HasPrefix(text, "-"):
+			class = "removed"
+		case strings.HasPrefix(text, "@"):
+			class = "left-out"
+		}
+		out = append(out, diffLine{class, text})
+	}
+	return out
+}
