Add scenario tests on real processes

Cause: failover, drains and restarts were only seen in the demo. Change: scripts start a Muscat cluster, put load on it and break it: owner and leader killed, frozen, a data centre drained or lost, every process restarted. The callers' listener now accepts once the process knows the configuration. Ports come from below the kernel's range for outgoing connections, which had taken some of them.

--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	plog "github.com/phuslu/log"
@@ -46,6 +47,7 @@
 
 	peers     *peer.Listener
 	listeners map[string]net.Listener
+	mu        sync.Mutex
 	servers   []*http.Server
 	failed    chan error
 	tls       *tls.Config
@@ -198,7 +200,7 @@
 	go d.gate.Run(ctx)
 	go d.gate.RunGrants(ctx)
 	d.serve("peer", d.peers.HTTP(), d.gate)
-	d.serveOn("caller", d.ingress)
+	go d.serveCallers(ctx)
 	d.serveOn("platform", d.platform())
 	d.serveOn("admin", d.adminHandler())
 	d.serveOperator()
@@ -210,6 +212,23 @@
 	}
 }
 
+// readyWait bounds how long callers' connections wait in the listener's backlog
+// for the first configuration. Afterwards requests are refused with a reason.
+const readyWait = 5 * time.Second
+
+// serveCallers accepts callers once the process knows the configuration: a
+// process that has just started could only refuse them.
+func (d *Daemon) serveCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for d.Healthy() != nil && pause(ctx, readyPoll) {
+	}
+	d.serveOn("caller", d.ingress)
+}
+
+// readyPoll is the time between two looks whether callers can be served.
+const readyPoll = 5 * time.Millisecond
+
 const (
 	// headerTimeout ends connections of slow senders.
 	headerTimeout = 5 * time.Second
@@ -228,7 +247,9 @@
 }
 
 func (d *Daemon) run(name string, s *http.Server, l net.Listener) {
+	d.mu.Lock()
 	d.servers = append(d.servers, s)
+	d.mu.Unlock()
 	go func() {
 		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
 			d.failed <- fmt.Errorf("%s listener: %w", name, err)
--- a/router/daemon/dump.go
+++ b/router/daemon/dump.go
@@ -90,6 +90,9 @@
 	if !d.agent.InContact() {
 		return Error.New("control was not heard from within the contact bound")
 	}
+	if d.agent.View().Document == nil {
+		return Error.New("no configuration has arrived yet")
+	}
 	return nil
 }
 
--- a/router/daemon/shutdown.go
+++ b/router/daemon/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bramleyquay.example/coord/raft"
@@ -56,8 +57,11 @@
 
 // closeServers stops accepting and waits for the requests in progress.
 func (d *Daemon) closeServers(ctx context.Context) error {
-	for i := len(d.servers) - 1; i >= 0; i-- {
-		if err := d.servers[i].Shutdown(ctx); err != nil {
+	d.mu.Lock()
+	servers := slices.Clone(d.servers)
+	d.mu.Unlock()
+	for _, s := range slices.Backward(servers) {
+		if err := s.Shutdown(ctx); err != nil {
 			return Error.New("requests in progress did not end in time: %v", err)
 		}
 	}
--- a/router/examples/standin/main.go
+++ b/router/examples/standin/main.go
@@ -3,19 +3,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/alecthomas/kong"
-
 	"bramleyquay.example/router/standin"
 )
 
-func main() {
-	var cfg standin.Config
-	kong.Parse(&cfg, kong.Name("standin"), kong.Description("A stand-in target that announces itself to the process beside it."))
-	if err := standin.Run(cfg); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "standin:", err) // the exit code tells as well
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(standin.Main(os.Args[1:], os.Stderr)) }
--- a/router/gate/rates.go
+++ b/router/gate/rates.go
@@ -11,8 +11,6 @@
 const (
 	// rateWindow is the time over which request rates are counted.
 	rateWindow = 2 * time.Second
-	// hotKeysReported bounds the keys reported with a renewal.
-	hotKeysReported = 8
 	// unitsReported bounds the unit rates reported with a renewal.
 	unitsReported = 64
 )
--- a/router/harness/cluster.go
+++ b/router/harness/cluster.go
@@ -3,10 +3,12 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"text/template"
 )
 
@@ -101,22 +103,34 @@
 	return c.Layout.DataCentres[i%len(c.Layout.DataCentres)]
 }
 
-// freePorts returns loopback addresses that nothing listened on a moment ago.
+// Ports are taken from below the range that the kernel uses for outgoing
+// connections, because one of those could take a port between its choice here
+// and its use.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort goes through the ports, so that clusters of one process never
+// choose the same; the start differs between processes.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid()*97) % (lastPort - firstPort)) }
+
+// freePorts returns loopback addresses that nothing listens on.
 func freePorts(n int) ([]string, error) {
 	addrs := make([]string, 0, n)
-	open := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range open {
-			_ = l.Close() // only the number was needed
+	for tries := 0; len(addrs) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.New("there are not enough free ports")
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		open = append(open, l)
 		addrs = append(addrs, l.Addr().String())
+		_ = l.Close() // only the number was needed
 	}
 	return addrs, nil
 }
--- a/router/harness/operate.go
+++ b/router/harness/operate.go
@@ -96,9 +96,29 @@
 	return d, json.NewDecoder(resp.Body).Decode(&d)
 }
 
+// AwaitReady waits until the process can serve callers.
+func (n *Node) AwaitReady(ctx context.Context) error {
+	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + n.Admin + "/healthz")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close() // only the status counts
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready: %w", n.ID, ctx.Err())
+}
+
 // AwaitServing waits until every unit has a serving owner and every node knows
 // the newest configuration.
 func (c *Cluster) AwaitServing(ctx context.Context) error {
+	return c.AwaitServingN(ctx, len(c.Nodes))
+}
+
+// AwaitServingN is AwaitServing with a number of targets that must be active.
+func (c *Cluster) AwaitServingN(ctx context.Context, targets int) error {
 	why := "no status yet"
 	for ; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
 		st, err := c.Status(ctx)
@@ -106,7 +126,7 @@
 			why = err.Error()
 			continue
 		}
-		if why = notServing(st, len(c.Nodes)); why == "" {
+		if why = notServing(st, targets); why == "" {
 			return nil
 		}
 	}
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -57,8 +57,6 @@
 	remote  RemoteGates
 	log     logging.Logger
 	held    chan struct{}
-	// Internal says that this listener may reach internal services.
-	internal bool
 
 	mu       sync.Mutex
 	services map[string]*service
--- /dev/null
+++ b/router/scenario/commands_test.go
@@ -0,0 +1,247 @@
+package scenario
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bramleyquay.example/router/harness"
+	"bramleyquay.example/router/operator"
+)
+
+type command = func(*testscript.TestScript, bool, []string)
+
+// commands is the scripts' language.
+func commands() map[string]command {
+	return map[string]command{
+		"cluster":   func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).start(ts) },
+		"load":      load,
+		"sleep":     sleep,
+		"crash":     onNodes(func(s *state, n *harness.Node) { s.setDown(n.ID, true); n.Daemon.Kill() }),
+		"freeze":    onNodes(func(s *state, n *harness.Node) { s.setDown(n.ID, true); n.Daemon.Freeze() }),
+		"resume":    onNodes(func(s *state, n *harness.Node) { n.Daemon.Resume(); s.setDown(n.ID, false) }),
+		"restart":   restart,
+		"terminate": terminate,
+		"drain":     drain(true),
+		"return":    drain(false),
+		"serving":   serving,
+		"maxgap":    maxgap,
+		"resetgaps": func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).resetGaps() },
+		"nocut":     nocut,
+		"payments":  payments,
+		"logged":    logged,
+		"empty":     empty,
+		"revisions": revisions,
+	}
+}
+
+// load starts callers of the three services: load [keyed|payments|any]...
+func load(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	kinds := map[string]*harness.Load{
+		"keyed":    {Service: "catalogue", Keyed: true, Callers: 24, Pause: 10 * time.Millisecond},
+		"payments": {Service: "enrolment", Payments: true, Callers: 8, Pause: 20 * time.Millisecond},
+		"any":      {Service: "learners", Callers: 8, Pause: 20 * time.Millisecond},
+	}
+	for _, kind := range args {
+		l := kinds[kind]
+		if l == nil {
+			ts.Fatalf("unknown load %s", kind)
+		}
+		l.Entry, l.Timeout = s.entry, 5*time.Second
+		s.loads[kind] = l
+		l.Start()
+	}
+	time.Sleep(500 * time.Millisecond) // every key has been asked for
+}
+
+func sleep(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// onNodes applies f to each named node; all names are resolved first, so that
+// several nodes fail at the same moment.
+func onNodes(f func(*state, *harness.Node)) command {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		s := of(ts)
+		var nodes []*harness.Node
+		for _, name := range args {
+			nodes = append(nodes, s.node(ts, name))
+		}
+		for _, n := range nodes {
+			ts.Logf("node %s", n.ID)
+			f(s, n)
+		}
+	}
+}
+
+// restart starts processes that have ended; "restart down" starts all.
+func restart(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	for _, n := range append(append([]*harness.Node{}, s.cluster.Control...), s.cluster.Nodes...) {
+		if args[0] == "down" && n.Daemon.Running() || args[0] != "down" && n.ID != args[0] {
+			continue
+		}
+		n.Daemon.Kill()
+		ts.Check(n.Daemon.Start())
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		ts.Check(n.AwaitReady(ctx))
+		s.setDown(n.ID, false)
+	}
+}
+
+// terminate asks nodes for a graceful shutdown, one after the other, and
+// requires exit code 0. Callers go on to use each until it has ended.
+func terminate(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	for _, name := range args {
+		n := s.node(ts, name)
+		s.setDown(n.ID, true)
+		if code := n.Daemon.Terminate(patience); code != 0 {
+			ts.Fatalf("%s ended with code %d; log:\n%s", n.ID, code, tail(n.Daemon.Log()))
+		}
+	}
+}
+
+func tail(log string) string {
+	lines := strings.Split(strings.TrimSpace(log), "\n")
+	return strings.Join(lines[max(len(lines)-20, 0):], "\n")
+}
+
+func drain(on bool) command {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		ts.Check(of(ts).cluster.Drain(ctx, operator.Scope(args[0]), args[1], on))
+	}
+}
+
+// serving waits until every unit is served; its argument is the number of
+// targets that must be active, by default all.
+func serving(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	want := len(s.cluster.Nodes)
+	if len(args) > 0 {
+		n, err := strconv.Atoi(args[0])
+		ts.Check(err)
+		want = n
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	ts.Check(s.cluster.AwaitServingN(ctx, want))
+}
+
+// maxgap requires that no key went without an answer for longer: maxgap 2s.
+func maxgap(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	for kind, l := range of(ts).loads {
+		gap := l.LongestGap()
+		ts.Logf("%s: longest gap %s, %+v", kind, gap.Round(time.Millisecond), l.Counts())
+		if gap > limit {
+			ts.Fatalf("%s had a gap of %s, above %s", kind, gap, limit)
+		}
+		if len(l.Wrong()) > 0 {
+			ts.Fatalf("%s got answers of other requests: %v", kind, l.Wrong()[0])
+		}
+	}
+}
+
+func (s *state) resetGaps() {
+	for _, l := range s.loads {
+		l.ResetGaps()
+	}
+}
+
+// nocut requires that every request so far was served.
+func nocut(ts *testscript.TestScript, _ bool, _ []string) {
+	for kind, l := range of(ts).loads {
+		if n := l.Counts(); n.NotRun+n.Unknown+n.Resent > 0 {
+			ts.Fatalf("%s: not every request was served: %+v", kind, n)
+		}
+	}
+}
+
+// payments ends the load and requires that none ran twice.
+func payments(ts *testscript.TestScript, _ bool, _ []string) {
+	s := of(ts)
+	l := s.loads["payments"]
+	l.Stop()
+	runs, err := s.cluster.Runs()
+	ts.Check(err)
+	twice, missing := harness.CheckPayments(runs, l.Paid())
+	ts.Logf("%d payments ran; %+v", len(runs), l.Counts())
+	if len(runs) == 0 || twice > 0 || missing > 0 {
+		ts.Fatalf("%d payments ran, %d more than once, %d confirmed without a run", len(runs), twice, missing)
+	}
+}
+
+// logged waits until a node's log contains the text: logged NODE TEXT.
+func logged(ts *testscript.TestScript, neg bool, args []string) {
+	n := of(ts).node(ts, args[0])
+	text := strings.Join(args[1:], " ")
+	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		found := strings.Contains(n.Daemon.Log(), text)
+		switch {
+		case found && neg:
+			ts.Fatalf("%s logged %q", n.ID, text)
+		case found || neg:
+			return
+		case time.Now().After(end):
+			ts.Fatalf("%s did not log %q; log:\n%s", n.ID, text, tail(n.Daemon.Log()))
+		}
+	}
+}
+
+// empty waits until a data centre owns nothing and runs nothing, at most for
+// the given time: empty mct-2 3s.
+func empty(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		st, err := of(ts).cluster.Status(ctx)
+		ts.Check(err)
+		for _, dc := range st.DataCentres {
+			if dc.Name == args[0] && dc.Units == 0 && dc.Running == 0 {
+				took := time.Since(begin)
+				ts.Logf("%s was empty after %s", args[0], took.Round(time.Millisecond))
+				if took > limit {
+					ts.Fatalf("%s was empty after %s, above %s", args[0], took, limit)
+				}
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// revisions requires that the dumps of all processes show the same document
+// revision: revisions N.
+func revisions(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for _, n := range of(ts).cluster.Nodes {
+		for {
+			d, err := n.Dump(ctx)
+			ts.Check(err)
+			if d.ConfigRevision == want {
+				break
+			}
+			if d.ConfigRevision > want || ctx.Err() != nil {
+				ts.Fatalf("%s has revision %d instead of %d", n.ID, d.ConfigRevision, want)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/router/scenario/scenario_test.go
@@ -0,0 +1,42 @@
+// Package scenario runs scripted failures against clusters of real processes.
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bramleyquay.example/router/daemon"
+	"bramleyquay.example/router/standin"
+)
+
+// TestMain lets the test binary act as the programs under test.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bramleyquay": func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"standin":     func() { os.Exit(standin.Main(os.Args[1:], os.Stderr)) },
+	})
+}
+
+// TestScripts runs testdata/*.txtar. Each says in its first line which failure
+// it guards against.
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs("../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:  "testdata",
+		Cmds: commands(),
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("EXAMPLES", examples)
+			// Durable files are synced to a real disk in any case.
+			env.Values[stateKey{}] = &state{}
+			env.Defer(env.Values[stateKey{}].(*state).stop)
+			return nil
+		},
+		RequireExplicitExec: true,
+	})
+}
--- /dev/null
+++ b/router/scenario/state_test.go
@@ -0,0 +1,128 @@
+package scenario
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bramleyquay.example/router/harness"
+)
+
+// stateKey finds the state of a script.
+type stateKey struct{}
+
+// state is what one script has started.
+type state struct {
+	cluster *harness.Cluster
+	loads   map[string]*harness.Load
+	running bool
+
+	mu   sync.Mutex
+	down map[string]bool
+}
+
+// patience bounds waits for conditions. It is generous, so that the verdict
+// does not depend on the machine's speed.
+const patience = 30 * time.Second
+
+func of(ts *testscript.TestScript) *state { return ts.Value(stateKey{}).(*state) }
+
+func (s *state) stop() {
+	for _, l := range s.loads {
+		l.Stop()
+	}
+	if s.cluster != nil {
+		s.cluster.Stop()
+	}
+	if s.running {
+		<-clusters
+	}
+}
+
+// clusters bounds the clusters that run at once: the scripts measure times and
+// each cluster has 25 processes.
+var clusters = make(chan struct{}, 2)
+
+// start starts a Muscat cluster.
+func (s *state) start(ts *testscript.TestScript) {
+	clusters <- struct{}{}
+	s.running = true
+	l := harness.Muscat()
+	l.Folder = ts.MkAbs("cluster")
+	ts.Check(os.MkdirAll(l.Folder, 0o700))
+	l.Template = filepath.Join(ts.Getenv("EXAMPLES"), "muscat", "process.hujson.tmpl")
+	l.Daemon, l.Standin = program(ts, "bramleyquay"), program(ts, "standin")
+	c, err := harness.New(l)
+	ts.Check(err)
+	s.cluster, s.down, s.loads = c, map[string]bool{}, map[string]*harness.Load{}
+	ts.Check(c.Start())
+	text, err := os.ReadFile(filepath.Join(ts.Getenv("EXAMPLES"), "muscat", "document.hujson"))
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reply, err := c.Apply(ctx, 0, "first", string(text))
+	ts.Check(err)
+	if reply.Revision != 1 {
+		ts.Fatalf("document not accepted: %+v", reply)
+	}
+	ts.Check(c.AwaitServing(ctx))
+	servers := ""
+	for _, n := range c.Control {
+		servers += n.Operator + ","
+	}
+	ts.Setenv("BQ_SERVERS", servers[:len(servers)-1])
+	ts.Setenv("BQ_SECRET_FILE", filepath.Join(l.Folder, "secret"))
+}
+
+func program(ts *testscript.TestScript, name string) string {
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		if path, err := exec.LookPath(filepath.Join(dir, name)); err == nil {
+			return path
+		}
+	}
+	ts.Fatalf("program %s is not on the path", name)
+	return ""
+}
+
+// node finds a node by name; leader stands for the control leader and
+// owner:KEY for the owner of a catalogue key.
+func (s *state) node(ts *testscript.TestScript, name string) *harness.Node {
+	if name == "leader" {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		n, err := s.cluster.Leader(ctx)
+		ts.Check(err)
+		return n
+	}
+	for _, n := range append(append([]*harness.Node{}, s.cluster.Control...), s.cluster.Nodes...) {
+		if n.ID == name {
+			return n
+		}
+	}
+	ts.Fatalf("no node is named %s", name)
+	return nil
+}
+
+// setDown tells the callers which processes not to talk to.
+func (s *state) setDown(id string, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[id] = down
+}
+
+func (s *state) entry(r *rand.Rand) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		n := s.cluster.Nodes[r.IntN(len(s.cluster.Nodes))]
+		if !s.down[n.ID] {
+			return n.Caller
+		}
+	}
+}
