Test the protocol flows, and tell removed replicas

Cause: a learner that was added to an idle group received nothing until the next proposal, because the leader took the change itself as sent. A removed replica never learned of its removal and would ask for pre-votes for ever. Counters near 2^64 in a forged message overflowed an index and caused a panic; TestArbitraryMessages found it. Change: the change entry is the first one sent to a new member; removed replicas are sent entries until they know; counters are bounded; a data folder is locked while it is open. Ruled out: broadcasting the commit index after every commit; followers learn it with the next heartbeat, which halves the messages of a proposal.

--- a/coord/raft/change.go
+++ b/coord/raft/change.go
@@ -43,7 +43,7 @@
 	next := n.membership().with(c)
 	pos := n.appendOwn(EntryMembership, next.encode())
 	n.history = append(n.history, membershipAt{index: pos.Index, membership: next})
-	n.syncPeers()
+	n.syncPeers(pos.Index)
 	n.maybeCommit()
 	return pos, nil
 }
@@ -69,11 +69,10 @@
 		if m.IsVoter(c.ID) {
 			return ErrAlreadyMember
 		}
-		p := n.lead.peers[c.ID]
-		if p == nil {
+		if !m.IsLearner(c.ID) {
 			return ErrUnknownMember
 		}
-		if p.match < n.log.commit || !n.active(p) {
+		if p := n.lead.peers[c.ID]; p.match < n.log.commit || !n.active(p) {
 			return ErrNotCaughtUp
 		}
 	case Remove:
--- a/coord/raft/doc.go
+++ b/coord/raft/doc.go
@@ -4,7 +4,7 @@
 // The caller drives a Node with Tick, Step and the proposing methods, and
 // whenever HasReady is true it carries out one Ready:
 //
-//  1. persist Snapshot, Hard and Entries, and sync them;
+//  1. persist and sync Snapshot, then Hard and Entries in one step;
 //  2. send Messages;
 //  3. apply Snapshot, then Committed, then answer Reads;
 //  4. call Advance with the same Ready.
@@ -14,6 +14,7 @@
 //
 // Ticks carry the safety of Status.QuorumActive. The caller counts elapsed
 // time, not timer events: after a suspension it calls Tick once for each tick
-// interval that has passed, before it calls any other method. The tick rates
-// of two replicas may differ by about 5% each way (see Config.ElectionTicks).
+// interval that has passed, before it calls any other method. A leader that
+// counts too few ticks, or a follower that counts too many, weakens it; the
+// tick rates of two replicas may differ by about 5% each way.
 package raft
--- a/coord/raft/leadership.go
+++ b/coord/raft/leadership.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
 // leadership is the state that a replica holds only while it leads.
 type leadership struct {
-	peers     map[ID]*peer // all other members
+	peers     map[ID]*peer // all other members, and removed ones for a while
 	since     uint64       // tick of the election
 	first     uint64       // index of the term's no-op entry
 	heartbeat int          // ticks since the last round
@@ -24,35 +25,36 @@
 // snapshot. A snapshot of several megabytes takes longer than a round trip.
 const snapshotResendFactor = 4
 
+// removedFactor times ElectionTicks is how long a removed replica that does
+// not answer is still sent entries.
+const removedFactor = 10
+
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
 	n.lead = leadership{peers: map[ID]*peer{}, since: n.now, first: n.log.last() + 1}
-	n.syncPeers()
+	n.syncPeers(n.lead.first)
 	n.appendOwn(EntryNoop, nil)
 	n.openRound()
 }
 
-// syncPeers adds and drops peers after a change of the membership.
-func (n *Node) syncPeers() {
+// syncPeers adds peers for new members, to which the entry at index is sent
+// first, and marks those of members that this entry removed.
+func (n *Node) syncPeers(index uint64) {
 	m := n.membership()
-	for id := range n.lead.peers {
-		if !m.Contains(id) {
-			delete(n.lead.peers, id)
+	for _, id := range append(slices.Clone(m.Voters), m.Learners...) {
+		if p := n.lead.peers[id]; id != n.cfg.ID && (p == nil || p.removed > 0) {
+			n.lead.peers[id] = &peer{next: index}
 		}
 	}
-	for _, id := range n.others() {
-		if n.lead.peers[id] == nil {
-			n.lead.peers[id] = newPeer(n.log.last())
+	for id, p := range n.lead.peers {
+		if !m.Contains(id) && p.removed == 0 {
+			p.removed, p.removedTick = index, n.now
 		}
 	}
 }
 
-// others returns all members except this replica in a fixed order.
-func (n *Node) others() []ID {
-	m := n.membership()
-	ids := append(slices.Clone(m.Voters), m.Learners...)
-	return slices.DeleteFunc(ids, func(id ID) bool { return id == n.cfg.ID })
-}
+// others returns the replicas that are sent messages, in a fixed order.
+func (n *Node) others() []ID { return slices.Sorted(maps.Keys(n.lead.peers)) }
 
 func (n *Node) appendOwn(kind EntryKind, data []byte) Position {
 	e := Entry{Term: n.term, Index: n.log.last() + 1, Kind: kind, Data: data}
@@ -83,7 +85,10 @@
 	if n.lead.transfer != "" && n.now-n.lead.transferT >= window {
 		n.lead.transfer = ""
 	}
-	for _, p := range n.lead.peers {
+	for id, p := range n.lead.peers {
+		if p.removed > 0 && n.now-p.removedTick >= removedFactor*window {
+			delete(n.lead.peers, id)
+		}
 		if p.state == Snapshotting && p.ackedTick > p.snapshotTick && n.now-p.snapshotTick >= snapshotResendFactor*window {
 			p.probe()
 		}
--- a/coord/raft/message.go
+++ b/coord/raft/message.go
@@ -68,6 +68,19 @@
 	Snapshot *Snapshot `json:"s,omitempty" cbor:"14,keyasint,omitempty"`
 }
 
+// maxCounter bounds terms, indexes and rounds in received messages, so that
+// no sum of them overflows.
+const maxCounter = 1 << 62
+
+// largest returns the largest counter in the message.
+func (m *Message) largest() uint64 {
+	largest := max(m.Term, m.Index, m.LogTerm, m.Commit, m.HintIndex, m.HintTerm, m.Round)
+	if m.Snapshot != nil {
+		largest = max(largest, m.Snapshot.Index, m.Snapshot.Term)
+	}
+	return largest
+}
+
 // check reports why a received message is not well formed.
 func (m *Message) check(self ID) error {
 	bad := func(reason string) error {
@@ -82,6 +95,8 @@
 		return bad("sender is empty or this replica")
 	case m.Term == 0:
 		return bad("term is zero")
+	case m.largest() > maxCounter:
+		return bad("a counter is out of range")
 	case len(m.Entries) > 0 && m.Kind != MsgAppend:
 		return bad("entries outside an append")
 	case (m.Snapshot != nil) != (m.Kind == MsgSnapshot):
--- /dev/null
+++ b/coord/raft/node_test.go
@@ -0,0 +1,139 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestReturnOfIsolatedReplica guards against a replica that returns after a
+// long isolation and forces an election, and against one that cannot catch up
+// because the entries it lacks are compacted.
+func TestReturnOfIsolatedReplica(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		s := newSim(t, seed, 3)
+		s.cfg.MaxBatchBytes, s.dup, s.loss = 1024, 0.05, 0.02
+		for s.run(40); s.leader() == nil; {
+			s.run(1)
+		}
+		l := s.leader()
+		term := l.node.term
+		away := s.replicas[0]
+		if away == l {
+			away = s.replicas[1]
+		}
+		s.isolate(away, true)
+		for i := range 400 {
+			s.write(l)
+			s.run(1)
+			if i%50 == 49 {
+				s.compact(l)
+			}
+		}
+		is.True(away.applied < 10)
+		is.Equal(away.node.term, term) // pre-votes raise no term
+		s.isolate(away, false)
+		s.run(40)
+		is.Equal(s.leader(), l)
+		is.Equal(l.node.term, term)
+		is.True(l.applied > 400)
+		is.True(away.applied >= l.applied-1)
+		is.True(away.node.Snapshot().Index > 1) // caught up by a snapshot
+	}
+}
+
+// TestFlowControl guards against a leader that sends without bound to a
+// replica that does not answer.
+func TestFlowControl(t *testing.T) {
+	is := is.New(t)
+	f := group(3)
+	n := f.nodes["n1"]
+	n.cfg.MaxInflight, n.cfg.MaxBatchBytes = 3, 100
+	for i := range 50 {
+		_, err := n.Propose(fmt.Appendf(nil, "%030d", i))
+		is.NoErr(err)
+	}
+	rd := n.Ready()
+	sent := map[ID]int{}
+	for _, m := range rd.Messages {
+		sent[m.To]++
+		is.Equal(m.Kind, MsgAppend)
+		is.Equal(len(m.Entries), 3) // 90 of 100 bytes
+	}
+	is.Equal(sent, map[ID]int{"n2": 3, "n3": 3})
+	n.Advance(rd)
+	is.True(!n.HasReady())
+	is.Equal(n.Status().Progress["n2"].Inflight, 3)
+}
+
+// TestStoredState guards against a start with state that lost a part.
+func TestStoredState(t *testing.T) {
+	is := is.New(t)
+	_, err := New(Config{ID: "n1"}, Stored{})
+	is.True(errors.As(err, new(*ConfigError)))
+	e := func(term, index uint64) Entry { return Entry{Term: term, Index: index} }
+	for _, entries := range [][]Entry{
+		{e(1, 3)}, {e(1, 2), e(1, 4)}, {e(2, 2)}, {e(0, 2)}, {{Term: 1, Index: 2, Kind: 9}},
+		{{Term: 1, Index: 2, Kind: EntryMembership, Data: []byte("{}")}}, {}, // the commit index is 2
+	} {
+		stored := Bootstrap([]ID{"n1", "n2"})
+		stored.Entries, stored.Hard.Commit = entries, 2
+		f := &flow{nodes: map[ID]*Node{}, disks: map[ID]*Stored{}}
+		f.start("n1", stored)
+		is.True(f.out.Len() > 0) // refused
+	}
+}
+
+// TestArbitraryMessages guards against a panic, or a change of what is
+// committed, after messages that no correct replica sends.
+func TestArbitraryMessages(t *testing.T) {
+	small := rapid.OneOf(rapid.Uint64Range(0, 8), rapid.Uint64())
+	ids := rapid.SampledFrom([]ID{"", "n1", "n2", "n3", "n9"})
+	entry := rapid.Custom(func(t *rapid.T) Entry {
+		return Entry{Term: small.Draw(t, "term"), Index: small.Draw(t, "index"), Kind: EntryKind(rapid.IntRange(0, 3).Draw(t, "kind")),
+			Data: rapid.SampledFrom([][]byte{nil, []byte("x"), []byte(`{"v":["n1"]}`)}).Draw(t, "data")}
+	})
+	message := rapid.Custom(func(t *rapid.T) Message {
+		m := Message{Kind: MessageKind(rapid.IntRange(0, 11).Draw(t, "kind")), From: ids.Draw(t, "from"), To: "n1",
+			Term: small.Draw(t, "term"), Index: small.Draw(t, "index"), LogTerm: small.Draw(t, "logTerm"),
+			Commit: small.Draw(t, "commit"), Round: small.Draw(t, "round"), HintIndex: small.Draw(t, "hint"),
+			HintTerm: small.Draw(t, "hintTerm"), Reject: rapid.Bool().Draw(t, "reject"), Force: rapid.Bool().Draw(t, "force")}
+		if m.Kind == MsgAppend {
+			m.Entries = rapid.SliceOfN(entry, 0, 3).Draw(t, "entries")
+		}
+		if m.Kind == MsgSnapshot {
+			m.Snapshot = &Snapshot{Index: small.Draw(t, "si"), Term: small.Draw(t, "st"), Membership: Membership{Voters: []ID{"n1", "n2"}}}
+		}
+		return m
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		f := group(3)
+		n := f.nodes["n1"]
+		if rapid.Bool().Draw(t, "follower") {
+			n = f.nodes["n2"]
+		}
+		applied := n.log.applied
+		for _, m := range rapid.SliceOfN(message, 1, 30).Draw(t, "messages") {
+			m.To = n.cfg.ID
+			if err := n.Step(m); err != nil && !errors.As(err, new(*MalformedError)) {
+				t.Fatalf("untyped error %v", err)
+			}
+			n.Tick()
+			for n.HasReady() {
+				rd := n.Ready()
+				for _, e := range rd.Committed {
+					if e.Index <= applied {
+						t.Fatalf("entry %d is applied twice", e.Index)
+					}
+					applied = e.Index
+				}
+				n.Advance(rd)
+			}
+			_ = n.Status()
+		}
+	})
+}
--- a/coord/raft/peer.go
+++ b/coord/raft/peer.go
@@ -33,9 +33,11 @@
 
 	ackedRound uint64 // highest heartbeat round answered
 	ackedTick  uint64 // tick at which that round was sent
-}
 
-func newPeer(last uint64) *peer { return &peer{next: last + 1} }
+	removed     uint64 // index of the entry that removed it; 0 for a member
+	removedTick uint64
+	told        uint64 // last round opened before the removal could be told
+}
 
 func (p *peer) probe() {
 	p.state, p.next, p.paused, p.pending = Probing, p.match+1, false, nil
@@ -76,3 +78,16 @@
 		}
 	}
 }
+
+// mayDrop reports whether a removed replica was told that its removal is
+// committed. Until then it is sent entries, without counting for anything: a
+// replica that does not know of its removal asks for votes for ever.
+func (p *peer) mayDrop(commit, round uint64) bool {
+	if p.removed == 0 || p.match < p.removed || commit < p.removed {
+		return false
+	}
+	if p.told == 0 {
+		p.told = round
+	}
+	return p.ackedRound > p.told
+}
--- a/coord/raft/replication.go
+++ b/coord/raft/replication.go
@@ -95,5 +95,8 @@
 		}
 	}
 	p.heartbeatAnswered(m.Round)
+	if p.mayDrop(n.log.commit, n.lead.round) {
+		delete(n.lead.peers, m.From)
+	}
 	return nil
 }
--- a/coord/raft/sim_check_test.go
+++ b/coord/raft/sim_check_test.go
@@ -123,9 +123,12 @@
 		}
 	}
 	s.run(30)
-	for _, id := range l.node.others() {
-		if r := s.find(id); r.applied != l.applied || r.value != l.value {
-			s.t.Fatalf("%s applied %d, leader %s applied %d", id, r.applied, l.id, l.applied)
+	for _, r := range s.replicas {
+		if !l.node.membership().Contains(r.id) {
+			continue
+		}
+		if r.applied != l.applied || r.value != l.value {
+			s.t.Fatalf("%s applied %d, leader %s applied %d", r.id, r.applied, l.id, l.applied)
 		}
 	}
 	s.checkLogs()
--- a/coord/raft/sim_test.go
+++ b/coord/raft/sim_test.go
@@ -1,7 +1,7 @@
 package raft
 
 import (
-	"container/heap"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -19,24 +19,9 @@
 
 type event struct {
 	at  int64
-	seq int
 	run func()
 }
 
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	e := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return e
-}
-
 // replica is one simulated process with its disk. node is nil while it is
 // down.
 type replica struct {
@@ -62,8 +47,7 @@
 	rnd      *rand.Rand
 	cfg      Config
 	now      int64
-	seq      int
-	events   eventHeap
+	events   []event // in order of time
 	replicas []*replica
 	cuts     map[[2]ID]bool
 	loss     float64
@@ -102,8 +86,8 @@
 }
 
 func (s *sim) at(at int64, run func()) {
-	s.seq++
-	heap.Push(&s.events, event{at: at, seq: s.seq, run: run})
+	i, _ := slices.BinarySearchFunc(s.events, at, func(e event, at int64) int { return cmp.Compare(e.at, at+1) })
+	s.events = slices.Insert(s.events, i, event{at: at, run: run})
 }
 
 // during runs f at a time unless the replica was restarted in between. A
@@ -265,7 +249,8 @@
 func (s *sim) run(ticks int) {
 	end := s.now + int64(ticks)*tickTime
 	for len(s.events) > 0 && s.events[0].at <= end {
-		e := heap.Pop(&s.events).(event)
+		e := s.events[0]
+		s.events = s.events[1:]
 		s.now = e.at
 		e.run()
 		s.check()
--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -51,6 +51,9 @@
 	s.TermApplied = n.log.applied >= n.lead.first
 	s.Progress = make(map[ID]Progress, len(n.lead.peers))
 	for id, p := range n.lead.peers {
+		if p.removed > 0 {
+			continue
+		}
 		s.Progress[id] = Progress{
 			Match: p.match, Next: p.next, State: p.state, Inflight: len(p.pending),
 			Learner: s.Membership.IsLearner(id), Active: n.active(p),
--- a/router/store/open.go
+++ b/router/store/open.go
@@ -13,30 +13,34 @@
 // if nothing was ever stored. A *CorruptError means that the replica must not
 // start with this folder.
 func Open(fsys FS) (*Store, raft.Stored, bool, error) {
-	f, err := readFolder(fsys)
+	lock, err := lockFolder(fsys)
 	if err != nil {
 		return nil, raft.Stored{}, false, fmt.Errorf("store: %w", err)
 	}
-	s := &Store{fsys: fsys}
-	if len(f.logs) == 0 {
-		if len(f.snapshots) > 0 {
-			name := snapshotName(slices.Max(f.snapshots))
-			// The first generation has no snapshot, so its log came before.
-			return nil, raft.Stored{}, false, &CorruptError{File: name, Reason: "there is a snapshot and no log"}
-		}
-		if err := s.begin(f); err != nil {
-			return nil, raft.Stored{}, false, err
-		}
-		return s, raft.Stored{}, true, nil
-	}
-	stored, err := s.load(f)
+	s := &Store{fsys: fsys, lock: lock}
+	stored, err := s.open()
 	if err != nil {
-		return nil, raft.Stored{}, false, err
+		return nil, raft.Stored{}, false, errors.Join(err, lock.Close())
 	}
 	empty := stored.Hard == raft.HardState{} && stored.Snapshot.Index == 0 && len(stored.Entries) == 0
 	return s, stored, empty, nil
 }
 
+func (s *Store) open() (raft.Stored, error) {
+	f, err := readFolder(s.fsys)
+	switch {
+	case err != nil:
+		return raft.Stored{}, fmt.Errorf("store: %w", err)
+	case len(f.logs) > 0:
+		return s.load(f)
+	case len(f.snapshots) > 0:
+		// The first generation has a log only, so one was there before.
+		name := snapshotName(slices.Max(f.snapshots))
+		return raft.Stored{}, &CorruptError{File: name, Reason: "there is a snapshot and no log"}
+	}
+	return raft.Stored{}, s.begin(f)
+}
+
 // begin writes the first generation, which has no snapshot.
 func (s *Store) begin(f folder) error {
 	if err := s.removeAll(f.temporaries); err != nil {
--- a/router/store/store.go
+++ b/router/store/store.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 
 	"bramleyquay.example/coord/raft"
@@ -11,10 +13,10 @@
 // records stay small when a long log is carried over.
 const recordEntries = 1024
 
-// Store is an open folder. It is not safe for concurrent use. A folder must
-// not be open twice.
+// Store is an open folder. It is not safe for concurrent use.
 type Store struct {
 	fsys   FS
+	lock   io.Closer
 	log    File
 	state  *replay // what the log file holds
 	failed error
@@ -164,7 +166,7 @@
 		return nil
 	}
 	s.closed = true
-	return s.log.Close()
+	return errors.Join(s.log.Close(), s.lock.Close())
 }
 
 // usable returns the error that refuses any use, or nil.
