Give reports of other processes' load a quarter of the weight

Cause: with full weight, late reports made healthy targets look crowded, so that requests went to suspects, and a target that always reports to be full got hardly any work. Change: choice.Config.ReportWeight, default 0.25. Conclusion: a weight of 0.25 kept.

--- a/coord/choice/config.go
+++ b/coord/choice/config.go
@@ -45,6 +45,10 @@
 	// has no more weight. An older report describes requests that have ended.
 	// Default: 100 ms.
 	ReportAge time.Duration
+	// ReportWeight is the weight of other processes' requests in reports against
+	// this process's own. A higher weight balances uneven callers better and
+	// gives late and false reports more influence. Default: 0.25.
+	ReportWeight float64
 	// LevelPeriod is half of the time over which the service's latency level is
 	// measured. A longer one is steadier and accepts a lasting change later.
 	// Default: 10 s.
@@ -63,6 +67,7 @@
 	DefaultProbeLongest    = 500 * time.Millisecond
 	DefaultProbePicks      = 200
 	DefaultReportAge       = 100 * time.Millisecond
+	DefaultReportWeight    = 0.25
 	DefaultLevelPeriod     = 10 * time.Second
 )
 
@@ -77,6 +82,7 @@
 	setDefault(&c.ProbeLongest, DefaultProbeLongest)
 	setDefault(&c.ProbePicks, DefaultProbePicks)
 	setDefault(&c.ReportAge, DefaultReportAge)
+	setDefault(&c.ReportWeight, DefaultReportWeight)
 	setDefault(&c.LevelPeriod, DefaultLevelPeriod)
 	return c
 }
--- a/coord/choice/pick.go
+++ b/coord/choice/pick.go
@@ -48,7 +48,7 @@
 // compare keeps the less costly target. Among equal ones the near data centre
 // wins, then chance.
 func (c *Chooser) compare(b *best, now clock.Reading, s *state) {
-	cost := s.cost(now, c.config.ReportAge)
+	cost := s.cost(now, &c.config)
 	if b.state == nil {
 		*b = best{s, cost, 1}
 		return
--- a/coord/choice/target.go
+++ b/coord/choice/target.go
@@ -85,16 +85,16 @@
 // cost compares the delay of one more request. Requests up to the gate's limit
 // count by their share of all slots, so that a target in its ramp gets work up
 // to its limit and the ramp goes on; further ones wait.
-func (s *state) cost(now clock.Reading, reportAge time.Duration) float64 {
+func (s *state) cost(now clock.Reading, c *Config) float64 {
 	load := float64(len(s.starts) + 1)
-	if age := now.Mono - s.reported; s.others > 0 && age < reportAge {
-		load += float64(s.others) * (1 - float64(age)/float64(reportAge))
+	if age := now.Mono - s.reported; s.others > 0 && age < c.ReportAge {
+		load += c.ReportWeight * float64(s.others) * (1 - float64(age)/float64(c.ReportAge))
 	}
 	slots := float64(max(s.Slots, 1))
 	limit := slots
 	if s.limit > 0 {
 		limit = min(float64(s.limit), slots)
 	}
-	waiting := max(load-limit, 0) + s.recentRefusals(now, reportAge)
+	waiting := max(load-limit, 0) + s.recentRefusals(now, c.ReportAge)
 	return load/slots + queueWeight*waiting/limit
 }
