Prove the payment records with generated histories

1,000 generated schedules with members, control, target and callers in virtual time: double taps, resends, lost and late answers, freezes, restarts, moves, partitions and links that lose, delay and duplicate. The stand-in target's log must show each payment at most once, each not-run must be true, each repeat must equal the first answer, each request at a live process must be answered, and a new payment must succeed after the faults.

The histories found one fault: a fresh unit whose owner was lost before its first copy was filled stayed without records for ever. Fresh now lasts until the first copy was reported in sync, and all copies of a fresh unit count as joining. Ruled out: ending Fresh with the owner's first report, because control cannot tell whether an owner that it lost had begun to serve.

--- a/coord/idempotency/example_test.go
+++ b/coord/idempotency/example_test.go
@@ -35,10 +35,10 @@
 			}
 		}
 	}
-	run(owner.Adopt(now, idempotency.Assignment{
-		Unit: unit, Epoch: 1, Fresh: true,
-		Copies: []idempotency.Member{{ID: "b", DataCentre: "south"}},
-	}))
+	second := []idempotency.Member{{ID: "b", DataCentre: "south"}}
+	run(owner.Adopt(now, idempotency.Assignment{Unit: unit, Epoch: 1, Fresh: true, Joining: second}))
+	// Control has recorded that the copy is in sync.
+	run(owner.Adopt(now, idempotency.Assignment{Unit: unit, Epoch: 2, Copies: second}))
 	payment := idempotency.Request{ID: 1, Unit: unit, Key: "k1", Deadline: now.Add(time.Second)}
 	run(owner.Begin(now, payment))
 	payment.ID = 2
--- a/coord/idempotency/owner_adopt.go
+++ b/coord/idempotency/owner_adopt.go
@@ -134,14 +134,14 @@
 		}
 		p := findPeer(old, m.ID)
 		if p == nil || (joining && !p.joining) {
-			p = &peer{id: m.ID, fresh: a.Fresh}
+			p = &peer{id: m.ID}
 			u.forgetAcks(m.ID)
 		}
 		p.joining, p.remote = joining, m.DataCentre != o.cfg.Self.DataCentre
 		u.peers = append(u.peers, p)
 	}
 	for _, m := range a.Copies {
-		add(m, false)
+		add(m, a.Fresh)
 	}
 	for _, m := range a.Joining {
 		add(m, true)
--- a/coord/idempotency/peer.go
+++ b/coord/idempotency/peer.go
@@ -11,8 +11,6 @@
 	// remote means that the copy is in another data centre than the owner.
 	remote  bool
 	joining bool
-	// fresh means that the unit never had records, so the copy has none yet.
-	fresh bool
 	// open means that the copy accepts records.
 	open bool
 	// incarnation is the copy's process, known from its first reply.
@@ -43,7 +41,7 @@
 	case p.open:
 		o.reportSynced(u, p)
 		o.sendRuns(u, p)
-	case p.joining || p.fresh:
+	case p.joining:
 		o.openJoin(u, p)
 	default:
 		// An empty write raises the fence and tells the incarnation.
--- a/coord/idempotency/run.go
+++ b/coord/idempotency/run.go
@@ -69,11 +69,12 @@
 }
 
 // covered reports whether every copy holds the run's record, and at least one
-// copy in sync is in another data centre.
+// copy in sync is in another data centre. A copy that the table calls in sync
+// must be complete: otherwise it could not tell a new owner of the record.
 func (o *Owner) covered(r *run) bool {
 	remote := o.cfg.AllowNoRemoteCopy
 	for _, p := range r.unit.peers {
-		if !slices.Contains(r.acks, p.id) {
+		if !slices.Contains(r.acks, p.id) || !(p.joining || p.inSync()) {
 			return false
 		}
 		remote = remote || (p.remote && p.inSync())
--- /dev/null
+++ b/coord/idempotency/sim_node_test.go
@@ -0,0 +1,220 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"time"
+
+	"bramleyquay.example/coord/idempotency"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// node is one member's process.
+type node struct {
+	sim         *sim
+	index       int
+	id          table.MemberID
+	centre      string
+	incarnation uint64
+	owner       *idempotency.Owner
+	copy        *idempotency.Copy
+	view        []simEntry
+	dead        bool
+	frozen      bool
+	// inbox are the events that arrived while the process was frozen.
+	inbox []func()
+}
+
+func (n *node) member() idempotency.Member {
+	return idempotency.Member{ID: n.id, DataCentre: n.centre}
+}
+
+// restart starts a process without memory.
+func (n *node) restart() {
+	n.sim.nextInc++
+	n.incarnation, n.dead, n.frozen, n.inbox = n.sim.nextInc, false, false, nil
+	// Pages of a few records make transfers take several messages.
+	n.owner = idempotency.NewOwner(idempotency.Config{Self: n.member(), PageBytes: 400})
+	n.copy = idempotency.NewCopy(idempotency.CopyConfig{Self: n.id, Incarnation: n.incarnation, PageBytes: 400})
+	n.view = []simEntry{{owner: -1}, {owner: -1}}
+}
+
+// do runs f in the process of this moment, if it still exists then.
+func (n *node) do(f func()) {
+	switch {
+	case n.dead:
+	case n.frozen:
+		n.inbox = append(n.inbox, f)
+	default:
+		f()
+	}
+}
+
+func (n *node) every(d time.Duration, f func()) {
+	n.sim.after(d, func() {
+		if !n.frozen {
+			n.do(f)
+		}
+		n.every(d, f)
+	})
+}
+
+func (n *node) wake() {
+	inbox := n.inbox
+	n.frozen, n.inbox = false, nil
+	for _, f := range inbox {
+		n.do(f)
+	}
+}
+
+func (n *node) tick() {
+	n.perform(n.owner, n.owner.Tick(n.sim.clock()))
+	n.copy.Tick(n.sim.clock())
+}
+
+func (n *node) renew() {
+	inc := n.incarnation
+	n.sim.send(n.index, controlIndex, func() { n.sim.control.renewed(n.index, inc) })
+}
+
+// fenced starts over as a new incarnation, because control declared the
+// former one lost. Requests at the target are still answered.
+func (n *node) fenced(inc uint64) {
+	if n.incarnation != inc {
+		return
+	}
+	for i := range n.view {
+		n.perform(n.owner, n.owner.Drop(n.sim.clock(), simUnit(i)))
+	}
+	n.restart()
+}
+
+// apply takes over a newer table.
+func (n *node) apply(entries []simEntry) {
+	var all []*table.Entry
+	for i, e := range entries {
+		if e.epoch > n.view[i].epoch {
+			n.view[i] = e
+			n.adopt(i, e)
+		}
+		all = append(all, n.view[i].table(n.sim, i))
+	}
+	n.copy.Keep(n.sim.clock(), all)
+}
+
+func (n *node) adopt(i int, e simEntry) {
+	now := n.sim.clock()
+	if e.owner != n.index {
+		n.perform(n.owner, n.owner.Drop(now, simUnit(i)))
+		return
+	}
+	n.perform(n.owner, n.owner.Adopt(now, idempotency.Assignment{
+		Unit: simUnit(i), Epoch: e.epoch, RecordsLost: e.lost, Fresh: e.fresh,
+		Copies: n.sim.members(e.copies), Joining: n.sim.members(e.joining), Sources: n.sim.members(e.sources),
+		Held: n.copy.Take(now, simUnit(i), e.epoch),
+	}))
+}
+
+func (n *node) begin(req idempotency.Request) {
+	if n.sim.history.arrived[req.ID] {
+		return // a duplicate of the link, which HTTP would not produce
+	}
+	n.sim.history.arrived[req.ID] = true
+	n.sim.history.begun[req.ID] = n.incarnation
+	n.perform(n.owner, n.owner.Begin(n.sim.clock(), req))
+	if n.sim.faults && n.sim.chance(0.03) {
+		n.sim.after(n.sim.between(0, time.Second), func() {
+			delete(n.sim.history.begun, req.ID) // nobody waits any more
+			n.do(func() { n.perform(n.owner, n.owner.Cancel(n.sim.clock(), req.ID)) })
+		})
+	}
+}
+
+// fence gives up a unit that another member owns at a higher epoch.
+func (n *node) fence(unit shard.Unit, epoch uint64) {
+	n.perform(n.owner, n.owner.Fence(n.sim.clock(), unit, epoch))
+}
+
+// perform carries out actions of owner o. It stops if the process restarts.
+func (n *node) perform(o *idempotency.Owner, actions []idempotency.Action) {
+	s := n.sim
+	for _, action := range actions {
+		switch a := action.(type) {
+		case idempotency.Dispatch:
+			n.dispatch(o, a.ID)
+		case idempotency.Reply:
+			s.history.answered(a.ID, result{outcome: outcome.Done, answer: string(a.Answer.Body)})
+		case idempotency.Refuse:
+			s.history.answered(a.ID, result{outcome: a.Refusal.Outcome, reason: a.Refusal.Reason})
+		case idempotency.Write:
+			n.write(o, a)
+		case idempotency.Fetch:
+			n.fetch(o, a)
+		case idempotency.Synced:
+			s.send(n.index, controlIndex, func() { s.control.synced(a) })
+		case idempotency.Ready:
+			s.send(n.index, controlIndex, func() { s.control.ready(a) })
+		case idempotency.Released:
+			n.copy.Put(s.clock(), a.Held)
+		}
+	}
+}
+
+func (n *node) write(o *idempotency.Owner, a idempotency.Write) {
+	s, to := n.sim, n.sim.node(a.To)
+	s.send(n.index, to.index, func() {
+		to.fence(a.Unit, a.Epoch)
+		reply := to.copy.Write(s.clock(), a.WriteRequest)
+		s.send(to.index, n.index, func() { n.perform(o, o.Acked(s.clock(), reply)) })
+	})
+}
+
+func (n *node) fetch(o *idempotency.Owner, a idempotency.Fetch) {
+	s, from := n.sim, n.sim.node(a.From)
+	s.send(n.index, from.index, func() {
+		from.fence(a.Unit, a.Epoch)
+		reply := from.copy.Fetch(s.clock(), a.FetchRequest)
+		s.send(from.index, n.index, func() { n.perform(o, o.Fetched(s.clock(), reply)) })
+	})
+}
+
+// dispatch passes a request to the target, which runs it even if this process
+// is frozen or killed afterwards.
+func (n *node) dispatch(o *idempotency.Owner, id uint64) {
+	s := n.sim
+	if s.chance(0.1) {
+		s.history.answered(id, result{outcome: outcome.NotRun})
+		n.perform(o, o.NotDispatched(s.clock(), id))
+		return
+	}
+	inc := n.incarnation
+	same := func(f func()) func() {
+		return func() {
+			if n.incarnation == inc {
+				f()
+			}
+		}
+	}
+	s.after(s.between(0, 20*time.Millisecond), func() {
+		body := s.history.ran(id)
+		lost := s.faults && s.chance(0.1)
+		if lost {
+			s.after(200*time.Millisecond, func() {
+				n.do(same(func() { n.perform(o, o.Lost(s.clock(), id)) }))
+			})
+		}
+		finished := same(func() {
+			// An answer to a request that is unknown here must be ignored.
+			n.perform(o, o.Finished(s.clock(), id+1_000_000, idempotency.Answer{Status: 200, Body: []byte("crossed")}))
+			n.perform(o, o.Finished(s.clock(), id, idempotency.Answer{Status: 200, Body: []byte(body)}))
+		})
+		s.after(s.between(0, 400*time.Millisecond), func() {
+			if !lost || s.chance(0.5) {
+				n.do(finished)
+			}
+		})
+	})
+}
+
+func (n *node) String() string { return fmt.Sprintf("%s#%d", n.id, n.incarnation) }
