Add bqctl, the operator's command-line tool

Cause: operators need every action of the API from a terminal and from scripts, with exit codes that scripts can rely on.

Ruled out: keeping the ids of all changes without an answer. A drain that was resent under its old id after it had been undone would be answered as done already. Only the last change of a cluster is kept.

--- /dev/null
+++ b/router/bqctl/pending.go
@@ -0,0 +1,166 @@
+package bqctl
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("bqctl")
+
+const (
+	// pendingLifetime is how long a change without an answer is resent under
+	// its id. Later the same command is a new change.
+	pendingLifetime = 24 * time.Hour
+	// clusterDigits is the length of the part of a key that names the cluster.
+	clusterDigits = 16
+)
+
+// pendingChange is a change that was sent and whose answer is not known.
+type pendingChange struct {
+	ChangeID string    `json:"changeId"`
+	Base     uint64    `json:"base,omitempty"`
+	Sent     time.Time `json:"sent"`
+}
+
+// pendingFile keeps the ids of changes without an answer, so that the same
+// command after a lost answer is the same change. It holds no text and no key:
+// a change is found by a hash. Only the last change of a cluster is kept: were
+// a drain resent under its old id after it was undone, it would be answered as
+// done already.
+type pendingFile struct {
+	path string
+	// scope separates clusters; it is derived from the token.
+	scope string
+	now   func() time.Time
+}
+
+// key returns the name of a change: a part for the cluster and a hash.
+func (p *pendingFile) key(kind string, content []byte) string {
+	return digest(p.scope)[:clusterDigits] + "-" + digest(p.scope, kind, string(content))
+}
+
+func digest(parts ...string) string {
+	hash := sha256.New()
+	for _, part := range parts {
+		hash.Write([]byte(part))
+		hash.Write([]byte{0})
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// find returns a change that was sent before without an answer.
+func (p *pendingFile) find(key string) (change pendingChange, found bool, err error) {
+	err = p.update(func(all map[string]pendingChange) bool {
+		change, found = all[key]
+		return false
+	})
+	return change, found, err
+}
+
+// begin records a change before it is sent. A change that was recorded before
+// keeps its id; other changes of the cluster are forgotten.
+func (p *pendingFile) begin(key string, base uint64) (change pendingChange, again bool, err error) {
+	err = p.update(func(all map[string]pendingChange) bool {
+		if change, again = all[key]; again {
+			return false
+		}
+		for other := range all {
+			if strings.HasPrefix(other, key[:clusterDigits]) {
+				delete(all, other)
+			}
+		}
+		var id [16]byte
+		_, _ = rand.Read(id[:]) // never fails since Go 1.24
+		change = pendingChange{ChangeID: "bqctl-" + hex.EncodeToString(id[:]), Base: base, Sent: p.now()}
+		all[key] = change
+		return true
+	})
+	return change, again, err
+}
+
+// end forgets a change whose answer is known.
+func (p *pendingFile) end(key string) error {
+	return p.update(func(all map[string]pendingChange) bool {
+		_, found := all[key]
+		delete(all, key)
+		return found
+	})
+}
+
+// update reads the file under a lock and writes it if change returns true.
+func (p *pendingFile) update(change func(map[string]pendingChange) bool) error {
+	if err := os.MkdirAll(filepath.Dir(p.path), 0o700); err != nil {
+		return Error.New("cannot make the folder of the state file: %w", err)
+	}
+	lock, err := os.OpenFile(p.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return Error.New("cannot lock the state file: %w", err)
+	}
+	defer func() { _ = lock.Close() }()
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+		return Error.New("cannot lock the state file: %w", err)
+	}
+	all, err := p.read()
+	if err != nil {
+		return err
+	}
+	for key, c := range all {
+		if p.now().Sub(c.Sent) > pendingLifetime {
+			delete(all, key)
+		}
+	}
+	if !change(all) {
+		return nil
+	}
+	return p.write(all)
+}
+
+func (p *pendingFile) read() (map[string]pendingChange, error) {
+	all := map[string]pendingChange{}
+	text, err := os.ReadFile(p.path)
+	if errors.Is(err, fs.ErrNotExist) || err == nil && strings.TrimSpace(string(text)) == "" {
+		return all, nil
+	}
+	if err != nil {
+		return nil, Error.New("cannot read the state file: %w", err)
+	}
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, Error.New("the state file %s is damaged (%w); check with status and history what was accepted, then remove it", p.path, err)
+	}
+	return all, nil
+}
+
+// write replaces the file in one step, so that a stop in between leaves the
+// old one.
+func (p *pendingFile) write(all map[string]pendingChange) error {
+	text, err := json.MarshalIndent(all, "", "  ")
+	if err != nil {
+		return Error.New("cannot encode the state file: %w", err)
+	}
+	f, err := os.CreateTemp(filepath.Dir(p.path), "bqctl-*.tmp")
+	if err != nil {
+		return Error.New("cannot write the state file: %w", err)
+	}
+	defer func() { _ = os.Remove(f.Name()) }()
+	_, err = f.Write(append(text, '\n'))
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), p.path)
+	}
+	if err != nil {
+		return Error.New("cannot write the state file: %w", err)
+	}
+	return nil
+}
--- a/router/cmd/bqctl/main.go
+++ b/router/cmd/bqctl/main.go
@@ -1,4 +1,18 @@
 // Command bqctl is the operator's tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bramleyquay.example/router/bqctl"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := bqctl.Run(ctx, os.Args[1:], bqctl.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv})
+	cancel()
+	os.Exit(code)
+}
