--- /dev/null
+++ b/router/document/examples_test.go
@@ -0,0 +1,23 @@
+package document
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against examples that operators copy and that are refused.
+func TestExamplesHaveNoFindings(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../docs/examples/*.document.json")
+	is.NoErr(err)
+	is.Equal(len(files), 2)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		is.NoErr(err)
+		_, findings := Parse(file, text)
+		is.Equal(lines(findings), "")
+	}
+}
