Add scenarios of operators: conflicts, holiday, replica replacement

Cause: the operators' side was not seen on real processes. Change: scripts for two operators on one base with a resend across a leader change, for a loss while all automation is off, and for a replica whose data folder was lost.

--- a/router/harness/load.go
+++ b/router/harness/load.go
@@ -63,7 +63,7 @@
 	l.cancel = cancel
 	for i := range l.Callers {
 		l.wait.Add(1)
-		go l.call(ctx, rand.New(rand.NewPCG(uint64(i), 1)))
+		go l.call(ctx, i, rand.New(rand.NewPCG(uint64(i), 1)))
 	}
 }
 
@@ -73,10 +73,12 @@
 	l.wait.Wait()
 }
 
-func (l *Load) call(ctx context.Context, r *rand.Rand) {
+// call asks for the caller's share of the keys in turn, so that the time
+// between two requests for a key is even.
+func (l *Load) call(ctx context.Context, caller int, r *rand.Rand) {
 	defer l.wait.Done()
-	for ctx.Err() == nil {
-		key := fmt.Sprintf("key-%d", r.IntN(loadKeys))
+	for n := caller; ctx.Err() == nil; n += l.Callers {
+		key := fmt.Sprintf("key-%d", n%loadKeys)
 		if l.Payments {
 			l.pay(r)
 		} else {
--- /dev/null
+++ b/router/scenario/operators_test.go
@@ -0,0 +1,190 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bramleyquay.example/router/bqctl"
+	"bramleyquay.example/router/operator"
+)
+
+// operatorCommands are the commands that act as operators do.
+func operatorCommands() map[string]command {
+	return map[string]command{
+		"applyid":       applyID,
+		"edit":          edit,
+		"exitcode":      exitcode,
+		"pending":       pending,
+		"approve":       approve,
+		"unserved":      unserved,
+		"wipe":          wipe,
+		"addreplica":    addReplica,
+		"removereplica": removeReplica,
+	}
+}
+
+// applyID applies a file under a change id and requires the revision that the
+// first try got: applyid ID BASE FILE REVISION.
+func applyID(ts *testscript.TestScript, _ bool, args []string) {
+	base, err := strconv.ParseUint(args[1], 10, 64)
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reply, err := of(ts).cluster.Apply(ctx, base, args[0], ts.ReadFile(args[2]))
+	ts.Check(err)
+	if got := strconv.FormatUint(reply.Revision, 10); got != args[3] {
+		ts.Fatalf("revision %s instead of %s: %+v", got, args[3], reply)
+	}
+}
+
+// edit replaces the first occurrence of a text in a file.
+func edit(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	if !strings.Contains(text, args[1]) {
+		ts.Fatalf("%s does not contain %q", args[0], args[1])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], args[2], 1)), 0o600))
+}
+
+// exitcode requires a text in the output of the last command, which names the
+// conflict; the exit code itself is checked by running bqctl in process.
+func exitcode(ts *testscript.TestScript, _ bool, args []string) {
+	code, _ := run(ts, "apply", ts.MkAbs("b.hujson"), "--yes", "--base", "1")
+	if got := string(rune('0' + code)); got != args[0] {
+		ts.Fatalf("exit code %s instead of %s", got, args[0])
+	}
+}
+
+// run runs bqctl in this process and returns its exit code and output.
+func run(ts *testscript.TestScript, args ...string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	// The parser reads variables of this process, not of the script.
+	args = append(args, "--server="+ts.Getenv("BQ_SERVERS"), "--secret-file="+ts.Getenv("BQ_SECRET_FILE"))
+	var out bytes.Buffer
+	code := bqctl.Run(ctx, args, bqctl.Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out, Getenv: ts.Getenv})
+	ts.Logf("bqctl %s: exit code %d\n%s", args[0], code, out.String())
+	return code, out.String()
+}
+
+// until repeats f until it returns "" or patience ends.
+func until(ts *testscript.TestScript, f func(operator.Status) string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	why := ""
+	for ctx.Err() == nil {
+		st, err := of(ts).cluster.Status(ctx)
+		ts.Check(err)
+		if why = f(st); why == "" {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s", why)
+}
+
+// pending waits for a pending action of a kind.
+func pending(ts *testscript.TestScript, _ bool, args []string) {
+	until(ts, func(st operator.Status) string {
+		for _, p := range st.Pending {
+			if string(p.Action) == args[0] {
+				return ""
+			}
+		}
+		return "no pending action " + args[0]
+	})
+}
+
+// approve approves every pending action of a kind.
+func approve(ts *testscript.TestScript, _ bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	st, err := of(ts).cluster.Status(ctx)
+	ts.Check(err)
+	for _, p := range st.Pending {
+		if string(p.Action) == args[0] {
+			if code, out := run(ts, "automation", "approve", p.ID); code != 0 {
+				ts.Fatalf("approval failed: %s", out)
+			}
+		}
+	}
+}
+
+// unserved requires that a service has units without owner, or waits until it
+// has none: unserved SERVICE some|none.
+func unserved(ts *testscript.TestScript, _ bool, args []string) {
+	until(ts, func(st operator.Status) string {
+		for _, s := range st.Services {
+			if s.Name != args[0] {
+				continue
+			}
+			if (args[1] == "some") == (s.Unserved > 0) {
+				return ""
+			}
+			return s.Name + " has not the expected number of unserved units"
+		}
+		return "no service " + args[0]
+	})
+}
+
+// wipe removes a replica's data folder and makes an empty one.
+func wipe(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	folder := s.cluster.DataFolder(s.node(ts, args[0]))
+	ts.Check(os.RemoveAll(folder))
+	ts.Check(os.Mkdir(folder, 0o700))
+}
+
+var newID = regexp.MustCompile(`bqctl control add (\S+)`)
+
+// addReplica adds a replica under the new id that it logged and promotes it
+// once it has caught up.
+func addReplica(ts *testscript.TestScript, _ bool, args []string) {
+	n := of(ts).node(ts, args[0])
+	found := newID.FindAllStringSubmatch(n.Daemon.Log(), -1)
+	if len(found) == 0 {
+		ts.Fatalf("%s logged no new id", n.ID)
+	}
+	id := found[len(found)-1][1]
+	if code, out := run(ts, "control", "add", id, n.Peer); code != 0 {
+		ts.Fatalf("adding failed: %s", out)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		if code, _ := run(ts, "control", "promote", id); code == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("%s was not promoted", id)
+		}
+	}
+}
+
+func removeReplica(ts *testscript.TestScript, _ bool, args []string) {
+	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		if code, _ := run(ts, "control", "remove", args[0]); code == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("%s was not removed", args[0])
+		}
+	}
+}
+
+// program finds a program on the script's path.
+func program(ts *testscript.TestScript, name string) string {
+	for dir := range strings.SplitSeq(ts.Getenv("PATH"), string(os.PathListSeparator)) {
+		if path, err := exec.LookPath(dir + "/" + name); err == nil {
+			return path
+		}
+	}
+	ts.Fatalf("program %s is not on the path", name)
+	return ""
+}
