--- a/coord/choice/config.go
+++ b/coord/choice/config.go
@@ -13,7 +13,7 @@
 	Candidates int
 	// SlowFactor is the ratio of a latency to the service's median from which
 	// it may count as slow. A lower value finds stragglers sooner and suspects
-	// more targets wrongly. Default: 3.
+	// more targets wrongly. Default: 4.
 	SlowFactor float64
 	// TailMargin is the ratio of a latency to the service's 95th percentile
 	// from which it may count as slow. It keeps services with a wide spread of
@@ -24,7 +24,7 @@
 	// Default: 2 ms.
 	MinSlow time.Duration
 	// SuspectEvidence is the number of slow, overdue or failed requests, less
-	// half the number of normal answers, from which a target is suspected.
+	// the number of normal answers, from which a target is suspected.
 	// Requests that take twice the slow latency count twice. A lower value
 	// suspects sooner and more often wrongly. Default: 3.
 	SuspectEvidence float64
@@ -59,7 +59,7 @@
 // Default values of Config.
 const (
 	DefaultCandidates      = 8
-	DefaultSlowFactor      = 3.0
+	DefaultSlowFactor      = 4.0
 	DefaultTailMargin      = 1.2
 	DefaultMinSlow         = 2 * time.Millisecond
 	DefaultSuspectEvidence = 3.0
--- a/coord/choice/suspicion.go
+++ b/coord/choice/suspicion.go
@@ -9,7 +9,7 @@
 
 // suspicion is the evidence that a target is a straggler. Times are monotonic.
 type suspicion struct {
-	// evidence grows with each slow or failed request and falls by half a point
+	// evidence grows with each slow or failed request and falls by one point
 	// with each normal answer. Requests in progress that are overdue add to it.
 	evidence float64
 	active   bool
@@ -23,10 +23,10 @@
 }
 
 const (
-	// normalWeight is the evidence that one normal answer takes back. With half
-	// a point, a target is suspected in the end if more than a third of its
-	// answers are slow.
-	normalWeight = 0.5
+	// normalWeight is the evidence that one normal answer takes back. With one
+	// point, a target is suspected in the end if more than half of its answers
+	// are slow, or a third very slow.
+	normalWeight = 1.0
 	// verySlow is the ratio to the slow latency from which a request counts
 	// twice. It separates a straggler at ten times the usual latency from noise
 	// at twice, for which single slow answers are common.
