Keep the owner's records when its epochs follow each other

20,000 generated histories (rapid) found a payment that ran twice: the stand-in control did not hear the owner's Ready, listed the sources of the epoch before as sources of the next, and the owner read stale records although it held newer ones. Two causes, two changes. An owner that held the records at the directly preceding epoch keeps them whatever the sources are. Assignment.Sources now states which members may be listed: the copies in sync of the ending epoch and its ready owner; older sources only if that epoch had no copy in sync, because nothing was dispatched at it. The stand-in control follows this rule; control has to as well.

They also found a copy that was reported in sync for its former process, because the owner missed the table between a restart and the next join. Synced now needs an answer of the copy at the same epoch. Ruled out: trusting the role alone, which is equal in both tables.

Shown to fail with the guard removed: TestRestartedWhileJoining without the confirmation (both ways of skipping it), TestStaleOwner with own records kept whatever the sources are.

--- a/coord/idempotency/assignment.go
+++ b/coord/idempotency/assignment.go
@@ -15,8 +15,11 @@
 	// Copies hold all records; Joining copies are to be filled.
 	Copies  []Member
 	Joining []Member
-	// Sources held all records at the previous epoch. Without any, an owner
-	// that held the unit before continues with its own records.
+	// Sources held all records at the previous epoch: its copies in sync, and
+	// its owner if that one reported Ready. If the previous epoch had no copy
+	// in sync, nothing was dispatched at it, and its own sources still hold
+	// all records. Where it had one, its sources may lack records, whether or
+	// not its owner's Ready has reached control.
 	Sources []Member
 	// RecordsLost means that all holders of the records were lost. Requests
 	// are then answered unknown until Lifetime has passed.
--- a/coord/idempotency/guard_test.go
+++ b/coord/idempotency/guard_test.go
@@ -93,6 +93,24 @@
 	is.Equal(describe(r.do(held)), "dispatch 1")
 }
 
+// TestRestartedWhileJoining guards against a copy that is reported in sync
+// because its former process was: the owner misses the table in between.
+func TestRestartedWhileJoining(t *testing.T) {
+	is := is.New(t)
+	r := servingRig(idempotency.Config{})
+	c := []idempotency.Member{{ID: "c", DataCentre: "south"}}
+	a := idempotency.Assignment{Unit: testUnit, Epoch: 3, Copies: []idempotency.Member{testCopy}, Joining: c}
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "Ready, Synced")
+	r.copies["c"] = idempotency.NewCopy(idempotency.CopyConfig{Self: "c", Incarnation: 33})
+	a.Epoch, a.Sources = 5, []idempotency.Member{{ID: "a"}, testCopy}
+	r.down["c"] = true
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "Ready")
+	is.Equal(describe(r.advance(time.Second)), "")
+	r.down["c"] = false
+	is.Equal(describe(r.advance(time.Second)), "Synced")
+	is.Equal(r.copies["c"].Status().Complete, 1)
+}
+
 // TestIncompleteCopy guards against a copy that answers for records that it
 // does not have: during a join, after a restart and after a delayed message.
 func TestIncompleteCopy(t *testing.T) {
--- a/coord/idempotency/owner_adopt.go
+++ b/coord/idempotency/owner_adopt.go
@@ -22,9 +22,10 @@
 	} else if a.Epoch <= u.epoch {
 		return nil
 	}
+	successive := u.store != nil && a.Epoch == u.epoch+1
 	u.epoch = a.Epoch
 	o.pending.dropUnit(u)
-	o.takeRecords(u, &a)
+	o.takeRecords(u, &a, successive)
 	o.setPeers(u, &a)
 	if u.store != nil {
 		o.ready(u, &a)
@@ -32,14 +33,14 @@
 	return o.out
 }
 
-// takeRecords decides where the records of u come from.
-func (o *Owner) takeRecords(u *ownedUnit, a *Assignment) {
-	self := o.cfg.Self.ID
-	source := contains(a.Sources, self)
-	others := len(a.Sources) > 0 && !source
+// takeRecords decides where the records of u come from. Successive means that
+// this member held them as owner at the epoch before: no other owner can have
+// added any, whatever the sources are.
+func (o *Owner) takeRecords(u *ownedUnit, a *Assignment, successive bool) {
+	source := contains(a.Sources, o.cfg.Self.ID)
 	switch {
-	case u.store != nil && !others && !(a.RecordsLost && len(a.Sources) == 0):
-		// The member owned the unit at the previous epoch as well.
+	case successive, u.store != nil && source:
+		// The records of this process are complete.
 	case a.Held != nil && source:
 		o.abandonRuns(u)
 		u.store = a.Held.store
@@ -62,14 +63,15 @@
 }
 
 // loseRecords starts without records after the loss of all holders. If the
-// unit lost its records earlier, the later time counts.
+// unit lost its records earlier, the first loss counts.
 func (o *Owner) loseRecords(u *ownedUnit, a *Assignment) {
+	lostAt := wallMs(o.now)
 	if u.store != nil && u.store.lostAtMs != 0 {
-		return
+		lostAt = u.store.lostAtMs
 	}
 	o.abandonRuns(u)
 	u.store = newStore(a.Lifetime)
-	u.store.lostAtMs = wallMs(o.now)
+	u.store.lostAtMs = lostAt
 }
 
 // ready serves u and the requests that waited for its records.
--- a/coord/idempotency/owner_write.go
+++ b/coord/idempotency/owner_write.go
@@ -70,8 +70,12 @@
 	case w.req.Step != JoinNone:
 		o.joinAcked(w.unit, p, w.req.Step)
 	case w.run == nil:
-		p.open = true
-		o.sendRuns(w.unit, p)
+		wasOpen := p.open
+		p.open, p.confirmed = true, true
+		o.reportSynced(w.unit, p)
+		if !wasOpen {
+			o.sendRuns(w.unit, p)
+		}
 	case w.run.record == w.record:
 		w.run.acks = append(w.run.acks, p.id)
 		o.advance(w.run)
--- a/coord/idempotency/peer.go
+++ b/coord/idempotency/peer.go
@@ -16,8 +16,11 @@
 	// incarnation is the copy's process, known from its first reply.
 	incarnation uint64
 	join        *join
-	// synced is set once all records are on a joining copy.
+	// synced is set once all records are on a joining copy, and confirmed once
+	// the copy has answered at this epoch. A copy that restarted and joins
+	// again may have the same role in two tables that the owner receives.
 	synced     bool
+	confirmed  bool
 	reportedAt clock.Reading
 }
 
@@ -34,18 +37,18 @@
 
 // startPeer opens or continues the exchange with a copy at a new epoch.
 func (o *Owner) startPeer(u *ownedUnit, p *peer) {
+	p.confirmed = false
 	switch {
 	case p.join != nil:
 		o.sendJoin(u, p)
 		o.sendRuns(u, p)
-	case p.open:
-		o.reportSynced(u, p)
-		o.sendRuns(u, p)
-	case p.joining:
+	case p.joining && !p.open:
 		o.openJoin(u, p)
 	default:
-		// An empty write raises the fence and tells the incarnation.
+		// An empty write raises the fence, tells the incarnation and finds a
+		// copy that lost its records.
 		o.send(u, p, nil, nil, WriteRequest{})
+		o.sendRuns(u, p)
 	}
 }
 
@@ -84,14 +87,14 @@
 		p.join.keys = p.join.keys[p.join.covered:]
 		o.sendJoin(u, p)
 	case JoinLast:
-		p.join, p.synced = nil, true
+		p.join, p.synced, p.confirmed = nil, true, true
 		o.reportSynced(u, p)
 		o.advanceAll(u)
 	}
 }
 
 func (o *Owner) reportSynced(u *ownedUnit, p *peer) {
-	if p.joining && p.synced {
+	if p.joining && p.synced && p.confirmed {
 		p.reportedAt = o.now
 		o.emit(Synced{Unit: u.unit, Epoch: u.epoch, Copy: p.id})
 	}
--- a/coord/idempotency/sim_control_test.go
+++ b/coord/idempotency/sim_control_test.go
@@ -119,10 +119,10 @@
 func (c *simControl) next(unit int) *simEntry {
 	e := &c.entries[unit]
 	sources := slices.Clone(e.copies)
-	switch {
-	case e.ready && c.alive(e.owner):
+	if e.ready {
 		sources = append(sources, e.owner)
-	case !e.ready:
+	}
+	if len(e.copies) == 0 {
 		sources = append(sources, e.sources...)
 	}
 	slices.Sort(sources)
