--- a/coord/idempotency/answer.go
+++ b/coord/idempotency/answer.go
@@ -26,8 +26,12 @@
 	if a == nil {
 		return 0
 	}
-	const answerOverhead, headerOverhead = 64, 48
+	// The smallest map of the Go runtime has room for eight entries.
+	const answerOverhead, mapOverhead, headerOverhead = 64, 330, 48
 	n := int64(answerOverhead + len(a.Body))
+	if len(a.Header) > 0 {
+		n += mapOverhead
+	}
 	for name, values := range a.Header {
 		n += int64(headerOverhead + len(name))
 		for _, v := range values {
