Let questions of bqctl wait and be interrupted

Cause: the time of a command ran while bqctl waited for the operator's answer, so that a slow answer led to a failed change; and an interrupt had no effect at the question.

Change: the time starts anew with the change; the question ends with an interrupt. Differences are made between canonical forms, so that layout and comments do not count.

Conclusion: an operator can take as long as needed.

--- a/router/bqctl/apply.go
+++ b/router/bqctl/apply.go
@@ -74,7 +74,7 @@
 	}
 	if sent && (c.base == nil || *c.base == before.Base) {
 		s.sayAgain(before)
-		return s.send(ctx, c, key, before)
+		return s.send(c, key, before)
 	}
 	if sent {
 		if err := s.pending.end(key); err != nil {
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	return s.send(ctx, c, key, recorded)
+	return s.send(c, key, recorded)
 }
 
 func (s *session) sayAgain(c pendingChange) {
@@ -129,7 +129,10 @@
 }
 
 // send applies a recorded change and forgets it once the answer is definite.
-func (s *session) send(ctx context.Context, c change, key string, recorded pendingChange) error {
+func (s *session) send(c change, key string, recorded pendingChange) error {
+	// The operator's time for the answer to a question does not count.
+	ctx, cancel := context.WithTimeout(s.ctx, s.globals.Timeout)
+	defer cancel()
 	reply, err := s.remote.Apply(ctx, operator.ApplyRequest{
 		Base: recorded.Base, ChangeID: recorded.ChangeID, Author: s.author(), Text: c.text,
 	})
@@ -156,7 +159,7 @@
 func (s *session) conflict(c change, base uint64, reply operator.ApplyReply) error {
 	theirs := reply.Conflict
 	s.print("conflict: %s was made from revision %d, but %s has saved revision %d; nothing was changed", c.name, base, theirs.Author, theirs.Revision)
-	s.print("difference from revision %d to %s:\n%s", theirs.Revision, c.name, strings.TrimSuffix(document.Diff([]byte(theirs.Text), []byte(c.text)), "\n"))
+	s.print("difference from revision %d to %s:\n%s", theirs.Revision, c.name, strings.TrimSuffix(document.Compare(theirs.Text, c.text), "\n"))
 	s.print("bring both changes together and apply with --base %d", theirs.Revision)
 	if err := s.printJSON(reply); err != nil {
 		return err
--- a/router/bqctl/bqctl_test.go
+++ b/router/bqctl/bqctl_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
@@ -71,10 +72,14 @@
 
 // run returns the exit code and everything that was printed.
 func (c *cluster) run(stdin string, args ...string) (int, string) {
+	return c.runWith(context.Background(), strings.NewReader(stdin), args...)
+}
+
+func (c *cluster) runWith(ctx context.Context, stdin io.Reader, args ...string) (int, string) {
 	var out bytes.Buffer
 	all := append([]string{"--server", strings.Join(c.servers, ","), "--secret-file", filepath.Join(c.folder, "secret"),
 		"--state-file", filepath.Join(c.folder, "state", "pending.json"), "--author", "ana"}, args...)
-	code := Run(context.Background(), all, Env{Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" }})
+	code := Run(ctx, all, Env{Stdin: stdin, Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" }})
 	return code, out.String()
 }
 
@@ -136,6 +141,31 @@
 	c.want(0, `"shards": 128`, "", "document", "2")
 }
 
+// Guards against a question that cannot be interrupted, and against a change
+// that is lost because the operator thought about it.
+func TestQuestionWaitsForTheOperator(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	file := c.write("second.json", second)
+	in, out := io.Pipe()
+	const timeout = 300 * time.Millisecond
+	go func() {
+		time.Sleep(2 * timeout)
+		_, _ = out.Write([]byte("y\n"))
+	}()
+	code, text := c.runWith(context.Background(), in, "--timeout", timeout.String(), "apply", file)
+	is.Equal(code, 0)
+	is.True(strings.Contains(text, "revision 2 is accepted"))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(timeout, cancel)
+	in, out = io.Pipe()
+	defer func() { _ = out.Close() }()
+	code, text = c.runWith(ctx, in, "apply", c.write("third.json", first))
+	is.Equal(code, 1)
+	is.True(strings.Contains(text, "interrupted; nothing was changed"))
+}
+
 // Guards against a second change by a command that is given again after its
 // answer was lost, and against an old id for a command that is meant anew.
 func TestLostAnswerIsResentAsTheSameChange(t *testing.T) {
--- a/router/bqctl/session.go
+++ b/router/bqctl/session.go
@@ -130,11 +130,22 @@
 	return err
 }
 
-// confirm asks on the error stream, so that --json output stays clean.
+// confirm asks on the error stream, so that --json output stays clean. An
+// interrupt ends the wait for the answer.
 func (s *session) confirm(question string) error {
 	_, _ = fmt.Fprintf(s.env.Stderr, "%s [y/N] ", question)
-	answer, err := bufio.NewReader(s.env.Stdin).ReadString('\n')
-	if err != nil && answer == "" {
+	answers := make(chan string, 1)
+	go func() {
+		answer, _ := bufio.NewReader(s.env.Stdin).ReadString('\n') // "" at the end of the input
+		answers <- answer
+	}()
+	var answer string
+	select {
+	case <-s.ctx.Done():
+		return &exitError{code: ExitFailed, text: "interrupted; nothing was changed"}
+	case answer = <-answers:
+	}
+	if answer == "" {
 		return invalid("no answer to the question; give --yes to go on without it. Nothing was changed")
 	}
 	switch strings.ToLower(strings.TrimSpace(answer)) {
--- a/router/document/diff.go
+++ b/router/document/diff.go
@@ -28,6 +28,20 @@
 	return render(compare(split(before), split(after)))
 }
 
+// Compare returns the difference of two documents in canonical form, so that
+// layout and comments do not count. Texts that are no documents are compared
+// as they are.
+func Compare(before, after string) string {
+	return Diff(canonicalText(before), canonicalText(after))
+}
+
+func canonicalText(text string) []byte {
+	if d, _ := Parse("", []byte(text)); d != nil {
+		return Canonical(d)
+	}
+	return []byte(text)
+}
+
 func split(text []byte) []string {
 	if len(text) == 0 {
 		return nil
--- a/router/document/document_test.go
+++ b/router/document/document_test.go
@@ -82,6 +82,10 @@
 	is.Equal(Diff([]byte("1\n2\n3\n4\n5\nx\n6\n7\n8\n9\n"), []byte("1\n2\n3\n4\n5\ny\nz\n6\n7\n8\n9\n")),
 		"@ 2 equal lines\n 3\n 4\n 5\n-x\n+y\n+z\n 6\n 7\n 8\n")
 	is.Equal(Diff(nil, []byte("a\n")), "+a\n")
+	d, _ := Parse("d.json", []byte(good))
+	is.Equal(Compare(good, string(Canonical(d))), "") // comments and layout
+	is.True(strings.Contains(Compare(good, strings.Replace(good, "500", "600", 1)), "+        \"timeoutMs\": 600\n"))
+	is.Equal(Compare("", "{"), "+{\n")
 	// Above the bound the memory of the comparison must not grow with the
 	// square of the lines: the common line is shown as removed and added.
 	before, after := strings.Repeat("a\n", 5_000)+"x\na\n", strings.Repeat("b\n", 5_000)+"x\nb\n"
--- a/router/operator/change.go
+++ b/router/operator/change.go
@@ -48,7 +48,7 @@
 	// LoadMoved is the share of the current load on these units, from 0 to 1.
 	LoadMoved float64            `json:"loadMoved"`
 	Findings  []settings.Finding `json:"findings,omitempty"`
-	// Diff is the difference by line; see document.Diff.
+	// Diff is the difference by line; see document.Compare.
 	Diff string `json:"diff"`
 }
 
--- a/router/operator/console_save.go
+++ b/router/operator/console_save.go
@@ -84,7 +84,7 @@
 	switch {
 	case reply.Conflict != nil:
 		v.Theirs = reply.Conflict
-		v.Difference = document.Diff([]byte(reply.Conflict.Text), []byte(v.Text))
+		v.Difference = document.Compare(reply.Conflict.Text, v.Text)
 		c.render(r.Context, r.session, http.StatusConflict, "conflict", view{Title: "Another change came first", Data: v})
 	case reply.Revision == 0:
 		v.Findings = reply.Findings
--- a/router/operator/controlfake/control.go
+++ b/router/operator/controlfake/control.go
@@ -114,18 +114,10 @@
 	}
 	return operator.PreviewReply{
 		Base: uint64(len(c.texts)), UnitsMoved: c.Moved, LoadMoved: 0.25,
-		Diff: document.Diff(canonical(before), canonical(text)),
+		Diff: document.Compare(before, text),
 	}, nil
 }
 
-func canonical(text string) []byte {
-	d, _ := document.Parse("", []byte(text))
-	if d == nil {
-		return []byte(text)
-	}
-	return document.Canonical(d)
-}
-
 // History implements operator.Control.
 func (c *Control) History(context.Context) ([]operator.Change, error) {
 	c.mu.Lock()
