--- a/coord/internal/recent/window.go
+++ b/coord/internal/recent/window.go
@@ -54,7 +54,7 @@
 		if elapsed >= periods*w.period {
 			w.histogram.Rotate()
 		}
-		w.rotated = now
+		w.rotated, w.due = now, int(w.least)
 	}
 	// The value is within the range, so that recording cannot fail.
 	_ = w.histogram.Current.RecordValue(int64(min(max(d, unit), longest) / unit))
--- /dev/null
+++ b/coord/retry/example_test.go
@@ -0,0 +1,24 @@
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/retry"
+)
+
+// A payment is repeated after a proven not-run, never after an unknown outcome.
+func Example() {
+	now := clock.At(0)
+	p := retry.New(retry.Config{}, rand.New(rand.NewPCG(1, 2)))
+	p.Request()
+	refused := outcome.Refuse(outcome.ReasonDraining, "the target leaves")
+	lost := outcome.Undecided(outcome.ReasonUpstreamBroken, "")
+	fmt.Println(p.Decide(now, retry.Attempt{Number: 1, Payment: true, Refusal: refused, Elsewhere: true}).Repeat)
+	fmt.Println(p.Decide(now, retry.Attempt{Number: 1, Payment: true, Refusal: lost, Elsewhere: true}).Denied)
+	// Output:
+	// true
+	// unsafe
+}
