Close gaps in the tests of admission and choice

Cause: on a scratch copy, tests still passed with ramp progress during idle time, with suspects that return while a request is late, with ejection off that still avoided suspects, and without suspects for a crowded service. Change: checks for each; every one was seen to fail with its fault.

--- a/coord/admission/limiter_test.go
+++ b/coord/admission/limiter_test.go
@@ -30,7 +30,8 @@
 	l := New(testConfig, at(0))
 	work(l, 0, 3*time.Second, 10*time.Millisecond)
 	is.Equal(l.Status(at(3*time.Second)).Limit, 4) // linear: 1 + 9*3/9
-	is.Equal(l.Status(at(time.Hour)).Limit, 4)     // an idle target does not warm up
+	work(l, time.Hour, time.Hour+10*time.Millisecond, 10*time.Millisecond)
+	is.Equal(l.Status(at(time.Hour)).Limit, 4) // an idle target does not warm up
 	work(l, time.Hour, time.Hour+7*time.Second, 10*time.Millisecond)
 	is.Equal(l.Status(at(time.Hour+7*time.Second)).Limit, 10)
 	l.TargetStarted(at(2*time.Hour), 7)
--- a/coord/choice/chooser_test.go
+++ b/coord/choice/chooser_test.go
@@ -99,10 +99,35 @@
 	is.True(probes > 0)
 	is.True(probes <= 1000/DefaultProbePicks+int((now-from)/DefaultProbeLongest)) // few probes, none of which returns it
 	is.Equal(len(c.Suspects(clock.At(now))), 1)
+	c.Started(clock.At(now), "t1")
+	now += 20 * usual
+	for range 3 {
+		c.Started(clock.At(now-usual), "t1")
+		c.Finished(clock.At(now), "t1", Result{Latency: usual})
+	}
+	is.Equal(c.Counters().Returned, uint64(0)) // one request is still late
+	c.Finished(clock.At(now), "t1", Result{Latency: 20 * usual})
 	serve(c, &now, 300, steady)
 	is.Equal(len(c.Suspects(clock.At(now))), 0) // normal probes return it
 }
 
+// Guards against a suspect that stays idle while all other targets are crowded.
+func TestCrowdedServiceUsesSuspects(t *testing.T) {
+	is := is.New(t)
+	c, now := newChooser(3), time.Duration(0)
+	serve(c, &now, 100, steady)
+	for range 3 {
+		c.Finished(clock.At(now), "t0", Result{Kind: Failed})
+	}
+	picks := map[table.MemberID]int{}
+	for range 100 {
+		id, _ := c.Pick(clock.At(now))
+		c.Started(clock.At(now), id)
+		picks[id]++
+	}
+	is.True(picks["t0"] > 0 && picks["t0"] < 20) // only after the others had queues
+}
+
 // Guards against a service without targets when all of them are slow, and
 // against ejection that an operator switched off.
 func TestEjectionNeverEmpties(t *testing.T) {
@@ -120,9 +145,14 @@
 	stop("t0")
 	c.SetEjection(false)
 	is.True(!c.Suspects(clock.At(now))[0].Applied)
-	id, _ := c.Pick(clock.At(now), "t1", "t2")
-	is.Equal(id, table.MemberID("t0"))
+	for range 6 {
+		c.Finished(clock.At(now), "t0", Result{Latency: 10 * usual, Kind: Cancelled})
+	}
+	id, _ := c.Pick(clock.At(now))
+	is.Equal(id, table.MemberID("t0")) // near and idle
 	c.SetEjection(true)
+	id, _ = c.Pick(clock.At(now))
+	is.True(id != "t0")
 	stop("t1", "t2")
 	is.Equal(len(c.Suspects(clock.At(now))), 3)
 	_, ok := c.Pick(clock.At(now))
