Compare ring failure detection with leases

The ring of the STAR paper was to be weighed against leases with the same pauses and losses. Conclusion: leases stay.

--- /dev/null
+++ b/coord/ring/compare_test.go
@@ -0,0 +1,262 @@
+package ring_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/lease"
+	"bramleyquay.example/coord/ring"
+	"bramleyquay.example/coord/table"
+)
+
+const (
+	tickEvery = 50 * time.Millisecond
+	simLength = 2 * time.Minute
+	lossRate  = 0.01
+)
+
+// fault is a pause of a member, or its end if length is zero.
+type fault struct {
+	member     int
+	at, length time.Duration
+}
+
+// schedule returns pauses that no detector should report, single losses, and
+// the loss of three neighbours at once.
+func schedule(rng *rand.Rand, n int) (faults []fault, killed map[int]time.Duration, adjacent []int) {
+	killed = map[int]time.Duration{}
+	order := rng.Perm(n / 2) // the upper half holds the neighbours
+	for i := range min(n/10+1, 10) {
+		killed[order[i]] = 10*time.Second + time.Duration(i)*6*time.Second
+	}
+	for i := range 3 {
+		killed[n/2+1+i] = 90 * time.Second
+		adjacent = append(adjacent, n/2+1+i)
+	}
+	for m, at := range killed {
+		faults = append(faults, fault{member: m, at: at})
+	}
+	for range 4 * n {
+		faults = append(faults, fault{
+			rng.IntN(n), time.Duration(rng.Int64N(int64(simLength))),
+			time.Duration(100+rng.Int64N(700)) * time.Millisecond,
+		})
+	}
+	slices.SortFunc(faults, func(a, b fault) int { return int(a.at - b.at) })
+	return faults, killed, adjacent
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// net is n members on a lossy network in virtual time.
+type net struct {
+	rng      *rand.Rand
+	now      time.Duration
+	queue    events
+	seq      int
+	paused   []time.Duration // until
+	dead     []bool
+	messages int
+	// found is when a member was first reported after its loss.
+	found map[int]time.Duration
+	false int
+}
+
+func (s *net) clock() clock.Reading { return clock.At(time.Hour + s.now) }
+
+func (s *net) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now + d, s.seq, f})
+}
+
+// deliver runs f at member m after the network delay, and after m's pause.
+func (s *net) deliver(m int, f func()) {
+	s.messages++
+	if s.rng.Float64() < lossRate {
+		return
+	}
+	s.after(500*time.Microsecond+time.Duration(s.rng.Int64N(int64(time.Millisecond))), func() { s.awake(m, f) })
+}
+
+func (s *net) awake(m int, f func()) {
+	switch {
+	case s.dead[m]:
+	case s.paused[m] > s.now:
+		s.after(s.paused[m]-s.now, func() { s.awake(m, f) })
+	default:
+		f()
+	}
+}
+
+func (s *net) every(m int, d time.Duration, f func()) {
+	s.after(d, func() {
+		s.awake(m, func() { f(); s.every(m, d, f) })
+	})
+}
+
+func (s *net) report(m int) {
+	if !s.dead[m] {
+		s.false++
+	} else if _, ok := s.found[m]; !ok {
+		s.found[m] = s.now
+	}
+}
+
+func newNet(seed uint64, n int, faults []fault) *net {
+	s := &net{
+		rng: rand.New(rand.NewPCG(seed, 9)), paused: make([]time.Duration, n), dead: make([]bool, n),
+		found: map[int]time.Duration{},
+	}
+	for _, f := range faults {
+		s.after(f.at, func() {
+			if f.length == 0 {
+				s.dead[f.member] = true
+			} else {
+				s.paused[f.member] = max(s.paused[f.member], s.now+f.length)
+			}
+		})
+	}
+	return s
+}
+
+func (s *net) run() {
+	for len(s.queue) > 0 && s.queue[0].at <= simLength {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.f()
+	}
+}
+
+func id(m int) table.MemberID { return table.MemberID(fmt.Sprintf("m%04d", m)) }
+
+func index(id table.MemberID) (m int) {
+	if _, err := fmt.Sscanf(string(id), "m%d", &m); err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// runRing lets every member check its successor.
+func runRing(s *net, n int, cfg ring.Config) {
+	var ids []table.MemberID
+	for m := range n {
+		ids = append(ids, id(m))
+	}
+	detectors := make([]*ring.Detector, n)
+	var perform func(m int, actions []ring.Action)
+	perform = func(m int, actions []ring.Action) {
+		for _, action := range actions {
+			switch a := action.(type) {
+			case ring.Suspect:
+				s.report(index(a.Member))
+			case ring.Send:
+				to := index(a.To)
+				s.deliver(to, func() { perform(to, detectors[to].Receive(s.clock(), a.Message)) })
+			}
+		}
+	}
+	for m := range n {
+		c := cfg
+		c.Self = id(m)
+		detectors[m] = ring.NewDetector(c, ids, s.clock())
+		s.after(time.Duration(s.rng.Int64N(int64(cfg.Period))), func() {
+			s.every(m, tickEvery, func() { perform(m, detectors[m].Tick(s.clock())) })
+		})
+	}
+	s.run()
+}
+
+// runLeases lets every member renew a lease at one tracker.
+func runLeases(s *net, n int, cfg lease.Config) {
+	tracker := lease.NewTracker(cfg)
+	tracker.Reset(s.clock())
+	lost := make([]bool, n)
+	for m := range n {
+		s.after(time.Duration(s.rng.Int64N(int64(cfg.Renewal))), func() {
+			s.every(m, cfg.Renewal, func() {
+				s.messages += 2 // the renewal and its reply
+				if s.rng.Float64() >= lossRate {
+					s.after(time.Millisecond, func() { tracker.Renewed(id(m), s.clock()); lost[m] = false })
+				}
+			})
+		})
+	}
+	var check func()
+	check = func() {
+		for m := range n {
+			if !lost[m] && tracker.Expired(id(m), false, s.clock()) {
+				lost[m] = true
+				s.report(m)
+			}
+		}
+		s.after(tickEvery, check)
+	}
+	check()
+	s.run()
+}
+
+// TestCompare guards against a decision for leases that is not based on the
+// same pauses and losses for both detectors.
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	cfg := lease.Default()
+	t.Log("| members | detector | single loss, mean / worst | three neighbours at once, last found | messages/s | false suspicions | not found |")
+	for _, n := range []int{10, 100, 1000} {
+		faults, killed, adjacent := schedule(rand.New(rand.NewPCG(uint64(n), 3)), n)
+		for _, name := range []string{"lease", "ring"} {
+			s := newNet(uint64(n), n, faults)
+			if name == "lease" {
+				runLeases(s, n, cfg)
+			} else {
+				runRing(s, n, ring.Config{Period: cfg.Renewal, Timeout: cfg.Duration + cfg.Drift + cfg.Grace})
+			}
+			var sum, worst, last time.Duration
+			missing, single := 0, 0
+			for m, at := range killed {
+				found, ok := s.found[m]
+				switch {
+				case !ok:
+					missing++
+				case slices.Contains(adjacent, m):
+					last = max(last, found-at)
+				default:
+					single++
+					sum += found - at
+					worst = max(worst, found-at)
+				}
+			}
+			t.Logf("| %d | %s | %.2f s / %.2f s | %.2f s | %.0f | %d | %d |", n, name,
+				sum.Seconds()/float64(max(single, 1)), worst.Seconds(), last.Seconds(),
+				float64(s.messages)/simLength.Seconds(), s.false, missing)
+			if name == "lease" {
+				is.Equal(missing, 0)
+				is.True(last < 2*time.Second)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coord/ring/example_test.go
@@ -0,0 +1,28 @@
+package ring_test
+
+import (
+	"fmt"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/ring"
+	"bramleyquay.example/coord/table"
+)
+
+// A member whose successor does not answer tells the others and checks the
+// next one.
+func ExampleDetector() {
+	now := clock.At(time.Hour)
+	d := ring.NewDetector(
+		ring.Config{Self: "a", Period: time.Second, Timeout: 2 * time.Second},
+		[]table.MemberID{"a", "b", "c"}, now)
+	for range 6 {
+		now = now.Add(500 * time.Millisecond)
+		for _, action := range d.Tick(now) {
+			if s, ok := action.(ring.Suspect); ok {
+				fmt.Println("suspects", s.Member, "and checks", d.Successor())
+			}
+		}
+	}
+	// Output: suspects b and checks c
+}
