--- a/coord/idempotency/config.go
+++ b/coord/idempotency/config.go
@@ -40,7 +40,8 @@
 	// SyncRepeat is the interval at which Synced is repeated.
 	SyncRepeat time.Duration
 	// AllowNoRemoteCopy lets requests run without a copy in another data
-	// centre. The loss of one data centre then loses records.
+	// centre. The loss of one data centre then loses records, and a unit must
+	// not stay Fresh once its owner is ready.
 	AllowNoRemoteCopy bool
 }
 
--- a/coord/idempotency/doc.go
+++ b/coord/idempotency/doc.go
@@ -11,6 +11,19 @@
 // lost owner or a lost answer. Its outcome is unknown and the request is never
 // run again.
 //
+// A process uses both sides as follows:
+//
+//   - New table: for each unit with this member as owner,
+//     Owner.Adopt with Assignment.Held from Copy.Take at the new epoch; for
+//     each other unit Owner.Drop; then Copy.Keep.
+//   - Incoming record.write or record.fetch: first Owner.Fence with the
+//     message's unit and epoch, then Copy.Write or Copy.Fetch.
+//   - Released: Copy.Put, at once and before any further event.
+//   - Synced and Ready: reported to control with the next renewal. A Ready
+//     stays valid for later epochs of the same owner.
+//   - New incarnation of the member: Owner.Drop for all units, then a new Owner
+//     and a new Copy. Requests at the target end with the old Owner.
+//
 // Owner is the owner's side and Copy is the holder's side. Both are state
 // machines without goroutine, clock or socket. Neither is safe for concurrent
 // use.
--- a/coord/idempotency/owner_result.go
+++ b/coord/idempotency/owner_result.go
@@ -34,6 +34,9 @@
 // deadline without that: the request ran and its started record is on every
 // copy, so a repeat is answered with this answer or with unknown and never
 // run.
+//
+// The process may call it before it has the whole body: if the body exceeds
+// MaxBody, it passes BodyOmitted, waits for Reply and then streams the body.
 func (o *Owner) Finished(now clock.Reading, id uint64, answer Answer) []Action {
 	o.begin(now)
 	r := o.runOf(id)
