--- a/coord/control/smoke_test.go
+++ b/coord/control/rig_test.go
@@ -7,10 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
 )
 
@@ -136,36 +135,41 @@
 	}
 }
 
-func TestSmoke(t *testing.T) {
-	is := is.New(t)
+// cluster is a rig with four members of clubs and three of pay that has
+// settled.
+func cluster(t testing.TB) *rig {
 	r := newRig(t)
-	is.True(r.document(testDocument()).Accepted())
+	if res := r.document(testDocument()); !res.Accepted() {
+		t.Fatal(res)
+	}
 	for i, dc := range []string{"a", "b", "c", "a"} {
 		r.join(fmt.Sprint("m", i), dc, "clubs")
 	}
 	for i, dc := range []string{"a", "b", "c"} {
 		r.join(fmt.Sprint("p", i), dc, "pay")
 	}
-	r.run(60 * time.Second)
-	t.Log(r.ownedBy(), r.s.Table().Revision())
-	delete(r.renew, "m1")
-	delete(r.renew, "p1")
-	r.run(2 * time.Second)
-	t.Log(r.ownedBy(), r.s.Table().Revision())
-	r.apply(Command{SetDrain: &SetDrain{Scope: DrainDataCentre, Name: "a", On: true, ChangeID: "d1", Author: "ann"}})
-	r.run(6 * time.Second)
-	t.Log(r.ownedBy(), r.s.Table().Revision())
-	r.apply(Command{SetDrain: &SetDrain{Scope: DrainDataCentre, Name: "a", On: false, ChangeID: "d2", Author: "ann"}})
-	r.run(60 * time.Second)
-	t.Log(r.ownedBy(), r.s.Table().Revision())
-	r.s.Table().EachOf("pay", func(e *table.Entry) bool { t.Logf("%+v", *e); return true })
-	snap, err := r.s.Snapshot()
-	is.NoErr(err)
-	back, err := Restore(snap)
-	is.NoErr(err)
-	again, err := back.Snapshot()
-	is.NoErr(err)
-	is.Equal(snap, again)
-	is.Equal(back.holdings, r.s.holdings)
-	is.Equal(back.unowned, r.s.unowned)
+	r.run(40 * time.Second)
+	return r
+}
+
+// unitOf returns a served unit of a member.
+func (r *rig) unitOf(id table.MemberID) table.Entry {
+	for _, u := range sortedUnits(r.s.held(id).owned) {
+		if e := r.s.Table().Entry(u); e.Phase == table.Serving {
+			return *e
+		}
+	}
+	r.t.Fatalf("member %s serves nothing", id)
+	return table.Entry{}
+}
+
+func (r *rig) entry(u shard.Unit) table.Entry { return *r.s.Table().Entry(u) }
+
+func (r *rig) lose(ids ...table.MemberID) Result {
+	c := &MembersLost{}
+	for _, id := range ids {
+		m, _ := r.s.Member(id)
+		c.Members = append(c.Members, MemberIncarnation{id, m.Incarnation})
+	}
+	return r.apply(Command{MembersLost: c})
 }
--- a/coord/control/sim_check_test.go
+++ b/coord/control/sim_check_test.go
@@ -22,7 +22,7 @@
 	open     map[table.MemberID]map[string]interval // member, key
 	acting   map[string][]interval                  // by key
 	given    map[string][]interval                  // by key; the last one is open
-	epochs   map[shard.Unit]uint64
+	entries  map[shard.Unit]table.Entry // newest of each unit, removed ones included
 	revision uint64
 	config   uint64
 	seen     map[table.MemberID][3]uint64 // incarnation, table and document revision
@@ -32,7 +32,7 @@
 func newChecker() *checker {
 	return &checker{
 		open: map[table.MemberID]map[string]interval{}, acting: map[string][]interval{}, given: map[string][]interval{},
-		epochs: map[shard.Unit]uint64{}, seen: map[table.MemberID][3]uint64{},
+		entries: map[shard.Unit]table.Entry{}, seen: map[table.MemberID][3]uint64{},
 	}
 }
 
@@ -86,10 +86,12 @@
 	}
 	c.revision, c.config = s.Table().Revision(), revision
 	s.Table().Each(func(e *table.Entry) bool {
-		if e.Epoch < c.epochs[e.Unit] {
-			c.fault("%s: epoch fell from %d to %d", e.Unit, c.epochs[e.Unit], e.Epoch)
+		old := c.entries[e.Unit]
+		changed := e.Owner != old.Owner || !sameMembers(e.Copies, old.Copies) || !sameMembers(e.Joining, old.Joining)
+		if e.Epoch < old.Epoch || (changed && e.Epoch == old.Epoch) {
+			c.fault("%s: epoch did not rise from %+v to %+v", e.Unit, old, *e)
 		}
-		c.epochs[e.Unit] = e.Epoch
+		c.entries[e.Unit] = *e
 		return true
 	})
 	service := doc.Service("pay")
--- a/coord/control/sim_test.go
+++ b/coord/control/sim_test.go
@@ -182,7 +182,7 @@
 		switch p := s.rng.Float64(); {
 		case p < 0.03:
 			continue
-		case p < 0.06:
+		case p < 0.08:
 			d = s.between(200*time.Millisecond, 2*time.Second)
 		}
 		s.after(d, func() {
