--- /dev/null
+++ b/coord/drain/example_test.go
@@ -0,0 +1,25 @@
+package drain_test
+
+import (
+	"fmt"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/drain"
+	"bramleyquay.example/coord/shard"
+)
+
+// A receiver at the start of its ramp gets one unit at a time.
+func Example() {
+	pacer := drain.New(drain.Default())
+	for i := range uint32(3) {
+		fmt.Println(pacer.Begin(clock.At(0), shard.Unit{Service: "clubs", Shard: i}, "m1", 0.2))
+	}
+	pacer.Observe(nil) // the first move is done
+	fmt.Println(pacer.Begin(clock.At(time.Second), shard.Unit{Service: "clubs", Shard: 1}, "m1", 0.2))
+	// Output:
+	// true
+	// false
+	// false
+	// true
+}
--- /dev/null
+++ b/coord/placement/compare_test.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// place is one way of placing all units anew, given their present owners.
+type place func(units []Unit, members []Member) []Assignment
+
+func keepPlanner(p *Planner) place {
+	return func(units []Unit, members []Member) []Assignment {
+		known := map[table.MemberID]bool{}
+		for _, m := range members {
+			known[m.ID] = true
+		}
+		after := slices.Clone(units)
+		reassign(p, after, members, func(id table.MemberID) bool { return !known[id] })
+		settle(p, after, members)
+		out := make([]Assignment, len(after))
+		for i, u := range after {
+			out[i] = Assignment{u.ID, u.Owner}
+		}
+		return out
+	}
+}
+
+func share(a, b []Assignment) float64 {
+	before := map[shard.Unit]table.MemberID{}
+	for _, x := range a {
+		before[x.Unit] = x.To
+	}
+	moved := 0
+	for _, x := range b {
+		if before[x.Unit] != x.To {
+			moved++
+		}
+	}
+	return float64(moved) / float64(len(b))
+}
+
+// TestCompare prints imbalance, moved share and cost of the planner and the
+// two baselines at the loss and the return of one member. It guards against a
+// planner that is worse than 1.10 or 1.1/n, or too slow at full size.
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	t.Logf("%-11s %7s %7s | %9s %9s %9s | %9s %9s %8s", "method", "members", "units", "imbalance", "lost one", "returned", "moved*n", "back*n", "cost")
+	for _, shape := range shapes {
+		for _, name := range []string{"planner", "rendezvous", "bounded"} {
+			members, units := makeMembers(shape.members), makeUnits(shape.units)
+			rest := slices.Delete(slices.Clone(members), 1, 2)
+			var f place
+			switch name {
+			case "planner":
+				f = keepPlanner(New(Default()))
+			case "rendezvous":
+				f = Rendezvous
+			default:
+				f = func(u []Unit, m []Member) []Assignment { return BoundedHash(u, m, 1.10) }
+			}
+			start := time.Now()
+			first := f(units, members)
+			cost := time.Since(start)
+			setOwners(units, first)
+			second := f(units, rest)
+			setOwners(units, second)
+			third := f(units, members)
+			n := float64(shape.members)
+			t.Logf("%-11s %7d %7d | %9.3f %9.3f %9.3f | %9.3f %9.3f %8s", name, shape.members, shape.units,
+				Imbalance(members, Held(first)), Imbalance(rest, Held(second)), Imbalance(members, Held(third)),
+				share(first, second)*n, share(second, third)*n, cost.Round(10*time.Microsecond))
+		}
+	}
+	members, units := makeMembers(3_300), makeUnits(66_000)
+	p := New(Default())
+	setOwners(units, p.Assign(units, members, nil))
+	for _, c := range []struct {
+		name  string
+		gone  func(Member) bool
+		limit time.Duration
+	}{
+		{"one member", func(m Member) bool { return m.ID == "m0007" }, 100 * time.Millisecond},
+		{"a data centre", func(m Member) bool { return m.DataCentre == "dc3" }, 500 * time.Millisecond},
+	} {
+		lost := map[table.MemberID]bool{}
+		for _, m := range members {
+			lost[m.ID] = c.gone(m)
+		}
+		rest := slices.DeleteFunc(slices.Clone(members), c.gone)
+		after := slices.Clone(units)
+		start := time.Now()
+		moved := reassign(p, after, rest, func(id table.MemberID) bool { return lost[id] })
+		cost := time.Since(start)
+		t.Logf("loss of %s of 3,300: %d units in %v, imbalance %.3f", c.name, len(moved), cost, Imbalance(rest, loads(after)))
+		is.True(cost < c.limit)
+		is.True(Imbalance(rest, loads(after)) <= bound(len(units), len(rest))+1e-9)
+	}
+}
+
+func BenchmarkAssignLossOfOne(b *testing.B) {
+	for _, shape := range shapes {
+		b.Run(fmt.Sprint(shape.members), func(b *testing.B) {
+			members, units := makeMembers(shape.members), makeUnits(shape.units)
+			p := New(Default())
+			setOwners(units, p.Assign(units, members, nil))
+			current := loads(units)
+			var free []Unit
+			for _, u := range units {
+				if u.Owner == members[0].ID {
+					free = append(free, u)
+				}
+			}
+			for b.Loop() {
+				p.Assign(free, members[1:], current)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coord/placement/planner_test.go
@@ -0,0 +1,197 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+func makeMembers(n int) []Member {
+	out := make([]Member, n)
+	for i := range out {
+		out[i] = Member{ID: table.MemberID(fmt.Sprintf("m%04d", i)), DataCentre: fmt.Sprint("dc", i%10)}
+	}
+	return out
+}
+
+func makeUnits(n int) []Unit {
+	out := make([]Unit, n)
+	for i := range out {
+		out[i].ID = shard.Unit{Service: "s", Shard: uint32(i)}
+	}
+	return out
+}
+
+// setOwners records assignments in units.
+func setOwners(units []Unit, as []Assignment) {
+	to := make(map[shard.Unit]table.MemberID, len(as))
+	for _, a := range as {
+		to[a.Unit] = a.To
+	}
+	for i := range units {
+		if id, ok := to[units[i].ID]; ok {
+			units[i].Owner = id
+		}
+	}
+}
+
+func loads(units []Unit) map[table.MemberID]float64 {
+	out := map[table.MemberID]float64{}
+	for i := range units {
+		out[units[i].Owner] += units[i].load()
+	}
+	return out
+}
+
+// settle calls Rebalance until nothing moves, and returns the moved units.
+func settle(p *Planner, units []Unit, members []Member) map[shard.Unit]bool {
+	moved := map[shard.Unit]bool{}
+	for i, idle := 0, 0; i < 200 && idle < p.cfg.Sustain+1; i++ {
+		idle++
+		for _, m := range p.Rebalance(clock.At(time.Duration(i)*2*time.Minute), units, members, len(units)) {
+			idle = 0
+			moved[m.Unit] = true
+			setOwners(units, []Assignment{{m.Unit, m.To}})
+		}
+	}
+	return moved
+}
+
+// bound is the stated imbalance of 1.10, or the next whole unit above the mean
+// where a unit is more than a tenth of it.
+func bound(units, members int) float64 {
+	mean := float64(units) / float64(members)
+	whole := float64((units + members - 1) / members)
+	return max(1.10, whole/mean)
+}
+
+// shapes are the sizes at which the stated bounds are checked.
+var shapes = []struct{ members, units int }{{4, 64}, {11, 220}, {100, 2_000}, {3_300, 66_000}}
+
+// Guards against uneven placement, against moves beyond 1.1/n at the loss and
+// at the return of one of n members, and against moves of other units.
+func TestLossAndReturnOfOne(t *testing.T) {
+	for _, shape := range shapes {
+		t.Run(fmt.Sprint(shape.members), func(t *testing.T) {
+			is := is.New(t)
+			members, units := makeMembers(shape.members), makeUnits(shape.units)
+			p := New(Default())
+			setOwners(units, p.Assign(units, members, nil))
+			is.True(Imbalance(members, loads(units)) <= bound(shape.units, shape.members)+1e-9)
+
+			lost := members[len(members)/2]
+			rest := slices.Delete(slices.Clone(members), len(members)/2, len(members)/2+1)
+			moved := reassign(p, units, rest, func(id table.MemberID) bool { return id == lost.ID })
+			for u := range settle(p, units, rest) {
+				moved[u] = true
+			}
+			is.True(Imbalance(rest, loads(units)) <= bound(shape.units, len(rest))+1e-9)
+			is.True(float64(len(moved)) <= 1.1*float64(shape.units)/float64(shape.members))
+
+			back := settle(p, units, members)
+			is.True(Imbalance(members, loads(units)) <= bound(shape.units, shape.members)+1e-9)
+			is.True(float64(len(back)) <= 1.1*float64(shape.units)/float64(shape.members))
+			is.True(loads(units)[lost.ID] >= 0.5*float64(shape.units)/float64(shape.members)) // it works again
+		})
+	}
+}
+
+// reassign places the units of members that are gone.
+func reassign(p *Planner, units []Unit, rest []Member, gone func(table.MemberID) bool) map[shard.Unit]bool {
+	var free []Unit
+	current := map[table.MemberID]float64{}
+	for _, u := range units {
+		if gone(u.Owner) {
+			free = append(free, u)
+		} else {
+			current[u.Owner] += u.load()
+		}
+	}
+	as := p.Assign(free, rest, current)
+	setOwners(units, as)
+	moved := map[shard.Unit]bool{}
+	for _, a := range as {
+		moved[a.Unit] = true
+	}
+	return moved
+}
+
+// Guards against oscillation: loads that vary by a fifth around a balanced
+// state must not move units all the time.
+func TestNoiseDoesNotOscillate(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	members, units := makeMembers(11), makeUnits(220)
+	p := New(Default())
+	setOwners(units, p.Assign(units, members, nil))
+	moves := 0
+	for i := range 500 {
+		for k := range units {
+			units[k].Load = 0.8 + 0.4*rng.Float64()
+		}
+		for _, m := range p.Rebalance(clock.At(time.Duration(i)*2*time.Second), units, members, 20) {
+			setOwners(units, []Assignment{{m.Unit, m.To}})
+			moves++
+		}
+	}
+	is.True(moves <= 11) // at most a twentieth of the units in 1,000 s
+}
+
+// Guards against uneven load when units differ: one unit in ten has five times
+// the load of the others.
+func TestSettlesUnevenLoad(t *testing.T) {
+	is := is.New(t)
+	members, units := makeMembers(11), makeUnits(440)
+	p := New(Default())
+	setOwners(units, p.Assign(units, members, nil))
+	for i := range units {
+		units[i].Load = 1
+		if i%11 == 0 && i < 400 {
+			units[i].Load = 5
+		}
+	}
+	settle(p, units, members)
+	is.True(Imbalance(members, loads(units)) <= 1.10)
+}
+
+// Guards against units in a data centre that is not allowed, at an avoided
+// member, or assigned twice, whatever the input.
+func TestAssignRespectsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := makeMembers(rapid.IntRange(1, 12).Draw(t, "members"))
+		for i := range members {
+			members[i].Weight = rapid.Float64Range(0, 2).Draw(t, "weight")
+		}
+		units := makeUnits(rapid.IntRange(1, 60).Draw(t, "units"))
+		for i := range units {
+			units[i].Load = rapid.Float64Range(0, 10).Draw(t, "load")
+			units[i].DataCentres = rapid.SliceOfN(rapid.SampledFrom([]string{"dc0", "dc1", "dc2"}), 0, 2).Draw(t, "dcs")
+			units[i].Avoid = []table.MemberID{members[rapid.IntRange(0, len(members)-1).Draw(t, "avoid")].ID}
+			units[i].Prefer = []table.MemberID{members[rapid.IntRange(0, len(members)-1).Draw(t, "prefer")].ID, "unknown"}
+		}
+		seen := map[shard.Unit]bool{}
+		for _, a := range New(Default()).Assign(units, members, nil) {
+			u := units[a.Unit.Shard]
+			m := members[slices.IndexFunc(members, func(m Member) bool { return m.ID == a.To })]
+			if seen[a.Unit] || !allows(&u, &m) {
+				t.Fatalf("unit %v went to %v", u, m)
+			}
+			seen[a.Unit] = true
+		}
+		for i := range units {
+			possible := slices.ContainsFunc(members, func(m Member) bool { return allows(&units[i], &m) })
+			if possible != seen[units[i].ID] {
+				t.Fatalf("unit %v: possible %v, assigned %v", units[i], possible, seen[units[i].ID])
+			}
+		}
+	})
+}
