--- a/coord/control/rig_test.go
+++ b/coord/control/rig_test.go
@@ -173,3 +173,13 @@
 	}
 	return r.apply(Command{MembersLost: c})
 }
+
+// untilLost runs until a member is declared lost.
+func (r *rig) untilLost(id table.MemberID) {
+	for end := r.now + 2*time.Second; r.now < end; r.step() {
+		if m, _ := r.s.Member(id); m.State == Lost {
+			return
+		}
+	}
+	r.t.Fatalf("member %s was not declared lost within 2 s", id)
+}
--- a/coord/control/sim_check_test.go
+++ b/coord/control/sim_check_test.go
@@ -22,7 +22,7 @@
 	open     map[table.MemberID]map[string]interval // member, key
 	acting   map[string][]interval                  // by key
 	given    map[string][]interval                  // by key; the last one is open
-	entries  map[shard.Unit]table.Entry // newest of each unit, removed ones included
+	entries  map[shard.Unit]table.Entry             // newest of each unit, removed ones included
 	revision uint64
 	config   uint64
 	seen     map[table.MemberID][3]uint64 // incarnation, table and document revision
--- /dev/null
+++ b/coord/control/total_test.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+func at(d time.Duration) clock.Reading { return clock.At(d) }
+
+// drawCommand returns a command with plausible and wrong values.
+func drawCommand(t *rapid.T) Command {
+	id := rapid.SampledFrom([]table.MemberID{"", "m0", "m1", "p0", "p1", "nobody"})
+	epoch := rapid.Uint64Range(0, 6)
+	unit := rapid.Custom(func(t *rapid.T) shard.Unit {
+		u := shard.Unit{Service: rapid.SampledFrom([]string{"clubs", "pay", "none"}).Draw(t, "service"), Shard: rapid.Uint32Range(0, 70).Draw(t, "shard")}
+		if rapid.Bool().Draw(t, "split") {
+			u.Key = shard.Hash("hot")
+		}
+		return u
+	})
+	member := MemberIncarnation{id.Draw(t, "id"), rapid.Uint64Range(0, 3).Draw(t, "incarnation")}
+	u, e, to := unit.Draw(t, "unit"), epoch.Draw(t, "epoch"), id.Draw(t, "to")
+	switch rapid.IntRange(0, 16).Draw(t, "kind") {
+	case 0:
+		return Command{RegisterMember: &RegisterMember{Member: Member{ID: member.ID, Incarnation: member.Incarnation, DataCentre: "a", Target: &Target{Service: "clubs"}}}}
+	case 1:
+		return Command{MembersLost: &MembersLost{Members: []MemberIncarnation{member}, Assignments: []Assignment{{Unit: u, To: to}}, KeepUnits: e%2 == 0}}
+	case 2:
+		return Command{Assign: &Assign{Assignments: []Assignment{{Unit: u, Epoch: e, To: to, Join: []table.MemberID{member.ID}}}}}
+	case 3:
+		return Command{BeginMove: &BeginMove{Unit: u, Epoch: e, To: to}}
+	case 4:
+		return Command{FinishMove: &FinishMove{Unit: u, Epoch: e}}
+	case 5:
+		return Command{CancelMove: &CancelMove{Unit: u, Epoch: e}}
+	case 6:
+		return Command{CopySynced: &CopySynced{Unit: u, Epoch: e, Copy: to}}
+	case 7:
+		return Command{ChangeCopies: &ChangeCopies{Unit: u, Epoch: e, Drop: []table.MemberID{to}, Join: []table.MemberID{member.ID}}}
+	case 8:
+		return Command{SplitKey: &SplitKey{Keyspace: u.Service, Hash: u.Key}}
+	case 9:
+		return Command{MergeKey: &MergeKey{Unit: u}}
+	case 10:
+		return Command{SetDrain: &SetDrain{Scope: DrainInstance, Name: string(to), On: e%2 == 0}}
+	case 11:
+		return Command{SetMemberState: &SetMemberState{ID: member.ID, Incarnation: member.Incarnation, State: Draining, Leaving: e%2 == 0}}
+	case 12:
+		return Command{RemoveMember: &RemoveMember{ID: member.ID, Incarnation: member.Incarnation}}
+	case 13:
+		return Command{ProposeAction: &ProposeAction{Action: Action{ID: "x", Commands: []Command{{BeginMove: &BeginMove{Unit: u, Epoch: e, To: to}}}}}}
+	case 14:
+		return Command{ApproveAction: &ApproveAction{ID: "x", ChangeID: fmt.Sprint(e)}}
+	case 15:
+		return Command{ClearRecordsLost: &ClearRecordsLost{Unit: u}}
+	default:
+		return Command{ReleaseKeyspace: &ReleaseKeyspace{Name: u.Service, Revision: e}}
+	}
+}
+
+// Guards against a panic on any input, a codec that loses a field, replicas
+// that differ after a snapshot, indexes that differ from the table, a refused
+// command with an effect, and a delta that leads to another table.
+func TestApplyIsTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, replica := NewState(), NewState()
+		tables := []*table.Table{s.Table()}
+		first := apply(nil, 0, "c", testDocument())
+		for i, c := range append([]Command{first}, rapid.SliceOfN(rapid.Custom(drawCommand), 1, 40).Draw(t, "commands")...) {
+			data, err := EncodeCommand(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			decoded, err := DecodeCommand(data)
+			if err != nil || !reflect.DeepEqual(decoded, c) {
+				t.Fatalf("%+v became %+v: %v", c, decoded, err)
+			}
+			before := s.Table().Revision()
+			res := s.Apply(uint64(i), c)
+			if got := replica.Apply(uint64(i), decoded); got != res {
+				t.Fatalf("results differ: %+v %+v", res, got)
+			}
+			if after := s.Table().Revision(); after > before+1 || (!res.Accepted() && after != before) {
+				t.Fatalf("%+v: table went from %d to %d, result %+v", c, before, after, res)
+			}
+			tables = append(tables, s.Table())
+		}
+		a, _ := s.Snapshot()
+		restored, err := Restore(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := restored.Snapshot()
+		r, _ := replica.Snapshot()
+		if !bytes.Equal(a, b) || !bytes.Equal(a, r) {
+			t.Fatal("snapshots differ")
+		}
+		if !reflect.DeepEqual(restored.holdings, s.holdings) || !reflect.DeepEqual(restored.unowned, s.unowned) || !reflect.DeepEqual(restored.moving, s.moving) {
+			t.Fatal("indexes differ from the table")
+		}
+		checkDeltas(t, s, tables)
+	})
+}
+
+func checkDeltas(t *rapid.T, s *State, tables []*table.Table) {
+	want := s.Table().Snapshot()
+	for _, old := range tables {
+		got := old
+		if d := s.TableDelta(old.Revision()); d != nil {
+			next, err := old.Apply(*d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = next
+		}
+		if !reflect.DeepEqual(got.Snapshot(), want) {
+			t.Fatalf("the delta from %d leads to another table", old.Revision())
+		}
+	}
+}
+
+// Guards against a process that stops on a damaged log entry or snapshot.
+func TestDamagedInput(t *testing.T) {
+	is := is.New(t)
+	_, err := DecodeCommand([]byte{0xff, 1, 2})
+	is.True(err != nil)
+	_, err = Restore([]byte("junk"))
+	is.True(err != nil)
+	_, err = Restore(nil)
+	is.True(err != nil)
+}
