--- a/coord/control/balance.go
+++ b/coord/control/balance.go
@@ -45,6 +45,11 @@
 	if len(members) < 2 {
 		return
 	}
+	// A cold target keeps what it has: moving its units away for the length of
+	// a ramp would move them twice. The ramp limits what it receives.
+	for i := range members {
+		members[i].Weight = 1
+	}
 	units := c.serviceUnits(s, service)
 	perMinute := max(float64(c.cfg.MovesPerMinute), c.cfg.MovedShare*float64(len(units)))
 	burst := max(perMinute*2*c.cfg.RebalanceInterval.Minutes(), 1)
@@ -60,7 +65,7 @@
 	}
 	for _, m := range moves {
 		move := BeginMove{Unit: m.Unit, Epoch: s.tbl.Entry(m.Unit).Epoch, To: m.To}
-		if c.pace(now, s, move) && c.propose(now, Command{BeginMove: &move}) {
+		if c.rampAllows(now, s, m.To, float64(len(units))/float64(len(members))) && c.pace(now, s, move) && c.propose(now, Command{BeginMove: &move}) {
 			c.budgets[service]--
 		} else {
 			planner.Undo(m.Unit)
@@ -68,6 +73,19 @@
 	}
 }
 
+// rampAllows reports whether a member may receive one more unit for balance:
+// its ramp's part of an even share, and at least one.
+func (c *Controller) rampAllows(now clock.Reading, s *State, to table.MemberID, share float64) bool {
+	r := s.members[to]
+	if r == nil {
+		return false
+	}
+	h := s.held(to)
+	have := float64(len(h.owned) + len(h.next))
+	ramp := c.ramp(now, s, &r.Member)
+	return ramp >= 1 || have < max(ramp*share, 1)
+}
+
 // proposeMoves lists moves for an operator because balancing is off.
 func (c *Controller) proposeMoves(now clock.Reading, s *State, service string, moves []placement.Move) {
 	a := Action{ID: "rebalance/" + service, Kind: config.Rebalance, Summary: fmt.Sprintf("move %d units of %s for even load", len(moves), service)}
