--- a/coord/control/balance_test.go
+++ b/coord/control/balance_test.go
@@ -16,6 +16,9 @@
 func TestColdTargetKeepsItsUnits(t *testing.T) {
 	is := is.New(t)
 	r := cluster(t)
+	doc := testDocument()
+	doc.Services[0].Ramp.DurationMs = 20_000
+	r.document(doc)
 	before := r.s.Table()
 	target := *r.renew["m1"].Target
 	target.Incarnation = 2
--- a/coord/control/total_test.go
+++ b/coord/control/total_test.go
@@ -22,8 +22,8 @@
 	id := rapid.SampledFrom([]table.MemberID{"", "m0", "m1", "p0", "p1", "nobody"})
 	epoch := rapid.Uint64Range(0, 6)
 	unit := rapid.Custom(func(t *rapid.T) shard.Unit {
-		u := shard.Unit{Service: rapid.SampledFrom([]string{"clubs", "pay", "none"}).Draw(t, "service"), Shard: rapid.SampledFrom([]uint32{0, 1, 2, 70}).Draw(t, "shard")}
-		if rapid.Bool().Draw(t, "split") {
+		u := shard.Unit{Service: rapid.SampledFrom([]string{"clubs", "pay", "none"}).Draw(t, "service"), Shard: rapid.SampledFrom([]uint32{0, 0, 0, 1, 70}).Draw(t, "shard")}
+		if rapid.IntRange(0, 3).Draw(t, "split") == 0 {
 			u.Key = shard.Hash("hot")
 		}
 		return u
@@ -33,7 +33,7 @@
 	if known := s.Table().Entry(u); known != nil && rapid.IntRange(0, 3).Draw(t, "right") > 0 {
 		e = known.Epoch
 	}
-	switch rapid.IntRange(0, 16).Draw(t, "kind") {
+	switch rapid.IntRange(0, 17).Draw(t, "kind") {
 	case 0:
 		return Command{RegisterMember: &RegisterMember{Member: Member{ID: member.ID, Incarnation: member.Incarnation, DataCentre: "a", Target: &Target{Service: "clubs"}}}}
 	case 1:
@@ -66,6 +66,11 @@
 		return Command{ApproveAction: &ApproveAction{ID: "x", ChangeID: fmt.Sprint(e)}}
 	case 15:
 		return Command{ClearRecordsLost: &ClearRecordsLost{Unit: u}}
+	case 16:
+		doc := testDocument()
+		doc.Services = doc.Services[e%3:]
+		revision, _, _ := s.Config()
+		return apply(nil, revision, fmt.Sprint("d", revision), doc)
 	default:
 		return Command{ReleaseKeyspace: &ReleaseKeyspace{Name: u.Service, Revision: e}}
 	}
