Split hot keys from reports of the gates; count running requests by key

Cause: the daemons did not use the hot-key planner. While wiring it up, a fault showed by reading: requests in progress were counted by unit, so a key that was split out while a request for it ran could be released and moved while that request still ran; merging back had the same gap. Ruled out: waiting for the whole shard to be idle before a split key moves, because a busy shard never is. Change: the gate counts running requests by key and maps them to units when it reports releases. Splitting keys of payment services is refused, because the holders file records by unit. Gates report their most frequent keys, and the leader splits and merges; moves stay with the balance of units by load.

--- a/coord/control/apply_split.go
+++ b/coord/control/apply_split.go
@@ -15,6 +15,10 @@
 	if count == 0 || c.Hash == 0 {
 		return refuse(RefusedUnknown, fmt.Sprintf("no key space %q, or no key hash", c.Keyspace))
 	}
+	if s.copiesOf(c.Keyspace) > 0 {
+		// Holders file records by unit; those of the key would stay behind.
+		return refuse(RefusedInvalid, fmt.Sprintf("keys of %q cannot be split, because their payment records belong to the shard", c.Keyspace))
+	}
 	whole, ok := e.get(shard.Unit{Service: c.Keyspace, Shard: shard.Index(c.Hash, count)})
 	if !ok || whole.Phase != table.Serving {
 		return refuse(RefusedInUse, fmt.Sprintf("the shard of key %016x is not served at present", c.Hash))
--- a/coord/control/balance_test.go
+++ b/coord/control/balance_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/hotkey"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
 )
@@ -95,7 +96,7 @@
 
 func (h *hotPlan) Observe(clock.Reading, table.MemberID, []HotKey) { h.reports++ }
 func (h *hotPlan) Reset()                                          {}
-func (h *hotPlan) Plan(clock.Reading, *table.Table) []HotKeyDecision {
+func (h *hotPlan) Plan(clock.Reading, *table.Table, map[string][]hotkey.MemberLoad) []HotKeyDecision {
 	return h.decisions
 }
 
--- a/coord/control/copies.go
+++ b/coord/control/copies.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,7 +13,7 @@
 	"bramleyquay.example/coord/table"
 )
 
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // copyPlan is what the record copies of one unit need.
 type copyPlan struct {
--- a/coord/control/hotkeys.go
+++ b/coord/control/hotkeys.go
@@ -3,6 +3,7 @@
 import (
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/hotkey"
 	"bramleyquay.example/coord/placement"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
@@ -14,7 +15,8 @@
 	Observe(now clock.Reading, from table.MemberID, keys []HotKey)
 	// Plan returns what to do now. It is called about every
 	// Config.RebalanceInterval and repeats a decision until the table shows it.
-	Plan(now clock.Reading, t *table.Table) []HotKeyDecision
+	// members holds the loads of the members of each service.
+	Plan(now clock.Reading, t *table.Table, members map[string][]hotkey.MemberLoad) []HotKeyDecision
 	// Reset forgets all reports, because leadership changed.
 	Reset()
 }
@@ -44,7 +46,7 @@
 		return
 	}
 	var commands []Command
-	for _, d := range c.cfg.HotKeys.Plan(now, s.tbl) {
+	for _, d := range c.cfg.HotKeys.Plan(now, s.tbl, c.memberLoads(now, s)) {
 		if cmd, ok := c.hotKeyCommand(now, s, d); ok {
 			commands = append(commands, cmd)
 		}
@@ -63,6 +65,19 @@
 	}
 }
 
+// memberLoads returns the reported loads of the members that can receive units.
+func (c *Controller) memberLoads(now clock.Reading, s *State) map[string][]hotkey.MemberLoad {
+	loads := map[string][]hotkey.MemberLoad{}
+	for _, service := range c.services(s) {
+		for _, m := range c.candidates(now, s, service) {
+			if v := c.seen[m.ID]; v != nil {
+				loads[service] = append(loads[service], hotkey.MemberLoad{Member: m.ID, Rate: v.load.Rate})
+			}
+		}
+	}
+	return loads
+}
+
 func (c *Controller) hotKeyCommand(now clock.Reading, s *State, d HotKeyDecision) (Command, bool) {
 	count := s.tbl.Shards(d.Keyspace)
 	if count == 0 || d.Hash == 0 {
--- a/coord/table/table.go
+++ b/coord/table/table.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// EachSplit calls f for the split keys of a service, in no fixed order.
+func (t *Table) EachSplit(name string, f func(*Entry)) {
+	if s := t.services[name]; s != nil {
+		for _, e := range s.splits {
+			f(e)
+		}
+	}
+}
+
 // Len returns the number of units.
 func (t *Table) Len() int {
 	n := 0
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/hotkey"
 	"bramleyquay.example/coord/lease"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
@@ -140,7 +141,7 @@
 	cfg := controlnode.Config{
 		ID: d.cfg.ID, Cluster: d.cfg.Cluster, Folder: d.cfg.Control.DataFolder,
 		Bootstrap: d.cfg.Control.Bootstrap, Lease: lease.Default(),
-		Controller: control.DefaultConfig(), SnapshotEntries: controlnode.DefaultSnapshotEntries, Seed: uint64(time.Now().UnixNano()),
+		Controller: controllerConfig(), SnapshotEntries: controlnode.DefaultSnapshotEntries, Seed: uint64(time.Now().UnixNano()),
 	}
 	for _, p := range d.cfg.Control.Peers {
 		cfg.Peers = append(cfg.Peers, controlnode.Peer{ID: p.ID, Address: p.Address})
@@ -155,6 +156,12 @@
 	return nil
 }
 
+func controllerConfig() control.Config {
+	cfg := control.DefaultConfig()
+	cfg.HotKeys = control.NewHotKeySplitter(hotkey.Default())
+	return cfg
+}
+
 func (d *Daemon) controlAddrs() []string {
 	addrs := make([]string, 0, len(d.cfg.Control.Peers))
 	for _, p := range d.cfg.Control.Peers {
--- a/router/gate/do.go
+++ b/router/gate/do.go
@@ -79,13 +79,13 @@
 	}
 	p.done = func(s admission.Sample) {
 		g.slots.release(id, s)
-		g.leaveUnit(p.unit)
+		g.leaveKey(c)
 	}
 	return g.dispatch(ctx, c, p)
 }
 
-// permit is the last check before dispatch. On success the unit counts the
-// request until leaveUnit.
+// permit is the last check before dispatch. On success the key counts as
+// running until leaveKey.
 func (g *Gate) permit(c *call.Call) (*permit, *outcome.Refusal) {
 	p := &permit{target: g.target.Load(), timeout: time.Until(c.Deadline)}
 	if p.timeout <= 0 {
@@ -98,13 +98,13 @@
 		return p, g.precheck(c)
 	}
 	p.unit = g.unitOf(c)
-	if !g.units.enter(p.unit) {
+	if !g.units.enter(key{c.Keyspace, c.Hash}) {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, "the unit moves away")
 	}
 	p.lease = g.leaseContext()
 	e, left, refusal := g.owned(p.unit)
 	if refusal != nil {
-		g.leaveUnit(p.unit)
+		g.leaveKey(c)
 		return nil, refusal
 	}
 	p.epoch = e.Epoch
@@ -112,8 +112,8 @@
 	return p, nil
 }
 
-func (g *Gate) leaveUnit(u shard.Unit) {
-	if u.Service != "" && g.units.leave(u) {
+func (g *Gate) leaveKey(c *call.Call) {
+	if c.Sharded() && g.units.leave(key{c.Keyspace, c.Hash}) {
 		g.members.Wake()
 	}
 }
--- a/router/gate/rates.go
+++ b/router/gate/rates.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/hotkey"
 	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/router/timesource"
 )
 
 const (
@@ -13,6 +15,9 @@
 	rateWindow = 2 * time.Second
 	// unitsReported bounds the unit rates reported with a renewal.
 	unitsReported = 64
+	// hotKeysReported bounds the keys reported with a renewal. The hottest 93
+	// keys of a cluster are spread over its members.
+	hotKeysReported = 8
 )
 
 // rates counts requests by unit and finds frequent keys.
@@ -21,13 +26,14 @@
 	since   time.Time
 	total   int
 	counts  map[shard.Unit]int
+	sketch  map[string]*hotkey.Sketch
 	rate    float64
 	byUnit  []control.UnitLoad
 	hotKeys []control.HotKey
 }
 
 func newRates() *rates {
-	return &rates{since: time.Now(), counts: map[shard.Unit]int{}}
+	return &rates{since: time.Now(), counts: map[shard.Unit]int{}, sketch: map[string]*hotkey.Sketch{}}
 }
 
 // count records one request.
@@ -39,6 +45,12 @@
 		return
 	}
 	r.counts[unit]++
+	s := r.sketch[unit.Service]
+	if s == nil {
+		s = hotkey.NewSketch(hotkey.SketchConfig{})
+		r.sketch[unit.Service] = s
+	}
+	s.Observe(hash)
 }
 
 // tick closes the window when it has passed.
@@ -58,10 +70,23 @@
 		}
 		r.byUnit = append(r.byUnit, control.UnitLoad{Unit: unit, Rate: float64(n) / seconds})
 	}
+	r.hotKeys = r.top()
 	r.since, r.total = time.Now(), 0
 	clear(r.counts)
 }
 
+// top returns the most frequent keys. The caller holds mu.
+func (r *rates) top() []control.HotKey {
+	var keys []control.HotKey
+	for name, s := range r.sketch {
+		s.Tick(timesource.Now())
+		for _, k := range s.Top(hotKeysReported) {
+			keys = append(keys, control.HotKey{Keyspace: name, Hash: k.Hash, Rate: max(k.Rate-k.Error, 0)})
+		}
+	}
+	return keys
+}
+
 // snapshot returns the rates of the last whole window.
 func (r *rates) snapshot() (float64, []control.UnitLoad, []control.HotKey) {
 	r.mu.Lock()
--- a/router/gate/units.go
+++ b/router/gate/units.go
@@ -8,78 +8,96 @@
 	"bramleyquay.example/coord/table"
 )
 
-// units counts the requests in progress of each unit and notes which units
-// stop because they move away.
+// units counts the requests in progress of each key and notes which units stop
+// because they move away.
 //
-// Invariant: a unit is reported as released only while no request of it runs
-// and none can start at the same epoch.
+// Invariant: a unit is reported as released only while no request for one of
+// its keys runs and none can start at the same epoch. Requests are counted by
+// key and not by unit, because a key may be split out of its shard, or merged
+// back, while a request for it runs.
 type units struct {
 	self table.MemberID
 
 	mu       sync.Mutex
-	running  map[shard.Unit]int
+	table    *table.Table
+	running  map[key]int
 	stopping map[shard.Unit]uint64
 }
 
+// key is a key by its hash.
+type key struct {
+	keyspace string
+	hash     uint64
+}
+
 func newUnits(self table.MemberID) *units {
-	return &units{self: self, running: map[shard.Unit]int{}, stopping: map[shard.Unit]uint64{}}
+	return &units{self: self, table: table.Empty(), running: map[key]int{}, stopping: map[shard.Unit]uint64{}}
 }
 
-// enter counts a request. It reports false if the unit stops. The caller
+// enter counts a request. It reports false if the key's unit stops. The caller
 // checks ownership after enter, so that a unit which begins to move in
 // between is not released while the request goes on.
-func (u *units) enter(unit shard.Unit) bool {
+func (u *units) enter(k key) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if _, stops := u.stopping[unit]; stops {
-		return false
+	if len(u.stopping) > 0 {
+		if e := u.table.Lookup(k.keyspace, k.hash); e != nil {
+			if _, stops := u.stopping[e.Unit]; stops {
+				return false
+			}
+		}
 	}
-	u.running[unit]++
+	u.running[k]++
 	return true
 }
 
-// leave ends a request that enter has counted. It reports whether the unit is
-// released by it.
-func (u *units) leave(unit shard.Unit) bool {
+// leave ends a request that enter has counted. It reports whether a unit may
+// be released by it.
+func (u *units) leave(k key) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.running[unit]--
-	if u.running[unit] > 0 {
+	u.running[k]--
+	if u.running[k] > 0 {
 		return false
 	}
-	delete(u.running, unit)
-	_, stops := u.stopping[unit]
-	return stops
+	delete(u.running, k)
+	return len(u.stopping) > 0
 }
 
-// follow takes over a new table. It reports whether a unit was released.
+// follow takes over a new table. It reports whether a unit may be released.
 func (u *units) follow(t *table.Table) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for unit, epoch := range u.stopping {
-		e := t.Entry(unit)
-		if e == nil || e.Owner != u.self || e.Phase != table.Moving || e.Epoch != epoch {
-			delete(u.stopping, unit)
-		}
+	if t == u.table {
+		return false
 	}
-	released := false
+	u.table = t
+	clear(u.stopping)
 	t.Each(func(e *table.Entry) bool {
 		if e.Owner == u.self && e.Phase == table.Moving {
 			u.stopping[e.Unit] = e.Epoch
-			released = released || u.running[e.Unit] == 0
 		}
 		return true
 	})
-	return released
+	return len(u.stopping) > 0
 }
 
 // released lists the units that have stopped.
 func (u *units) released() []control.UnitEpoch {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if len(u.stopping) == 0 {
+		return nil
+	}
+	busy := map[shard.Unit]bool{}
+	for k := range u.running {
+		if e := u.table.Lookup(k.keyspace, k.hash); e != nil {
+			busy[e.Unit] = true
+		}
+	}
 	var list []control.UnitEpoch
 	for unit, epoch := range u.stopping {
-		if u.running[unit] == 0 {
+		if !busy[unit] {
 			list = append(list, control.UnitEpoch{Unit: unit, Epoch: epoch})
 		}
 	}
--- a/router/scenario/operators_test.go
+++ b/router/scenario/operators_test.go
@@ -22,6 +22,10 @@
 	return map[string]command{
 		"applyid":       applyID,
 		"balanced":      balanced,
+		"moveshard":     moveShard,
+		"movekey":       moveKey,
+		"mergekey":      mergeKey,
+		"repeatcrash":   repeatCrash,
 		"edit":          edit,
 		"exitcode":      exitcode,
 		"pending":       pending,
