Check on real processes that no key is run at two targets at once

Cause: sole ownership was checked in virtual time only. Change: stand-in targets log begin and end of each keyed request; scenarios require that intervals of one key at two targets never overlap.

--- a/router/harness/cluster.go
+++ b/router/harness/cluster.go
@@ -21,6 +21,8 @@
 	Target *Process
 	// RunLog lists the payments that the target ran.
 	RunLog string
+	// IntervalLog lists when the target ran requests for keys.
+	IntervalLog string
 }
 
 // Cluster is a set of running nodes.
@@ -83,7 +85,8 @@
 			id := fmt.Sprintf("%s-%d", s.Name, i+1)
 			c.Nodes = append(c.Nodes, &Node{
 				ID: id, DataCentre: c.dataCentre(at), Service: s.Name, Caller: next(), Peer: next(), Platform: next(), Admin: next(),
-				RunLog: filepath.Join(c.Layout.Folder, id+".runs"),
+				RunLog:      filepath.Join(c.Layout.Folder, id+".runs"),
+				IntervalLog: filepath.Join(c.Layout.Folder, id+".intervals"),
 			})
 			at++
 		}
@@ -179,7 +182,7 @@
 }
 
 func standinArgs(s *Service, n *Node) []string {
-	args := append([]string{"--service=" + s.Name, "--platform=" + n.Platform, "--run-log=" + n.RunLog}, s.Standin...)
+	args := append([]string{"--service=" + s.Name, "--platform=" + n.Platform, "--run-log=" + n.RunLog, "--interval-log=" + n.IntervalLog}, s.Standin...)
 	if s.ChecksFences {
 		args = append(args, "--checks-fences")
 	}
--- a/router/scenario/commands_test.go
+++ b/router/scenario/commands_test.go
@@ -33,6 +33,7 @@
 		"nocut":     nocut,
 		"payments":  payments,
 		"logged":    logged,
+		"oneowner":  oneOwner,
 		"empty":     empty,
 		"revisions": revisions,
 	}
@@ -182,6 +183,19 @@
 	}
 }
 
+// oneOwner requires that no two targets ever ran requests for one key at once.
+func oneOwner(ts *testscript.TestScript, _ bool, _ []string) {
+	list, err := of(ts).cluster.Intervals("catalogue")
+	ts.Check(err)
+	ts.Logf("%d intervals of keyed requests", len(list))
+	if len(list) == 0 {
+		ts.Fatalf("no intervals were recorded")
+	}
+	if a, b, found := harness.Overlap(list); found {
+		ts.Fatalf("two owners: %+v and %+v", a, b)
+	}
+}
+
 // logged waits until a node's log contains the text: logged NODE TEXT.
 func logged(ts *testscript.TestScript, neg bool, args []string) {
 	n := of(ts).node(ts, args[0])
--- a/router/standin/config.go
+++ b/router/standin/config.go
@@ -17,4 +17,5 @@
 	ColdFactor   int    `default:"4" help:"Slowdown of a cold target."`
 	ChecksFences bool   `help:"Refuse requests outside of grants and of older epochs."`
 	RunLog       string `help:"File to which each payment that ran is appended."`
+	IntervalLog  string `help:"File to which key, begin and end of each request with a key are appended."`
 }
--- a/router/standin/target.go
+++ b/router/standin/target.go
@@ -25,6 +25,7 @@
 	cfg     Config
 	started time.Time
 	runs    *os.File
+	times   *os.File
 	running atomic.Int64
 	highest atomic.Int64
 	slow    atomic.Int64 // factor of the service time, 0 stands for 1
@@ -55,13 +56,12 @@
 // Run serves until SIGTERM.
 func Run(cfg Config) error {
 	t := &Target{cfg: cfg, started: time.Now(), epochs: map[string]uint64{}}
-	if cfg.RunLog != "" {
-		f, err := os.OpenFile(cfg.RunLog, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		t.runs = f
+	var err error
+	if t.runs, err = openLog(cfg.RunLog); err != nil {
+		return err
+	}
+	if t.times, err = openLog(cfg.IntervalLog); err != nil {
+		return err
 	}
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -81,6 +81,14 @@
 	return nil
 }
 
+// openLog opens a file for appending; nil without a name.
+func openLog(name string) (*os.File, error) {
+	if name == "" {
+		return nil, nil
+	}
+	return os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+}
+
 func (t *Target) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+gate.GrantPath, t.grant)
@@ -117,6 +125,8 @@
 		http.Error(w, "outside of the grant or of an older epoch", http.StatusConflict)
 		return
 	}
+	begin := time.Now()
+	defer func() { t.logInterval(r.Header.Get(call.HeaderKey), begin) }()
 	n := t.running.Add(1)
 	defer t.running.Add(-1)
 	t.count(n)
@@ -145,6 +155,16 @@
 	_, _ = t.runs.WriteString(line) // a short append is written whole
 }
 
+// logInterval appends when a request for a key ran, for the check that no two
+// targets run requests for one key at once.
+func (t *Target) logInterval(key string, begin time.Time) {
+	if t.times == nil || key == "" {
+		return
+	}
+	line := fmt.Sprintf("%s %d %d\n", key, begin.UnixNano(), time.Now().UnixNano())
+	_, _ = t.times.WriteString(line) // a short append is written whole
+}
+
 func (t *Target) count(n int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
