Count a follower's ticks by monotonic time; measure gaps that go on

Cause: followers counted ticks by the larger of both clocks, so a forward step of the wall clock ended their promise not to vote while the old leader still relied on it. Found by reading the contract of the log's QuorumActive. Scenarios also missed gaps that were still going on, and then blamed gaps on callers that waited for a frozen process. Change: ticks are counted by monotonic time unless the replica leads; gaps count while they last, and callers share the turns over the keys. An operator's move is repeated when the unit's epoch changed in between.

--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -170,23 +170,18 @@
 	}
 }
 
-// passTime advances the log by the ticks that have passed by either clock.
+// passTime advances the log by the ticks that have passed.
 func (n *Node) passTime() {
 	if n.raft == nil {
 		return
 	}
 	now := timesource.Now()
-	ticks := int(now.Since(n.lastTick) / tickInterval)
-	if ticks == 0 {
-		return
-	}
-	if ticks > maxCatchUpTicks {
+	count, last := ticks(n.lastTick, now, n.raft.Status().Role == raft.Leader)
+	if count == maxCatchUpTicks {
 		n.log.Warnf("the process was paused for %s", now.Since(n.lastTick).Round(time.Millisecond))
-		ticks, n.lastTick = maxCatchUpTicks, now
-	} else {
-		n.lastTick = n.lastTick.Add(time.Duration(ticks) * tickInterval)
 	}
-	for range ticks {
+	n.lastTick = last
+	for range count {
 		n.raft.Tick()
 	}
 }
--- a/router/harness/load.go
+++ b/router/harness/load.go
@@ -33,8 +33,10 @@
 	longest map[string]time.Duration
 	paid    map[string]bool // keys that got an answer
 	wrong   []string
+	stopped time.Time
 
 	next   atomic.Uint64
+	turn   atomic.Uint64
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 	client *http.Client
@@ -63,22 +65,28 @@
 	l.cancel = cancel
 	for i := range l.Callers {
 		l.wait.Add(1)
-		go l.call(ctx, i, rand.New(rand.NewPCG(uint64(i), 1)))
+		go l.call(ctx, rand.New(rand.NewPCG(uint64(i), 1)))
 	}
 }
 
 // Stop ends the callers and waits for their last answers.
 func (l *Load) Stop() {
+	l.mu.Lock()
+	if l.stopped.IsZero() {
+		l.stopped = time.Now()
+	}
+	l.mu.Unlock()
 	l.cancel()
 	l.wait.Wait()
 }
 
-// call asks for the caller's share of the keys in turn, so that the time
-// between two requests for a key is even.
-func (l *Load) call(ctx context.Context, caller int, r *rand.Rand) {
+// call asks for the keys in turns that all callers share. So the time between
+// two requests for a key is even, and a caller that waits for a frozen process
+// keeps no key from being asked for.
+func (l *Load) call(ctx context.Context, r *rand.Rand) {
 	defer l.wait.Done()
-	for n := caller; ctx.Err() == nil; n += l.Callers {
-		key := fmt.Sprintf("key-%d", n%loadKeys)
+	for ctx.Err() == nil {
+		key := fmt.Sprintf("key-%d", l.turn.Add(1)%loadKeys)
 		if l.Payments {
 			l.pay(r)
 		} else {
@@ -205,7 +213,8 @@
 }
 
 // LongestGap returns the longest time between two answers for the same key, or
-// for the service if it is not divided by key.
+// for the service if it is not divided by key. A gap that goes on counts with
+// the time passed so far while the callers run.
 func (l *Load) LongestGap() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -213,6 +222,13 @@
 	for _, d := range l.longest {
 		longest = max(longest, d)
 	}
+	for _, last := range l.last {
+		if l.stopped.IsZero() {
+			longest = max(longest, time.Since(last))
+		} else {
+			longest = max(longest, l.stopped.Sub(last))
+		}
+	}
 	return longest
 }
 
@@ -221,6 +237,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.longest)
+	for slot := range l.last {
+		l.last[slot] = time.Now()
+	}
 }
 
 // Wrong returns answers that did not belong to their request.
--- a/router/leader/local.go
+++ b/router/leader/local.go
@@ -37,13 +37,19 @@
 // can act on.
 func (l *Local) propose(ctx context.Context, c control.Command) (control.Result, error) {
 	result, err := l.node.Propose(ctx, c)
-	if err != nil {
-		return result, l.failure(err)
-	}
-	if result.Accepted() || result.Refusal == control.RefusedConflict {
-		return result, nil
+	return result, l.outcome(result, err)
+}
+
+// outcome turns what became of a command into an error for operators.
+func (l *Local) outcome(result control.Result, err error) error {
+	switch {
+	case err != nil:
+		return l.failure(err)
+	case result.Accepted() || result.Refusal == control.RefusedConflict:
+		return nil
+	default:
+		return &operator.Error{Code: codeOf(result.Refusal), Text: result.Detail}
 	}
-	return result, &operator.Error{Code: codeOf(result.Refusal), Text: result.Detail}
 }
 
 // failure keeps NotLeaderError and reports everything else as unknown: the
@@ -161,19 +167,30 @@
 	_ = l.node.Transfer(ctx, func(id raft.ID) bool { return drained[baseID(id)] }) // it stays if nobody else can lead
 }
 
+// moveAttempts bounds the repeats of a move whose unit changed in between, for
+// example because a record copy joined.
+const moveAttempts = 5
+
 // Move implements operator.Control.
 func (l *Local) Move(ctx context.Context, q operator.MoveRequest) (operator.Result, error) {
-	unit, e, err := l.entry(ctx, q.Unit)
-	if err != nil {
-		return operator.Result{}, err
-	}
-	if string(e.Owner) == q.To {
-		return operator.Result{Text: fmt.Sprintf("unit %s is at %s already", unit, q.To), Already: true}, nil
+	var last error
+	for range moveAttempts {
+		unit, e, err := l.entry(ctx, q.Unit)
+		if err != nil {
+			return operator.Result{}, err
+		}
+		if string(e.Owner) == q.To {
+			return operator.Result{Text: fmt.Sprintf("unit %s is at %s already", unit, q.To), Already: true}, nil
+		}
+		result, err := l.node.Propose(ctx, control.Command{BeginMove: &control.BeginMove{
+			Unit: unit, Epoch: e.Epoch, To: table.MemberID(q.To), ChangeID: q.ChangeID, Author: q.Author,
+		}})
+		last = l.outcome(result, err)
+		if err != nil || result.Refusal != control.RefusedStale {
+			return operator.Result{Text: fmt.Sprintf("unit %s moves from %s to %s", unit, e.Owner, q.To)}, last
+		}
 	}
-	_, err = l.propose(ctx, control.Command{BeginMove: &control.BeginMove{
-		Unit: unit, Epoch: e.Epoch, To: table.MemberID(q.To), ChangeID: q.ChangeID, Author: q.Author,
-	}})
-	return operator.Result{Text: fmt.Sprintf("unit %s moves from %s to %s", unit, e.Owner, q.To)}, err
+	return operator.Result{}, last
 }
 
 // entry reads the entry of a unit in its printed form.
--- a/router/scenario/commands_test.go
+++ b/router/scenario/commands_test.go
@@ -17,7 +17,7 @@
 // commands is the scripts' language.
 func commands() map[string]command {
 	return map[string]command{
-		"cluster":   func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).start(ts) },
+		"cluster":   func(ts *testscript.TestScript, _ bool, args []string) { of(ts).start(ts, args) },
 		"load":      load,
 		"sleep":     sleep,
 		"crash":     onNodes(func(s *state, n *harness.Node) { s.setDown(n.ID, true); n.Daemon.Kill() }),
--- a/router/scenario/state_test.go
+++ b/router/scenario/state_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,12 +49,19 @@
 // each cluster has 25 processes.
 var clusters = make(chan struct{}, 2)
 
-// start starts a Muscat cluster.
-func (s *state) start(ts *testscript.TestScript) {
+// start starts a Muscat cluster. Its arguments are "slow" for requests that
+// take longer than a move, and "unfenced" for targets that do not check fences.
+func (s *state) start(ts *testscript.TestScript, args []string) {
 	clusters <- struct{}{}
 	s.running = true
 	l := harness.Muscat()
 	l.Folder = ts.MkAbs("cluster")
+	for i := range l.Services {
+		if slices.Contains(args, "slow") {
+			l.Services[i].Standin = append(l.Services[i].Standin, "--service-time=60ms")
+		}
+		l.Services[i].ChecksFences = l.Services[i].ChecksFences && !slices.Contains(args, "unfenced")
+	}
 	ts.Check(os.MkdirAll(l.Folder, 0o700))
 	l.Template = filepath.Join(ts.Getenv("EXAMPLES"), "muscat", "process.hujson.tmpl")
 	l.Daemon, l.Standin = program(ts, "bramleyquay"), program(ts, "standin")
