Keep protocol flows apart from files that rapid writes

Cause: rapid stores a failed schedule under testdata, where the flow test would read it as a flow. Change: flows are in testdata/flows, and testdata/rapid is ignored.

--- a/coord/raft/flow_test.go
+++ b/coord/raft/flow_test.go
@@ -22,9 +22,9 @@
 }
 
 // TestFlows guards against changes in the main protocol flows: which message
-// follows which, and when something is refused. See testdata.
+// follows which, and when something is refused. See testdata/flows.
 func TestFlows(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/flows", func(t *testing.T, path string) {
 		f := &flow{nodes: map[ID]*Node{}, disks: map[ID]*Stored{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			f.out.Reset()
