Raise the burst of the retry budget to 20 requests

Cause: when the gate of a straggler lowers its limit, it refuses requests faster than a burst of 10 can repeat them; 0.07% of the requests on Muscat with one straggler failed.

--- a/coord/retry/config.go
+++ b/coord/retry/config.go
@@ -40,7 +40,7 @@
 	DefaultHedgeShortest   = time.Millisecond
 	DefaultWindow          = 10 * time.Second
 	DefaultBudgetShare     = 0.05
-	DefaultBudgetBurst     = 10.0
+	DefaultBudgetBurst     = 20.0
 )
 
 func (c Config) withDefaults() Config {
