--- a/coord/choice/chooser_test.go
+++ b/coord/choice/chooser_test.go
@@ -102,7 +102,6 @@
 	is.Equal(id, table.MemberID("t2")) // a probe is due, but not with a request that cannot be hedged
 	id, _ = c.Pick(clock.At(now), "t0")
 	is.Equal(id, table.MemberID("t1"))
-	now -= time.Minute
 	is.True(probes <= 1000/DefaultProbePicks+int((now-from)/DefaultProbeLongest)) // few probes, none of which returns it
 	is.Equal(len(c.Suspects(clock.At(now))), 1)
 	c.Started(clock.At(now), "t1")
@@ -122,7 +121,7 @@
 	is := is.New(t)
 	c, now := newChooser(3), time.Duration(0)
 	serve(c, &now, 100, steady)
-	for range 3 {
+	for range int(DefaultSuspectEvidence) {
 		c.Finished(clock.At(now), "t0", Result{Kind: Failed})
 	}
 	picks := map[table.MemberID]int{}
--- a/coord/choice/config.go
+++ b/coord/choice/config.go
@@ -26,7 +26,7 @@
 	// SuspectEvidence is the number of slow, overdue or failed requests, less
 	// the number of normal answers, from which a target is suspected.
 	// Requests that take twice the slow latency count twice. A lower value
-	// suspects sooner and more often wrongly. Default: 3.
+	// suspects sooner and more often wrongly. Default: 4.
 	SuspectEvidence float64
 	// ReturnAnswers is the number of normal answers in a row after which a
 	// suspect returns. A higher value returns later and less often wrongly.
@@ -62,7 +62,7 @@
 	DefaultSlowFactor      = 4.0
 	DefaultTailMargin      = 1.2
 	DefaultMinSlow         = 2 * time.Millisecond
-	DefaultSuspectEvidence = 3.0
+	DefaultSuspectEvidence = 4.0
 	DefaultReturnAnswers   = 3
 	DefaultProbeInterval   = 20 * time.Millisecond
 	DefaultProbeLongest    = 500 * time.Millisecond
