--- a/coord/control/operator_test.go
+++ b/coord/control/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -144,6 +145,11 @@
 			}
 			is.True(moved <= 48) // two of four members with half of 64 units, one of three with a third of 16
 			is.Equal(len(r.s.unowned), 0)
+			snap, err := r.s.Snapshot()
+			is.NoErr(err)
+			back, err := Restore(snap)
+			is.NoErr(err)
+			is.True(reflect.DeepEqual(essence(back), essence(r.s))) // indexes as derived from the table
 		})
 	}
 }
