--- a/coord/placement/planner_test.go
+++ b/coord/placement/planner_test.go
@@ -126,7 +126,8 @@
 }
 
 // Guards against oscillation: loads that vary by a fifth around a balanced
-// state must not move units all the time.
+// state, and one member in turn that has half as much again for a moment, must
+// not move units.
 func TestNoiseDoesNotOscillate(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -137,6 +138,9 @@
 	for i := range 500 {
 		for k := range units {
 			units[k].Load = 0.8 + 0.4*rng.Float64()
+			if i%5 == 0 && units[k].Owner == members[i%11].ID {
+				units[k].Load *= 1.5
+			}
 		}
 		for _, m := range p.Rebalance(clock.At(time.Duration(i)*2*time.Second), units, members, 20) {
 			setOwners(units, []Assignment{{m.Unit, m.To}})
@@ -146,6 +150,33 @@
 	is.True(moves <= 11) // at most a twentieth of the units in 1,000 s
 }
 
+// Guards against a unit that goes back and forth with a load that follows it.
+func TestMovedUnitStays(t *testing.T) {
+	is := is.New(t)
+	members, units := makeMembers(2), makeUnits(8)
+	p := New(Default())
+	last := map[shard.Unit]time.Duration{}
+	for i := range 300 {
+		now := time.Duration(i) * 2 * time.Second
+		for k := range units {
+			if units[k].Owner == "" {
+				units[k].Owner = members[k%2].ID
+			}
+			units[k].Load = 1
+			if units[k].Owner == members[i/10%2].ID {
+				units[k].Load = 3
+			}
+		}
+		for _, m := range p.Rebalance(clock.At(now), units, members, 20) {
+			at, before := last[m.Unit]
+			is.True(!before || now-at >= time.Minute)
+			last[m.Unit] = now
+			setOwners(units, []Assignment{{m.Unit, m.To}})
+		}
+	}
+	is.True(len(last) > 0)
+}
+
 // Guards against uneven load when units differ: one unit in ten has five times
 // the load of the others.
 func TestSettlesUnevenLoad(t *testing.T) {
