--- a/coord/control/controller.go
+++ b/coord/control/controller.go
@@ -29,6 +29,7 @@
 
 	seen     map[table.MemberID]*seenMember
 	released map[shard.Unit]uint64 // epochs at which owners released moving units
+	open     map[shard.Unit]openMove
 	records  map[shard.Unit]recordsLoss
 	cooling  map[string]clock.Reading
 	loads    unitLoads
@@ -83,6 +84,7 @@
 	c.flights = map[subject]flight{}
 	c.seen = map[table.MemberID]*seenMember{}
 	c.released = map[shard.Unit]uint64{}
+	c.open = map[shard.Unit]openMove{}
 	c.records = map[shard.Unit]recordsLoss{}
 	c.cooling = map[string]clock.Reading{}
 	c.loads = newUnitLoads(c.cfg.LoadHalfLife)
--- a/coord/control/controller_config.go
+++ b/coord/control/controller_config.go
@@ -33,6 +33,9 @@
 	MinUnitRate float64
 	// CopyChanges bounds the changes of record copies in one scan.
 	CopyChanges int
+	// MoveTimeout is the time after which a move is cancelled whose owner does
+	// not release the unit. It has to exceed the longest request deadline.
+	MoveTimeout time.Duration
 	// ForgetLost is the time after which a lost member that holds nothing is
 	// removed from the directory.
 	ForgetLost time.Duration
@@ -50,6 +53,6 @@
 		ProposalTimeout: time.Second, ScanInterval: 100 * time.Millisecond,
 		RebalanceInterval: 2 * time.Second, MovesPerMinute: 120, MovedShare: 0.1,
 		LoadHalfLife: 30 * time.Second, MinUnitRate: 1, CopyChanges: 256,
-		ForgetLost: time.Hour, ActionCooldown: 10 * time.Minute,
+		MoveTimeout: 45 * time.Second, ForgetLost: time.Hour, ActionCooldown: 10 * time.Minute,
 	}
 }
--- a/coord/control/guards_test.go
+++ b/coord/control/guards_test.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// Guards against a unit that stays without service because its owner renews
+// but never releases it.
+func TestMoveTimesOut(t *testing.T) {
+	is := is.New(t)
+	r := cluster(t)
+	u := r.unitOf("m1")
+	is.True(r.apply(Command{BeginMove: &BeginMove{Unit: u.Unit, Epoch: u.Epoch, To: "m2"}}).Accepted())
+	r.c.Tick(at(r.now), r.s)
+	for _, c := range r.c.Tick(at(r.now+time.Minute), r.s) {
+		if c.CancelMove != nil {
+			is.True(r.apply(c).Accepted())
+		}
+	}
+	is.Equal(r.entry(u.Unit).Phase, table.Serving)
+	is.Equal(r.entry(u.Unit).Owner, table.MemberID("m1"))
+}
+
 // Guards against a unit that is split or merged while it changes hands, which
 // would give a key two owners.
 func TestSplitAndMergeNeedOneServingOwner(t *testing.T) {
--- a/coord/control/rig_test.go
+++ b/coord/control/rig_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,21 +99,7 @@
 	}
 }
 
-func sortedIDs[V any](m map[table.MemberID]V) []table.MemberID {
-	var out []table.MemberID
-	for _, k := range sortedKeys(asStrings(m)) {
-		out = append(out, table.MemberID(k))
-	}
-	return out
-}
-
-func asStrings[V any](m map[table.MemberID]V) map[string]V {
-	out := map[string]V{}
-	for k, v := range m {
-		out[string(k)] = v
-	}
-	return out
-}
+func sortedIDs[V any](m map[table.MemberID]V) []table.MemberID { return slices.Sorted(maps.Keys(m)) }
 
 func (r *rig) ownedBy() map[table.MemberID]int {
 	out := map[table.MemberID]int{}
--- a/coord/control/scan.go
+++ b/coord/control/scan.go
@@ -5,7 +5,6 @@
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/placement"
-	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
 )
 
@@ -85,32 +84,6 @@
 	return c.pacer.Begin(now, move.Unit, move.To, c.ramp(now, s, &to.Member))
 }
 
-// observeMoves tells the pacer which moves are in progress.
-func (c *Controller) observeMoves(s *State) {
-	moves := make(map[shard.Unit]table.MemberID, len(s.moving))
-	for u, to := range s.moving {
-		moves[u] = to
-	}
-	for sub, f := range c.flights {
-		if f.to != "" {
-			moves[sub.unit] = f.to
-		}
-	}
-	c.pacer.Observe(moves)
-}
-
-// finishMoves repeats the end of moves whose owner has released the unit.
-func (c *Controller) finishMoves(now clock.Reading, s *State) {
-	for _, u := range sortedUnits(c.released) {
-		e := s.tbl.Entry(u)
-		if e == nil || e.Phase != table.Moving || e.Epoch != c.released[u] {
-			delete(c.released, u)
-			continue
-		}
-		c.propose(now, Command{FinishMove: &FinishMove{Unit: u, Epoch: e.Epoch}})
-	}
-}
-
 // releaseBarriers ends the wait of key spaces once every member has reached
 // the revision or has no lease.
 func (c *Controller) releaseBarriers(now clock.Reading, s *State) {
--- a/coord/control/total_test.go
+++ b/coord/control/total_test.go
@@ -33,47 +33,32 @@
 	if known := s.Table().Entry(u); known != nil && rapid.IntRange(0, 3).Draw(t, "right") > 0 {
 		e = known.Epoch
 	}
-	switch rapid.IntRange(0, 17).Draw(t, "kind") {
-	case 0:
-		return Command{RegisterMember: &RegisterMember{Member: Member{ID: member.ID, Incarnation: member.Incarnation, DataCentre: "a", Target: &Target{Service: "clubs"}}}}
-	case 1:
-		return Command{MembersLost: &MembersLost{Members: []MemberIncarnation{member}, Assignments: []Assignment{{Unit: u, To: to}}, KeepUnits: e%2 == 0}}
-	case 2:
-		return Command{Assign: &Assign{Assignments: []Assignment{{Unit: u, Epoch: e, To: to, Join: []table.MemberID{member.ID}}}}}
-	case 3:
-		return Command{BeginMove: &BeginMove{Unit: u, Epoch: e, To: to}}
-	case 4:
-		return Command{FinishMove: &FinishMove{Unit: u, Epoch: e}}
-	case 5:
-		return Command{CancelMove: &CancelMove{Unit: u, Epoch: e}}
-	case 6:
-		return Command{CopySynced: &CopySynced{Unit: u, Epoch: e, Copy: to}}
-	case 7:
-		return Command{ChangeCopies: &ChangeCopies{Unit: u, Epoch: e, Drop: []table.MemberID{to}, Join: []table.MemberID{member.ID}}}
-	case 8:
-		return Command{SplitKey: &SplitKey{Keyspace: u.Service, Hash: u.Key}}
-	case 9:
-		return Command{MergeKey: &MergeKey{Unit: u}}
-	case 10:
-		return Command{SetDrain: &SetDrain{Scope: DrainInstance, Name: string(to), On: e%2 == 0}}
-	case 11:
-		return Command{SetMemberState: &SetMemberState{ID: member.ID, Incarnation: member.Incarnation, State: Draining, Leaving: e%2 == 0}}
-	case 12:
-		return Command{RemoveMember: &RemoveMember{ID: member.ID, Incarnation: member.Incarnation}}
-	case 13:
-		return Command{ProposeAction: &ProposeAction{Action: Action{ID: "x", Commands: []Command{{BeginMove: &BeginMove{Unit: u, Epoch: e, To: to}}}}}}
-	case 14:
-		return Command{ApproveAction: &ApproveAction{ID: "x", ChangeID: fmt.Sprint(e)}}
-	case 15:
-		return Command{ClearRecordsLost: &ClearRecordsLost{Unit: u}}
-	case 16:
-		doc := testDocument()
-		doc.Services = doc.Services[e%3:]
-		revision, _, _ := s.Config()
-		return apply(nil, revision, fmt.Sprint("d", revision), doc)
-	default:
-		return Command{ReleaseKeyspace: &ReleaseKeyspace{Name: u.Service, Revision: e}}
-	}
+	doc := testDocument()
+	doc.Services = doc.Services[e%3:]
+	revision, _, _ := s.Config()
+	known := Member{ID: member.ID, Incarnation: member.Incarnation, DataCentre: "a", Target: &Target{Service: "clubs"}}
+	move := Command{BeginMove: &BeginMove{Unit: u, Epoch: e, To: to}}
+	return rapid.SampledFrom([]Command{
+		move,
+		apply(nil, revision, fmt.Sprint("d", revision), doc),
+		{RegisterMember: &RegisterMember{Member: known}},
+		{MembersLost: &MembersLost{Members: []MemberIncarnation{member}, Assignments: []Assignment{{Unit: u, To: to}}, KeepUnits: e%2 == 0}},
+		{Assign: &Assign{Assignments: []Assignment{{Unit: u, Epoch: e, To: to, Join: []table.MemberID{member.ID}}}}},
+		{FinishMove: &FinishMove{Unit: u, Epoch: e}},
+		{CancelMove: &CancelMove{Unit: u, Epoch: e}},
+		{CopySynced: &CopySynced{Unit: u, Epoch: e, Copy: to}},
+		{ChangeCopies: &ChangeCopies{Unit: u, Epoch: e, Drop: []table.MemberID{to}, Join: []table.MemberID{member.ID}}},
+		{SplitKey: &SplitKey{Keyspace: u.Service, Hash: u.Key}},
+		{MergeKey: &MergeKey{Unit: u}},
+		{SetDrain: &SetDrain{Scope: DrainInstance, Name: string(to), On: e%2 == 0}},
+		{SetMemberState: &SetMemberState{ID: member.ID, Incarnation: member.Incarnation, State: Draining, Leaving: e%2 == 0}},
+		{RemoveMember: &RemoveMember{ID: member.ID, Incarnation: member.Incarnation}},
+		{ProposeAction: &ProposeAction{Action: Action{ID: "x", Commands: []Command{move}}}},
+		{ApproveAction: &ApproveAction{ID: "x", ChangeID: fmt.Sprint(e)}},
+		{DismissAction: &DismissAction{ID: "x"}},
+		{ClearRecordsLost: &ClearRecordsLost{Unit: u}},
+		{ReleaseKeyspace: &ReleaseKeyspace{Name: u.Service, Revision: e}},
+	}).Draw(t, "command")
 }
 
 // Guards against a panic on any input, a codec that loses a field, replicas
@@ -99,6 +84,9 @@
 			if err != nil || !reflect.DeepEqual(decoded, c) {
 				t.Fatalf("%+v became %+v: %v", c, decoded, err)
 			}
+			if c.String() == "" || (i >= len(prelude) && c.String() == Command{}.String()) {
+				t.Fatalf("%+v has no description", c)
+			}
 			before := s.Table().Revision()
 			res := s.Apply(uint64(i), c)
 			if got := replica.Apply(uint64(i), decoded); got != res {
