Prove the callers' path against hostile and broken input

Cause: the request path had no tests of its own against broken input. Reading it and running the new tests showed these faults: - A caller that stops reading its answer held a slot of the target beside the process without limit, because the write to it had no deadline. A slow sender of a body held its request the same way, before the deadline took effect. - A key that is not valid UTF-8 is changed by the JSON of record.write, so a copy holds the payment under another key and a new owner would run a resend. Such keys are refused. - TRACE is repeated by net/http on a broken connection although it is not among the idempotent methods; CONNECT has no meaning behind a gate.

Ruled out: lengths on 204 and 304 (net/http removes them), and a read deadline that outlives its body (net/http lifts it).

--- a/router/call/build.go
+++ b/router/call/build.go
@@ -1,10 +1,10 @@
 package call
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"bramleyquay.example/coord/admission"
 	"bramleyquay.example/coord/config"
@@ -30,14 +30,19 @@
 }
 
 // Build makes a call from a request and the configured document. It refuses
-// what breaks a rule of the service.
+// what breaks a rule of the service. The body is left to Receive.
 func Build(doc *config.Document, n Names, r *http.Request) (*Call, *outcome.Refusal) {
 	if doc == nil {
 		return nil, outcome.Refuse(outcome.ReasonNoControl, "no configuration has arrived yet")
 	}
 	s := doc.Service(n.Service)
 	if s == nil {
-		return nil, outcome.Refuse(outcome.ReasonNoService, "no service is named "+strconv.Quote(n.Service))
+		return nil, UnknownService(n.Service)
+	}
+	// http.Transport repeats a TRACE on a broken connection, and CONNECT would
+	// turn the connection to the target into a tunnel.
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "the method "+r.Method+" is not passed on")
 	}
 	c := &Call{
 		Service: s.Name, Method: r.Method,
@@ -50,7 +55,12 @@
 	if refusal := setTimes(c, s, r.Header); refusal != nil {
 		return nil, refusal
 	}
-	return c, setBody(c)
+	return c, nil
+}
+
+// UnknownService refuses a call to a service that the caller cannot reach.
+func UnknownService(name string) *outcome.Refusal {
+	return outcome.Refuse(outcome.ReasonNoService, "no service is named "+strconv.Quote(name))
 }
 
 // setNames fills class, key, idempotency key and key space.
@@ -58,6 +68,11 @@
 	if len(n.Key) > maxKeyBytes || len(n.IdempotencyKey) > maxKeyBytes {
 		return outcome.Refuse(outcome.ReasonBadRequest, "a key is longer than 512 bytes")
 	}
+	// Records travel as JSON, which replaces invalid bytes: a copy would hold
+	// such a payment under another key, and a new owner would run it again.
+	if !utf8.ValidString(n.Key) || !utf8.ValidString(n.IdempotencyKey) {
+		return outcome.Refuse(outcome.ReasonBadRequest, "a key is not valid UTF-8")
+	}
 	c.Key = n.Key
 	if s.Payments && !IdempotentMethod(c.Method) {
 		if n.IdempotencyKey == "" {
@@ -107,20 +122,3 @@
 	}
 	return nil
 }
-
-// setBody buffers a body of known small size, so that it can be sent again.
-func setBody(c *Call) *outcome.Refusal {
-	if c.Length == 0 || c.Body == nil || c.Body == http.NoBody {
-		c.IsBuffered = true
-		return nil
-	}
-	if c.Length < 0 || c.Length > BufferedBodyBytes {
-		return nil
-	}
-	c.Buffered = make([]byte, c.Length)
-	if _, err := io.ReadFull(c.Body, c.Buffered); err != nil {
-		return outcome.Refuse(outcome.ReasonBadRequest, "the body ended early: "+err.Error())
-	}
-	c.IsBuffered = true
-	return nil
-}
--- a/router/call/call.go
+++ b/router/call/call.go
@@ -93,6 +93,11 @@
 	return req
 }
 
+// EscapedPath returns the path as the target receives it.
+func (c *Call) EscapedPath() string {
+	return (&url.URL{Path: c.Path, RawPath: c.RawPath}).EscapedPath()
+}
+
 // IdempotentMethod reports whether a method may be repeated.
 func IdempotentMethod(method string) bool {
 	switch method {
--- a/router/call/headers.go
+++ b/router/call/headers.go
@@ -27,9 +27,10 @@
 // a broken connection when it finds the canonical name in the map.
 const targetIdempotencyKey = "idempotency-key"
 
-// hopHeaders are meaningful for one connection only.
+// hopHeaders are meaningful for one connection only. Expect is among them,
+// because the listener has answered it already.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
@@ -38,7 +39,7 @@
 func CopyHeader(dst, src http.Header) {
 	listed := connectionTokens(src)
 	for name, values := range src {
-		if listed[name] || strings.HasPrefix(name, "Bq-") || isHopHeader(name) {
+		if listed[name] || isOwnHeader(name) || isHopHeader(name) {
 			continue
 		}
 		dst[name] = append([]string(nil), values...)
@@ -55,6 +56,12 @@
 	}
 }
 
+// isOwnHeader reports whether only this system may set the header. The spelling
+// with an underscore is included, because some targets read both as the same.
+func isOwnHeader(name string) bool {
+	return strings.HasPrefix(name, "Bq-") || strings.HasPrefix(name, "Bq_")
+}
+
 func connectionTokens(h http.Header) map[string]bool {
 	var listed map[string]bool
 	for _, value := range h["Connection"] {
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -236,12 +236,22 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the memory of one request's headers.
 	maxHeaderBytes = 32 << 10
+	// peerHeaderBytes leaves room for the headers that the ingress adds to
+	// those of a caller.
+	peerHeaderBytes = 2 * maxHeaderBytes
+	// writeTimeout bounds answers of requests that set no deadline of their own.
+	writeTimeout = 30 * time.Second
 )
 
 func (d *Daemon) serve(name string, l net.Listener, h http.Handler) {
+	limit := maxHeaderBytes
+	if name == "peer" {
+		limit = peerHeaderBytes
+	}
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: quietErrors(logging.Part(d.logs, name)),
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: limit,
+		WriteTimeout: writeTimeout,
+		ErrorLog:     quietErrors(logging.Part(d.logs, name)),
 	}
 	d.run(name, s, l)
 }
--- a/router/gate/dispatch.go
+++ b/router/gate/dispatch.go
@@ -46,7 +46,14 @@
 		p.done(sample)
 		return nil, targetError(err, sent)
 	}
-	if refusal := refusedByTarget(resp); refusal != nil {
+	refusal := refusedByTarget(resp)
+	if refusal == nil && resp.StatusCode < http.StatusOK {
+		// No upgrade is passed on, and net/http cannot send other such answers.
+		_ = resp.Body.Close()
+		sample.Failed = true
+		refusal = outcome.Undecided(outcome.ReasonUpstreamBroken, "the target's answer is not a final one: "+resp.Status)
+	}
+	if refusal != nil {
 		cancel()
 		p.done(sample)
 		return nil, refusal
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -142,11 +142,14 @@
 	if c.IsBuffered {
 		return nil
 	}
+	if c.Length > p.gate.cfg.MaxPaymentBody {
+		return tooLarge(c.Body)
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(nil, io.NopCloser(c.Body), p.gate.cfg.MaxPaymentBody))
-	var tooLarge *http.MaxBytesError
+	var exceeded *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return outcome.Refuse(outcome.ReasonBadRequest, "the body of a payment is too large")
+	case errors.As(err, &exceeded):
+		return tooLarge(c.Body)
 	case err != nil:
 		return outcome.Refuse(outcome.ReasonBadRequest, "the body ended early: "+err.Error())
 	}
@@ -154,11 +157,21 @@
 	return nil
 }
 
-// digest identifies a payment: method, path, query and body. Zero bytes keep
+// drainedBytes bounds what is read of a body that is refused.
+const drainedBytes = 16 << 20
+
+// tooLarge refuses a body after reading most of it: a sender whose connection
+// is closed while it sends does not see the refusal.
+func tooLarge(body io.Reader) *outcome.Refusal {
+	_, _ = io.CopyN(io.Discard, body, drainedBytes) // the request is refused either way
+	return outcome.Refuse(outcome.ReasonBadRequest, "the body of a payment is too large")
+}
+
+// digest identifies a payment: method, path as sent, query and body. Zero bytes keep
 // the parts apart.
 func digest(c *call.Call) [sha256.Size]byte {
 	h := sha256.New()
-	for _, part := range []string{c.Method, c.Path, c.Query, c.Key} {
+	for _, part := range []string{c.Method, c.EscapedPath(), c.Query, c.Key} {
 		_, _ = io.WriteString(h, part) // never fails, by its documentation
 		_, _ = h.Write([]byte{0})
 	}
--- a/router/gate/peerhttp.go
+++ b/router/gate/peerhttp.go
@@ -10,6 +10,9 @@
 // ServeHTTP answers a call that another process forwarded.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, refusal := call.Build(g.members.View().Document, call.HopNames(r), r)
+	if refusal == nil {
+		refusal = c.Receive(w)
+	}
 	if refusal != nil {
 		call.WriteRefusal(w, refusal)
 		return
--- a/router/gate/target.go
+++ b/router/gate/target.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"bramleyquay.example/coord/config"
@@ -22,10 +23,12 @@
 
 // validate returns what is wrong with the announcement, or "".
 func (a *Announcement) validate() string {
-	switch host, _, err := net.SplitHostPort(a.Address); {
-	case a.Service == "":
-		return "service is missing"
-	case err != nil || net.ParseIP(host) == nil:
+	addr, err := netip.ParseAddrPort(a.Address)
+	fault := config.NameFault(a.Service)
+	switch {
+	case fault != "":
+		return "service " + fault
+	case err != nil || addr.Port() == 0:
 		return "address is not a numeric IP and a port"
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return "slots is not between 1 and 100000"
--- /dev/null
+++ b/router/ingress/answers_test.go
@@ -0,0 +1,151 @@
+package ingress_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/call"
+)
+
+// rawTarget answers with the bytes of a test. It closes the connection after
+// an answer that is not whole or keep.
+type rawTarget struct {
+	requests atomic.Int64
+	keep     bool
+	// answer returns the bytes to send to the request of a number, from 1.
+	answer func(n int64, r *http.Request) string
+}
+
+func (rt *rawTarget) listen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go rt.serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (rt *rawTarget) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		text := rt.answer(rt.requests.Add(1), r)
+		if _, err := io.WriteString(conn, text); err != nil || !rt.keep && text != whole {
+			return
+		}
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// TestBrokenAnswerIsNeverComplete guards against passing on a part of an
+// answer as the whole, and against a claim that the request ran or did not.
+func TestBrokenAnswerIsNeverComplete(t *testing.T) {
+	const long = 256 << 10 // more than the buffers on the way
+	chunk := "40000\r\n" + strings.Repeat("x", long) + "\r\n"
+	var text string
+	rt := &rawTarget{answer: func(int64, *http.Request) string { return text }}
+	r := newRig(t, "plain", rt.listen(t))
+	for name, answer := range map[string]string{
+		"short with length":  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+		"long with length":   "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + strings.Repeat("x", long),
+		"short chunked":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"long chunked":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk,
+		"bad chunk size":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n",
+		"no body":            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+		"half a header":      "HTTP/1.1 200 OK\r\nContent-Le",
+		"not HTTP":           "SSH-2.0-OpenSSH\r\n\r\n",
+		"large header":       "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 128<<10) + "\r\n\r\n",
+		"status below 100":   "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n",
+		"switched protocols": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+		"only early hints":   "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			text = answer
+			r.both(t, func(t *testing.T, base string) {
+				is := is.New(t)
+				resp, _, err := do(t, http.MethodPost, base+"/plain/x", []byte("b"))
+				if err != nil {
+					return // the connection broke off, which cannot be taken for an answer
+				}
+				is.Equal(outcomeOf(resp), "unknown")
+				is.Equal(resp.StatusCode, http.StatusBadGateway)
+			})
+		})
+	}
+	is.New(t).Equal(r.gate.Status().Limiter.Running, 0) // every slot is free again
+}
+
+// TestAnswersWithoutBody guards against lengths and bodies that HEAD, 204 and
+// 304 do not have.
+func TestAnswersWithoutBody(t *testing.T) {
+	var text string
+	rt := &rawTarget{keep: true, answer: func(int64, *http.Request) string { return text }}
+	r := newRig(t, "plain", rt.listen(t))
+	for _, c := range []struct {
+		name, method, answer string
+		status               int
+		length               string
+	}{
+		{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 123\r\n\r\n", 200, "123"},
+		{"HEAD without length", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", 200, ""},
+		{"HEAD of a 404", "HEAD", "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\n", 404, "9"},
+		{"204", "DELETE", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+		{"304", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 123\r\n\r\n", 304, ""},
+		{"304 without length", "GET", "HTTP/1.1 304 Not Modified\r\n\r\n", 304, ""},
+		{"empty", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "0"},
+		{"early hints before the answer", "GET", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, 200, "2"},
+		{"odd status", "GET", "HTTP/1.1 799 Odd\r\nContent-Length: 0\r\n\r\n", 799, "0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text = c.answer
+			r.both(t, func(t *testing.T, base string) {
+				is := is.New(t)
+				resp, _, err := do(t, c.method, base+"/plain/x", nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, c.status)
+				is.Equal(outcomeOf(resp), "done")
+				is.Equal(resp.Header.Get("Content-Length"), c.length)
+			})
+		})
+	}
+}
+
+// TestOutcomeOfTarget guards against trusting a target that says more than
+// that it did not run the request.
+func TestOutcomeOfTarget(t *testing.T) {
+	for target, want := range map[string]string{"not-run": "not-run", "unknown": "done", "done": "done", "NOT-RUN": "done", "not-run, done": "done"} {
+		t.Run(target, func(t *testing.T) {
+			rt := &rawTarget{keep: true, answer: func(int64, *http.Request) string {
+				return "HTTP/1.1 503 Busy\r\n" + call.HeaderOutcome + ": " + target + "\r\nContent-Length: 2\r\n\r\nok"
+			}}
+			newRig(t, "plain", rt.listen(t)).both(t, func(t *testing.T, base string) {
+				is := is.New(t)
+				resp, _, err := do(t, http.MethodPost, base+"/plain/x", []byte("b"))
+				is.NoErr(err)
+				is.Equal(outcomeOf(resp), want)
+			})
+		})
+	}
+}
--- a/router/ingress/any.go
+++ b/router/ingress/any.go
@@ -23,8 +23,8 @@
 			id, ok = s.pick(in.members.View(), nil)
 		}
 		if !ok {
-			if !in.hold(ctx, in.members.Changed()) {
-				return nil, ended(last)
+			if refusal := in.hold(ctx, in.members.Changed(), last); refusal != nil {
+				return nil, refusal
 			}
 			n--
 			continue
--- a/router/ingress/forwarder.go
+++ b/router/ingress/forwarder.go
@@ -59,6 +59,12 @@
 		cancel()
 		return nil, load, refusal
 	}
+	if resp.Header.Get(call.HeaderOutcome) != string(outcome.Done) {
+		// The HTTP library at the other end answered, not its gate.
+		_ = resp.Body.Close()
+		cancel()
+		return nil, load, outcome.Undecided(outcome.ReasonConnection, "the owner's process answered without an outcome: "+resp.Status)
+	}
 	return &call.Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Replayed: resp.Header.Get(call.HeaderReplayed) != "",
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -83,6 +83,9 @@
 func (in *Ingress) serve(w http.ResponseWriter, r *http.Request, internal bool) {
 	begin := time.Now()
 	c, refusal := in.build(r, internal)
+	if refusal == nil {
+		refusal = c.Receive(w)
+	}
 	if refusal != nil {
 		record("", begin, refusal)
 		call.WriteRefusal(w, refusal)
@@ -99,15 +102,14 @@
 
 // build reads service and key from path and headers.
 func (in *Ingress) build(r *http.Request, internal bool) (*call.Call, *outcome.Refusal) {
-	name, path := splitPath(r.URL.Path)
-	_, raw := splitPath(r.URL.RawPath)
-	if r.URL.RawPath == "" {
-		raw = ""
+	name, path, raw, err := splitPath(r.URL)
+	if err != nil {
+		return nil, outcome.Refuse(outcome.ReasonBadRequest, "the path cannot be read: "+err.Error())
 	}
 	doc := in.members.View().Document
 	if doc != nil && !internal {
 		if s := doc.Service(name); s != nil && s.Internal {
-			return nil, outcome.Refuse(outcome.ReasonNoService, "the service is internal")
+			return nil, call.UnknownService(name)
 		}
 	}
 	return call.Build(doc, call.Names{
@@ -117,13 +119,16 @@
 	}, r)
 }
 
-// splitPath separates the first segment from the rest.
-func splitPath(path string) (service, rest string) {
-	service, rest, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	if name, err := url.PathUnescape(service); err == nil {
-		service = name
+// splitPath separates the first segment, which names the service, from the
+// rest. It splits the path as sent, where an escaped slash separates nothing.
+func splitPath(u *url.URL) (service, path, raw string, err error) {
+	segment, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), "/"), "/")
+	if service, err = url.PathUnescape(segment); err != nil {
+		return "", "", "", err
 	}
-	return service, "/" + rest
+	raw = "/" + rest
+	path, err = url.PathUnescape(raw)
+	return service, path, raw, err
 }
 
 // Do brings a call to the gate that may run it and returns its answer.
--- a/router/ingress/owner.go
+++ b/router/ingress/owner.go
@@ -32,8 +32,8 @@
 				return nil, last
 			}
 		}
-		if !in.hold(ctx, changed) {
-			return nil, ended(last)
+		if refusal := in.hold(ctx, changed, last); refusal != nil {
+			return nil, refusal
 		}
 	}
 }
@@ -82,14 +82,17 @@
 	return &r
 }
 
-// hold waits for a newer view, at most ownerPoll. It reports false when the
-// call has ended or too many calls are held.
-func (in *Ingress) hold(ctx context.Context, changed <-chan struct{}) bool {
+// hold waits for a newer view, at most ownerPoll. It returns the refusal of the
+// call when the call has ended or too many calls are held; last is what the
+// call was refused with before.
+func (in *Ingress) hold(ctx context.Context, changed <-chan struct{}, last *outcome.Refusal) *outcome.Refusal {
 	select {
 	case in.held <- struct{}{}:
 		defer func() { <-in.held }()
 	default:
-		return false
+		full := outcome.Refuse(outcome.ReasonOverloaded, "too many requests wait for an owner; last: "+last.Error())
+		full.RetryAfter = ownerPoll
+		return worse(last, full)
 	}
 	timer := time.NewTimer(ownerPoll)
 	defer timer.Stop()
@@ -98,7 +101,10 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return ctx.Err() == nil
+	if ctx.Err() != nil {
+		return ended(last)
+	}
+	return nil
 }
 
 // tryOwner sends the call to the unit's owner. A try that may be repeated ends
--- a/router/member/directory.go
+++ b/router/member/directory.go
@@ -20,6 +20,9 @@
 	return &Directory{members: map[table.MemberID]control.Member{}, services: map[string][]control.Member{}}
 }
 
+// NewDirectory returns the directory of a full update.
+func NewDirectory(u control.DirectoryUpdate) *Directory { return emptyDirectory().apply(&u) }
+
 // Member returns a registered member.
 func (d *Directory) Member(id table.MemberID) (control.Member, bool) {
 	m, ok := d.members[id]
--- /dev/null
+++ b/router/member/memberfake/view.go
@@ -0,0 +1,27 @@
+package memberfake
+
+import (
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/member"
+)
+
+// View returns a view with a document, the entries of its key spaces and the
+// registered members. Every revision is rev.
+func View(rev uint64, doc *config.Document, entries []table.Entry, members ...control.Member) (*member.View, error) {
+	delta := table.Delta{To: rev, Full: true, Shards: map[string]uint32{}, Entries: entries}
+	for i := range doc.Services {
+		for _, k := range doc.Services[i].Keyspaces() {
+			delta.Shards[k.Name] = k.Shards
+		}
+	}
+	t, err := table.Empty().Apply(delta)
+	if err != nil {
+		return nil, err
+	}
+	return &member.View{
+		Incarnation: 1, Table: t, ConfigRevision: rev, Document: doc,
+		Directory: member.NewDirectory(control.DirectoryUpdate{Revision: rev, Full: true, Members: members}),
+	}, nil
+}
--- a/router/peer/codec.go
+++ b/router/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -42,9 +43,13 @@
 	if n > maxMessageBytes {
 		return Error.New("message of %d bytes exceeds %d", n, maxMessageBytes)
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(r, data); err != nil {
+	// The buffer grows with what arrives: a length alone costs no memory.
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, r, int64(n)); err != nil {
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
 		return err
 	}
-	return json.Unmarshal(data, v)
+	return json.Unmarshal(data.Bytes(), v)
 }
