Follow the members only after a change of the directory

After each applied command and each look at the leases the leader passed over all members to find new incarnations and states. A drain or a loss of many units applies thousands of commands, so that the work grew with the product of commands and members.

Ruled out: a pass over the members that the command names, because a drain of a data centre changes members that it does not name.

Everything that the pass looks at raises the directory's revision, so it is now skipped while the revision is the one of the last pass.

--- a/coord/control/controller.go
+++ b/coord/control/controller.go
@@ -28,6 +28,7 @@
 	out     []Command
 
 	seen     map[table.MemberID]*seenMember
+	observed uint64                // directory revision that seen follows
 	released map[shard.Unit]uint64 // epochs at which owners released moving units
 	records  map[shard.Unit]recordsLoss
 	cooling  map[string]clock.Reading
--- a/coord/control/observe.go
+++ b/coord/control/observe.go
@@ -25,7 +25,13 @@
 }
 
 // observe follows the members of State: new ones, new incarnations, returns.
+// Everything that it looks at raises the directory's revision, so that it needs
+// no pass over the members after other commands.
 func (c *Controller) observe(now clock.Reading, s *State) {
+	if !c.first && c.observed == s.directory.revision {
+		return
+	}
+	c.observed = s.directory.revision
 	for id, r := range s.members {
 		c.observeMember(now, id, &r.Member)
 	}
