Look up held units in the table instead of indexing the whole table

At each table revision the gate of a payment or other member built a map of all entries, so that its copies could find the few units that they hold.

Copy.Keep takes the lookup of a unit in place of a list of entries. The tests of Keep pass the same entries through such a lookup.

--- a/coord/idempotency/copy_hold.go
+++ b/coord/idempotency/copy_hold.go
@@ -43,17 +43,15 @@
 // Keep drops the records of units that this member need not hold according to
 // its table: it is neither owner, copy, joining copy nor source. A unit whose
 // copy is ahead of the table is kept. A unit that is not in the table is
-// dropped once nothing has touched it for the time of Margin.
-func (c *Copy) Keep(now clock.Reading, entries []*table.Entry) {
-	known := make(map[shard.Unit]*table.Entry, len(entries))
-	for _, e := range entries {
-		known[e.Unit] = e
-	}
+// dropped once nothing has touched it for the time of Margin. Entry looks up a
+// unit in the table, nil if it has none: a member has parts in few units, so
+// lookups cost less than a pass over the table.
+func (c *Copy) Keep(now clock.Reading, entry func(shard.Unit) *table.Entry) {
 	for unit, s := range c.units {
 		if s.store == nil {
 			continue
 		}
-		e := known[unit]
+		e := entry(unit)
 		switch {
 		case e == nil && now.Since(s.touched) < c.cfg.Margin:
 		case e != nil && (e.Epoch < s.fence || e.Holds(c.cfg.Self) || slices.Contains(e.Sources, c.cfg.Self)):
--- a/coord/idempotency/guard_test.go
+++ b/coord/idempotency/guard_test.go
@@ -11,6 +11,7 @@
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/idempotency"
+	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
 )
 
@@ -145,6 +146,18 @@
 	is.Equal(c.Write(now, older).Problem, idempotency.ProblemNotHeld)
 }
 
+// entries returns the lookup of a table with these entries.
+func entries(list ...*table.Entry) func(shard.Unit) *table.Entry {
+	return func(u shard.Unit) *table.Entry {
+		for _, e := range list {
+			if e.Unit == u {
+				return e
+			}
+		}
+		return nil
+	}
+}
+
 // TestKeep guards against a copy that drops records it has to hold, and
 // against one that holds records for ever.
 func TestKeep(t *testing.T) {
@@ -153,13 +166,13 @@
 	r.pay(1, "k")
 	c := r.copies["b"]
 	entry := &table.Entry{Unit: testUnit, Owner: "a", Epoch: 2, Copies: []table.MemberID{"b"}}
-	c.Keep(r.now, []*table.Entry{entry})
+	c.Keep(r.now, entries(entry))
 	is.Equal(c.Status().Records, 1)
-	c.Keep(r.now, []*table.Entry{{Unit: testUnit, Owner: "a", Epoch: 1}}) // an older table
+	c.Keep(r.now, entries(&table.Entry{Unit: testUnit, Owner: "a", Epoch: 1})) // an older table
 	is.Equal(c.Status().Records, 1)
-	c.Keep(r.now, []*table.Entry{{Unit: testUnit, Owner: "c", Epoch: 3, Sources: []table.MemberID{"b"}}})
+	c.Keep(r.now, entries(&table.Entry{Unit: testUnit, Owner: "c", Epoch: 3, Sources: []table.MemberID{"b"}}))
 	is.Equal(c.Status().Records, 1)
-	c.Keep(r.now, []*table.Entry{{Unit: testUnit, Owner: "c", Epoch: 4}})
+	c.Keep(r.now, entries(&table.Entry{Unit: testUnit, Owner: "c", Epoch: 4}))
 	is.Equal(c.Status(), idempotency.CopyStatus{})
 }
 
--- a/coord/idempotency/sim_node_test.go
+++ b/coord/idempotency/sim_node_test.go
@@ -91,16 +91,16 @@
 }
 
 // apply takes over a newer table.
-func (n *node) apply(entries []simEntry) {
+func (n *node) apply(newer []simEntry) {
 	var all []*table.Entry
-	for i, e := range entries {
+	for i, e := range newer {
 		if e.epoch > n.view[i].epoch {
 			n.view[i] = e
 			n.adopt(i, e)
 		}
 		all = append(all, n.view[i].table(n.sim, i))
 	}
-	n.copy.Keep(n.sim.clock(), all)
+	n.copy.Keep(n.sim.clock(), entries(all...))
 }
 
 func (n *node) adopt(i int, e simEntry) {
--- a/router/gate/payments.go
+++ b/router/gate/payments.go
@@ -167,15 +167,13 @@
 			p.perform(p.owner.Drop(now, unit))
 		}
 	}
-	var held []*table.Entry
 	t.Each(func(e *table.Entry) bool {
-		held = append(held, e)
 		if a, ok := assign(e); ok {
 			p.adopt(now, e, a)
 		}
 		return true
 	})
-	p.copies.Keep(now, held)
+	p.copies.Keep(now, t.Entry)
 	p.dropSynced(t)
 }
 
