--- /dev/null
+++ b/coord/lease/example_test.go
@@ -0,0 +1,26 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/lease"
+)
+
+// The holder counts from when it sent a renewal, the tracker from when it
+// received it and adds the drift bound, so the holder's lease ends first.
+func ExampleHolder() {
+	cfg := lease.Default()
+	holder, tracker := lease.NewHolder(cfg), lease.NewTracker(cfg)
+	sent := clock.At(0)
+	seq := holder.Sent(sent)
+	tracker.Renewed("a", sent.Add(30*time.Millisecond))
+	holder.Granted(seq, sent.Add(60*time.Millisecond))
+	end := sent.Add(time.Second)
+	fmt.Println(holder.Valid(end), tracker.Expired("a", true, end))
+	fmt.Println(tracker.Expired("a", true, sent.Add(1051*time.Millisecond)))
+	// Output:
+	// false false
+	// true
+}
--- /dev/null
+++ b/coord/table/table_test.go
@@ -0,0 +1,90 @@
+package table
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bramleyquay.example/coord/shard"
+)
+
+func small(t testing.TB, shards uint32, splits ...uint64) *Table {
+	d := Delta{To: 5, Full: true, Shards: map[string]uint32{"s": shards}}
+	for i := range shards {
+		d.Entries = append(d.Entries, Entry{Unit: shard.Unit{Service: "s", Shard: i}, Owner: "a", Epoch: 1, Phase: Serving})
+	}
+	for _, key := range splits {
+		d.Entries = append(d.Entries, Entry{Unit: shard.Unit{Service: "s", Shard: shard.Index(key, shards), Key: key}, Owner: "b", Epoch: 2, Phase: Serving})
+	}
+	table, err := Empty().Apply(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// Guards against a key that is in two units or in none, whatever is split.
+func TestEveryKeyHasOneUnit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		shards := rapid.Uint32Range(1, 50).Draw(t, "shards")
+		splits := rapid.SliceOfNDistinct(rapid.Uint64Min(1), 0, 5, rapid.ID[uint64]).Draw(t, "splits")
+		d := Delta{To: 1, Full: true, Shards: map[string]uint32{"s": shards}}
+		for i := range shards {
+			d.Entries = append(d.Entries, Entry{Unit: shard.Unit{Service: "s", Shard: i}})
+		}
+		for _, key := range splits {
+			d.Entries = append(d.Entries, Entry{Unit: shard.Unit{Service: "s", Shard: shard.Index(key, shards), Key: key}})
+		}
+		table, err := Empty().Apply(d)
+		is.NoErr(err)
+		hash := rapid.Uint64Min(1).Draw(t, "hash")
+		e := table.Lookup("s", hash)
+		is.True(e != nil)
+		is.Equal(e.Unit.Shard, shard.Index(hash, shards))
+		for _, key := range splits {
+			is.Equal(table.Lookup("s", key).Unit.Key, key)
+		}
+	})
+}
+
+// Guards against revisions that fall, deltas applied to the wrong table, and
+// changes of a table that readers still use.
+func TestApply(t *testing.T) {
+	is := is.New(t)
+	before := small(t, 2)
+	moved := Entry{Unit: shard.Unit{Service: "s", Shard: 1}, Owner: "b", Epoch: 2, Phase: Serving}
+	after, err := before.Apply(Delta{From: 5, To: 6, Entries: []Entry{moved}})
+	is.NoErr(err)
+	is.Equal(after.Entry(moved.Unit).Owner, MemberID("b"))
+	is.Equal(before.Entry(moved.Unit).Owner, MemberID("a")) // the old table is unchanged
+	same, err := after.Apply(Delta{From: 4, To: 5, Full: true})
+	is.NoErr(err)
+	is.Equal(same, after) // an older delta changes nothing
+	_, err = before.Apply(Delta{From: 6, To: 7})
+	is.True(err != nil) // a gap is refused
+	_, err = after.Apply(Delta{From: 6, To: 7, Entries: []Entry{{Unit: shard.Unit{Service: "s", Shard: 9}}}})
+	is.True(err != nil) // a unit beyond the shards is refused
+	copied, err := Empty().Apply(after.Snapshot())
+	is.NoErr(err)
+	is.Equal(copied.Snapshot(), after.Snapshot())
+}
+
+// The stated bound is 100 ns without allocation at 66,000 shards and 93 split
+// keys.
+func BenchmarkLookup(b *testing.B) {
+	splits := make([]uint64, 93)
+	for i := range splits {
+		splits[i] = shard.Hash(string(rune('a' + i)))
+	}
+	t := small(b, 66_000, splits...)
+	b.ReportAllocs()
+	hash := uint64(1)
+	for b.Loop() {
+		hash = hash*6364136223846793005 + 1442695040888963407
+		if t.Lookup("s", hash|1) == nil {
+			b.Fatal("no entry")
+		}
+	}
+}
