Ask other processes for the owner; test partitions with a forwarder

Cause: a process that control could not reach held callers' requests until their deadlines, because its table named itself as owner (scenario cut: gap of 2.06 s, callers through that process got no answer at all). Ruled out: a late failover; callers at other processes were served after 1.1 s. Change: a gate that refuses a call names the owner it knows, and the ingress follows it if that is newer than its table; without a lease it asks another process. Members prefer the settings' address of the leader. No payment is begun within the last 100 ms of a lease, because its record may reach the next owner as started. Scenarios cut a process from control in both and in one direction, and isolate a control leader through 120 changes.

--- a/coord/outcome/refusal.go
+++ b/coord/outcome/refusal.go
@@ -13,6 +13,10 @@
 	RetryAfter time.Duration
 	// Detail is a short text for people.
 	Detail string
+	// OwnerAddr is set with ReasonNotOwner if the refusing gate knows who serves
+	// the unit: the owner's peer address, at OwnerEpoch.
+	OwnerAddr  string
+	OwnerEpoch uint64
 }
 
 // Error implements error.
--- a/router/call/refusal.go
+++ b/router/call/refusal.go
@@ -21,6 +21,8 @@
 	Reason       outcome.Reason  `json:"reason"`
 	RetryAfterMs int64           `json:"retryAfterMs"`
 	Detail       string          `json:"detail,omitempty"`
+	OwnerAddr    string          `json:"ownerAddr,omitempty"`
+	OwnerEpoch   uint64          `json:"ownerEpoch,omitempty"`
 }
 
 // WriteRefusal answers a caller or peer with a refusal.
@@ -34,7 +36,7 @@
 		h.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(Status(r))
-	body := refusalBody{Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds(), Detail: r.Detail}
+	body := refusalBody{Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds(), Detail: r.Detail, OwnerAddr: r.OwnerAddr, OwnerEpoch: r.OwnerEpoch}
 	_ = json.NewEncoder(w).Encode(body) // the caller may have gone away
 }
 
@@ -50,6 +52,7 @@
 	var body refusalBody
 	if err == nil && json.Unmarshal(data, &body) == nil {
 		r.Reason, r.Detail = body.Reason, body.Detail
+		r.OwnerAddr, r.OwnerEpoch = body.OwnerAddr, body.OwnerEpoch
 		r.RetryAfter = time.Duration(body.RetryAfterMs) * time.Millisecond
 	}
 	return r, true
--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -201,6 +201,7 @@
 	if n.raft != nil {
 		if leader := n.raft.Status().Leader; leader != "" && leader != n.raft.Status().ID {
 			e.Leader = n.address(leader)
+			e.ID, _, _ = strings.Cut(string(leader), ".")
 		}
 	}
 	return e
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -118,7 +118,7 @@
 	d.client = peer.NewClient(d.dialer, d.notified)
 	d.agent = member.New(member.Config{
 		ID: id, DataCentre: d.cfg.DataCentre, PeerAddr: d.peers.Addr().String(),
-		ControlAddrs: d.controlAddrs(), Lease: lease.Default(), RenewTimeout: member.DefaultRenewTimeout,
+		Control: d.controlPeers(), Lease: lease.Default(), RenewTimeout: member.DefaultRenewTimeout,
 	}, d.client, logging.Part(d.logs, "member"), func(v *member.View) { d.gate.Follow(v) })
 	d.gate = gate.New(gate.Config{
 		Self: id, DataCentre: d.cfg.DataCentre, RequireFences: d.cfg.Target.ChecksFences,
@@ -162,6 +162,14 @@
 	return cfg
 }
 
+func (d *Daemon) controlPeers() []member.ControlPeer {
+	peers := make([]member.ControlPeer, 0, len(d.cfg.Control.Peers))
+	for _, p := range d.cfg.Control.Peers {
+		peers = append(peers, member.ControlPeer{ID: p.ID, Address: p.Address})
+	}
+	return peers
+}
+
 func (d *Daemon) controlAddrs() []string {
 	addrs := make([]string, 0, len(d.cfg.Control.Peers))
 	for _, p := range d.cfg.Control.Peers {
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/idempotency"
@@ -15,8 +16,17 @@
 	"bramleyquay.example/router/timesource"
 )
 
+// minPaymentLease is the remaining lease below which no payment is begun. A
+// record that was started and then refused for the lease may reach the next
+// owner as started, which makes the payment's outcome unknown. Renewals keep
+// the remaining lease above 700 ms.
+const minPaymentLease = 100 * time.Millisecond
+
 // do runs a payment at most once.
 func (p *payments) do(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal) {
+	if p.gate.members.Lease() < minPaymentLease {
+		return nil, outcome.Refuse(outcome.ReasonLease, "the lease is about to expire")
+	}
 	if refusal := p.bufferBody(c); refusal != nil {
 		return nil, refusal
 	}
--- a/router/harness/cluster.go
+++ b/router/harness/cluster.go
@@ -21,6 +21,8 @@
 	Target *Process
 	// RunLog lists the payments that the target ran.
 	RunLog string
+	// links carry the node's connections to the control replicas.
+	links []*Forwarder
 	// IntervalLog lists when the target ran requests for keys.
 	IntervalLog string
 }
@@ -151,10 +153,22 @@
 // prepare writes a node's settings and describes its processes.
 func (c *Cluster) prepare(n *Node) error {
 	v := values{Node: *n, SecretFile: c.secretFile(), LogLevel: c.Layout.LogLevel, Target: n.Service != ""}
+	s := c.service(n.Service)
 	for _, r := range c.Control {
-		v.Control = append(v.Control, replica{ID: r.ID, Address: r.Peer})
+		addr := r.Peer
+		if s != nil {
+			ports, err := freePorts(1)
+			if err != nil {
+				return err
+			}
+			link, err := NewForwarder(ports[0], r.Peer)
+			if err != nil {
+				return err
+			}
+			n.links, addr = append(n.links, link), ports[0]
+		}
+		v.Control = append(v.Control, replica{ID: r.ID, Address: addr})
 	}
-	s := c.service(n.Service)
 	if s != nil {
 		v.ChecksFences = s.ChecksFences
 	} else {
@@ -233,6 +247,21 @@
 	return n.Target.Start()
 }
 
+// CutControl loses what the node sends to the control replicas, what they send
+// to it, or both.
+func (n *Node) CutControl(there, back bool) {
+	for _, l := range n.links {
+		l.Cut(there, back)
+	}
+}
+
+// HealControl ends CutControl.
+func (n *Node) HealControl() {
+	for _, l := range n.links {
+		l.Heal()
+	}
+}
+
 // Stop kills every process that still runs.
 func (c *Cluster) Stop() {
 	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
@@ -240,5 +269,8 @@
 		if n.Target != nil {
 			n.Target.Kill()
 		}
+		for _, l := range n.links {
+			l.Close()
+		}
 	}
 }
--- /dev/null
+++ b/router/harness/forwarder.go
@@ -0,0 +1,97 @@
+package harness
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Forwarder passes TCP connections on to another address and can lose what it
+// is given, in one direction or both, without closing anything: like a network
+// that has been cut.
+type Forwarder struct {
+	listener net.Listener
+	to       string
+	// there and back say that bytes of that direction are lost.
+	there, back atomic.Bool
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// NewForwarder listens on addr and forwards to another address.
+func NewForwarder(addr, to string) (*Forwarder, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	f := &Forwarder{listener: l, to: to}
+	go f.accept()
+	return f, nil
+}
+
+func (f *Forwarder) accept() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(conn)
+	}
+}
+
+func (f *Forwarder) serve(conn net.Conn) {
+	defer conn.Close()
+	target, err := net.DialTimeout("tcp", f.to, time.Second)
+	if err != nil {
+		return
+	}
+	defer target.Close()
+	f.mu.Lock()
+	f.conns = append(f.conns, conn, target)
+	f.mu.Unlock()
+	done := make(chan struct{}, 2)
+	pipe := func(dst, src net.Conn, lost *atomic.Bool) {
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buffer)
+			if n > 0 && !lost.Load() {
+				if _, werr := dst.Write(buffer[:n]); werr != nil {
+					err = werr
+				}
+			}
+			if err != nil {
+				done <- struct{}{}
+				return
+			}
+		}
+	}
+	go pipe(target, conn, &f.there)
+	go pipe(conn, target, &f.back)
+	<-done
+}
+
+// Cut loses the bytes of the given directions from now on. Connections that
+// have lost bytes are of no use afterwards, so Heal closes them.
+func (f *Forwarder) Cut(there, back bool) {
+	f.there.Store(there)
+	f.back.Store(back)
+}
+
+// Heal ends a cut.
+func (f *Forwarder) Heal() {
+	f.mu.Lock()
+	for _, c := range f.conns {
+		_ = c.Close() // it has lost bytes
+	}
+	f.conns = nil
+	f.mu.Unlock()
+	f.Cut(false, false)
+}
+
+// Close stops forwarding.
+func (f *Forwarder) Close() {
+	_ = f.listener.Close() // nothing is accepted any more either way
+	f.Heal()
+}
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -22,7 +22,8 @@
 type Membership interface {
 	View() *member.View
 	Changed() <-chan struct{}
-	InContact() bool
+	// Lease returns the time for which the member's lease is still valid.
+	Lease() time.Duration
 }
 
 // LocalGate runs calls at the target beside this process.
@@ -94,7 +95,9 @@
 	resp, refusal := in.Do(r.Context(), c)
 	record(c.Service, begin, refusal)
 	if refusal != nil {
-		call.WriteRefusal(w, refusal)
+		forCaller := *refusal
+		forCaller.OwnerAddr, forCaller.OwnerEpoch = "", 0 // only processes use them
+		call.WriteRefusal(w, &forCaller)
 		return
 	}
 	call.WriteResponse(w, resp, nil)
--- a/router/ingress/owner.go
+++ b/router/ingress/owner.go
@@ -24,6 +24,9 @@
 		e := in.members.View().Table.Lookup(c.Keyspace, c.Hash)
 		if e != nil && e.Phase == table.Serving && e.Owner != "" {
 			resp, refusal := in.tryOwner(ctx, c, e)
+			if refusal != nil && refusal.Outcome == outcome.NotRun && awaitsOwner(refusal.Reason) && c.Repeatable() {
+				resp, refusal = in.askOthers(ctx, c, e.Epoch, refusal)
+			}
 			if refusal == nil {
 				return resp, nil
 			}
--- a/router/member/agent.go
+++ b/router/member/agent.go
@@ -182,7 +182,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.leader == "" {
-		a.leader = a.cfg.ControlAddrs[0]
+		a.leader = a.cfg.Control[0].Address
 	}
 	a.noteLapse()
 	return control.Renewal{
@@ -207,7 +207,7 @@
 func (a *Agent) failed(addr string, err error) {
 	var nl *peer.NotLeaderError
 	if errors.As(err, &nl) {
-		a.setLeader(a.next(addr, nl.Leader))
+		a.setLeader(a.next(addr, a.known(nl)))
 		return
 	}
 	a.caller.Drop(addr)
@@ -225,8 +225,19 @@
 	if hint != "" && hint != addr {
 		return hint
 	}
-	i := slices.Index(a.cfg.ControlAddrs, addr)
-	return a.cfg.ControlAddrs[(i+1)%len(a.cfg.ControlAddrs)]
+	i := slices.IndexFunc(a.cfg.Control, func(p ControlPeer) bool { return p.Address == addr })
+	return a.cfg.Control[(i+1)%len(a.cfg.Control)].Address
+}
+
+// known returns the leader's address: from the settings if they name it,
+// otherwise the one that was given.
+func (a *Agent) known(nl *peer.NotLeaderError) string {
+	for _, p := range a.cfg.Control {
+		if p.ID == nl.ID {
+			return p.Address
+		}
+	}
+	return nl.Leader
 }
 
 // apply takes over a reply: first the view, then the lease.
--- a/router/member/config.go
+++ b/router/member/config.go
@@ -13,9 +13,9 @@
 	DataCentre string
 	// PeerAddr is where other processes reach this one.
 	PeerAddr string
-	// ControlAddrs are the peer addresses of the control replicas.
-	ControlAddrs []string
-	Lease        lease.Config
+	// Control lists the control replicas that the settings name.
+	Control []ControlPeer
+	Lease   lease.Config
 	// RenewTimeout ends a renewal that gets no answer. A shorter time finds a
 	// new leader sooner and repeats more renewals to a slow one.
 	RenewTimeout time.Duration
@@ -24,3 +24,10 @@
 // DefaultRenewTimeout leaves time for two tries at other replicas within one
 // lease of a second.
 const DefaultRenewTimeout = 300 * time.Millisecond
+
+// ControlPeer is a control replica.
+type ControlPeer struct {
+	ID string
+	// Address is the replica's peer address.
+	Address string
+}
--- a/router/peer/notleader.go
+++ b/router/peer/notleader.go
@@ -15,6 +15,9 @@
 type NotLeaderError struct {
 	// Leader is the peer address of the leader; empty if unknown.
 	Leader string `json:"leader"`
+	// ID is the leader's name in the settings. A process that knows an address
+	// for it prefers that address, because the way there may differ.
+	ID string `json:"id,omitempty"`
 }
 
 // Error implements error.
--- a/router/scenario/commands_test.go
+++ b/router/scenario/commands_test.go
@@ -23,6 +23,8 @@
 		"crash":     onNodes(func(s *state, n *harness.Node) { s.setDown(n.ID, true); n.Daemon.Kill() }),
 		"freeze":    onNodes(func(s *state, n *harness.Node) { s.setDown(n.ID, true); n.Daemon.Freeze() }),
 		"resume":    onNodes(func(s *state, n *harness.Node) { n.Daemon.Resume(); s.setDown(n.ID, false) }),
+		"cut":       cut,
+		"heal":      onNodes(func(s *state, n *harness.Node) { n.HealControl() }),
 		"restart":   restart,
 		"terminate": terminate,
 		"drain":     drain(true),
@@ -81,6 +83,12 @@
 	}
 }
 
+// cut cuts nodes off from control: cut both|there|back NODE...
+func cut(ts *testscript.TestScript, _ bool, args []string) {
+	there, back := args[0] != "back", args[0] != "there"
+	onNodes(func(_ *state, n *harness.Node) { n.CutControl(there, back) })(ts, false, args[1:])
+}
+
 // restart starts processes that have ended; "restart down" starts all.
 func restart(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
--- a/router/scenario/operators_test.go
+++ b/router/scenario/operators_test.go
@@ -22,6 +22,9 @@
 	return map[string]command{
 		"applyid":       applyID,
 		"balanced":      balanced,
+		"quiet":         quiet,
+		"changes":       changes,
+		"caughtup":      caughtUp,
 		"moveshard":     moveShard,
 		"movekey":       moveKey,
 		"mergekey":      mergeKey,
--- /dev/null
+++ b/router/scenario/partition_test.go
@@ -0,0 +1,75 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bramleyquay.example/router/harness"
+	"bramleyquay.example/router/operator"
+	"bramleyquay.example/router/standin"
+)
+
+// quiet requires that a node's target runs nothing new for a time.
+func quiet(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	n := of(ts).node(ts, args[0])
+	before := served(ts, n)
+	time.Sleep(d)
+	if after := served(ts, n); after != before {
+		ts.Fatalf("the target beside %s ran %d requests", n.ID, after-before)
+	}
+}
+
+// served returns the number of requests that a node's target has run.
+func served(ts *testscript.TestScript, n *harness.Node) int {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	d, err := n.Dump(ctx)
+	ts.Check(err)
+	resp, err := http.Get("http://" + d.Gate.Target.Address + "/standin/stats")
+	ts.Check(err)
+	defer resp.Body.Close()
+	var st standin.Stats
+	ts.Check(json.NewDecoder(resp.Body).Decode(&st))
+	return st.Served
+}
+
+// changes applies documents one after the other: changes COUNT.
+func changes(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	text, err := os.ReadFile(filepath.Join(ts.Getenv("EXAMPLES"), "muscat", "document.hujson"))
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range count {
+		next := strings.Replace(string(text), `"queue": 64`, fmt.Sprintf(`"queue": %d`, 65+i), 1)
+		reply, err := of(ts).cluster.Apply(ctx, uint64(i+1), fmt.Sprintf("change-%d", i), next)
+		ts.Check(err)
+		if reply.Revision != uint64(i+2) {
+			ts.Fatalf("change %d got %+v", i, reply)
+		}
+	}
+}
+
+// caughtUp waits until every replica holds the leader's log.
+func caughtUp(ts *testscript.TestScript, _ bool, _ []string) {
+	until(ts, func(st operator.Status) string {
+		for _, r := range st.Replicas {
+			if r.Behind > 0 || !r.Reachable {
+				return fmt.Sprintf("replica %s is %d entries behind", r.ID, r.Behind)
+			}
+		}
+		return ""
+	})
+}
