Ignore answers of a previous incarnation

Cause: the answer to a request that was sent before the target restarted credited the ramp of the new incarnation (seen in TestRampFollowsWork: 89% of the ramp by one answer after 8 s). Waiting requests whose deadline had passed were kept if no service time was known.

--- a/coord/admission/limiter.go
+++ b/coord/admission/limiter.go
@@ -26,14 +26,16 @@
 	running     running
 	queue       queue
 	lastAnswer  clock.Reading
-	actions     []Action
+	// targetStarted is the start of the present incarnation as far as known.
+	targetStarted clock.Reading
+	actions       []Action
 
 	coldRestarts, reductions int
 }
 
 // New returns the limiter of a cold target.
 func New(c Config, now clock.Reading) *Limiter {
-	l := &Limiter{config: c.withDefaults()}
+	l := &Limiter{config: c.withDefaults(), targetStarted: now}
 	l.ramp.configure(&l.config)
 	l.ramp.restart(now, false)
 	return l
@@ -62,7 +64,7 @@
 func (l *Limiter) TargetStarted(now clock.Reading, incarnation uint64) []Action {
 	l.begin(now)
 	if incarnation != l.incarnation {
-		l.incarnation = incarnation
+		l.incarnation, l.targetStarted = incarnation, now
 		l.ramp.restart(now, false)
 		l.service = serviceTime{}
 		l.slowness.reset(now)
@@ -103,8 +105,12 @@
 	return l.actions
 }
 
-// ended takes the end of a request into account.
+// ended takes the end of a request into account. A request that was sent to a
+// previous incarnation says nothing about the present one.
 func (l *Limiter) ended(now, start clock.Reading, s Sample) {
+	if start.Mono < l.targetStarted.Mono {
+		return
+	}
 	if s.Failed {
 		// A quick failure does not show that the target is fast.
 		if l.slow(s.ServiceTime) {
--- a/coord/admission/limiter_test.go
+++ b/coord/admission/limiter_test.go
@@ -39,6 +39,11 @@
 	work(l, 2*time.Hour, 2*time.Hour+time.Second, 10*time.Millisecond)
 	l.TargetStarted(at(2*time.Hour+time.Second), 7)
 	is.Equal(l.Status(at(2*time.Hour+time.Second)).Limit, 2) // the same one is not
+
+	l.Offer(at(3*time.Hour), Request{ID: 2})
+	l.TargetStarted(at(3*time.Hour+time.Millisecond), 8)
+	l.Done(at(3*time.Hour+8*time.Second), 2, Sample{ServiceTime: 8 * time.Second})
+	is.Equal(l.Status(at(3*time.Hour+8*time.Second)).RampShare, 0.0) // an answer of the old one warms nothing
 }
 
 // warm returns a limiter past its ramp with a service time of 10 ms.
--- a/coord/admission/waiting.go
+++ b/coord/admission/waiting.go
@@ -92,7 +92,8 @@
 		lane := &l.queue.lanes[class]
 		kept := lane.requests[:lane.head]
 		for _, r := range lane.waiting() {
-			if needed, remaining := l.wait(now, position)+l.service.fastest(), r.remaining(now); needed > remaining {
+			needed, remaining := l.wait(now, position)+l.service.fastest(), r.remaining(now)
+			if remaining <= 0 || needed > remaining {
 				l.refuse(&r, outcome.ReasonDeadline, needed-remaining, "the deadline cannot be met")
 				continue
 			}
