--- a/coord/control/hotkeys.go
+++ b/coord/control/hotkeys.go
@@ -77,6 +77,9 @@
 	case e == nil || e.Phase != table.Serving:
 		return Command{}, false
 	case d.Action == HotKeyMerge && e.Owner == whole.Owner:
+		if s.copiesOf(d.Keyspace) > 0 && !sameMembers(e.Copies, whole.Copies) {
+			return Command{}, false // the copies are being aligned
+		}
 		return Command{MergeKey: &MergeKey{Unit: key}}, true
 	case d.Action == HotKeyMerge && whole.Phase == table.Serving:
 		return Command{BeginMove: &BeginMove{Unit: key, Epoch: e.Epoch, To: whole.Owner}}, true
