--- a/coord/control/scan.go
+++ b/coord/control/scan.go
@@ -10,7 +10,7 @@
 
 // rescan is the time after which the table is scanned even without a change,
 // because leases and ramps change without one.
-const rescan = time.Second
+const rescan = 5 * time.Second
 
 // scan looks for units whose owner or copies are in the wrong place.
 func (c *Controller) scan(now clock.Reading, s *State) {
@@ -31,6 +31,10 @@
 		k := s.keyspaces[e.Unit.Service]
 		if c.misplaced(now, s, e, &k) {
 			misplaced = append(misplaced, e)
+		} else if whole := wholeOf(s, e, k.copies); whole != nil {
+			if cmd, work := alignCopies(e, whole); work {
+				c.propose(now, cmd)
+			}
 		} else if k.copies > 0 || len(e.Copies)+len(e.Joining) > 0 {
 			if p, work := c.planCopies(now, s, e, k.copies); work {
 				copies = append(copies, p)
