--- a/coord/control/apply_split.go
+++ b/coord/control/apply_split.go
@@ -45,9 +45,9 @@
 	if !ok || n.Phase != table.Serving || whole.Phase != table.Serving || n.Owner != whole.Owner {
 		return refuse(RefusedInUse, fmt.Sprintf("key %s and its shard are not served by the same member", c.Unit))
 	}
-	// The copies of the shard must hold the key's records too.
-	if s.copiesOf(n.Unit.Service) > 0 && !sameMembers(whole.Copies, n.Copies) {
-		return refuse(RefusedInUse, fmt.Sprintf("key %s and its shard have different record copies", c.Unit))
+	if s.copiesOf(n.Unit.Service) > 0 {
+		// The service took payments after the key was split out.
+		return refuse(RefusedInvalid, fmt.Sprintf("key %s has payment records of its own and cannot be merged", c.Unit))
 	}
 	whole.Epoch = max(whole.Epoch, n.Epoch) + 1
 	whole.Joining = without(whole.Joining, func(m table.MemberID) bool { return !slices.Contains(n.Joining, m) })
@@ -56,10 +56,3 @@
 	e.put(whole)
 	return Result{}
 }
-
-func sameMembers(a, b []table.MemberID) bool {
-	a, b = slices.Clone(a), slices.Clone(b)
-	slices.Sort(a)
-	slices.Sort(b)
-	return slices.Equal(a, b)
-}
--- a/coord/control/hotkeys.go
+++ b/coord/control/hotkeys.go
@@ -87,14 +87,13 @@
 	key := shard.Unit{Service: d.Keyspace, Shard: whole.Unit.Shard, Key: d.Hash}
 	e := s.tbl.Entry(key)
 	switch {
+	case s.copiesOf(d.Keyspace) > 0:
+		return Command{}, false // payment records belong to the shard
 	case d.Action == HotKeySplit && e == nil && whole.Phase == table.Serving:
 		return Command{SplitKey: &SplitKey{Keyspace: d.Keyspace, Hash: d.Hash}}, true
 	case e == nil || e.Phase != table.Serving:
 		return Command{}, false
 	case d.Action == HotKeyMerge && e.Owner == whole.Owner:
-		if s.copiesOf(d.Keyspace) > 0 && !sameMembers(e.Copies, whole.Copies) {
-			return Command{}, false // the copies are being aligned
-		}
 		return Command{MergeKey: &MergeKey{Unit: key}}, true
 	case d.Action == HotKeyMerge && whole.Phase == table.Serving:
 		return Command{BeginMove: &BeginMove{Unit: key, Epoch: e.Epoch, To: whole.Owner}}, true
--- a/coord/control/scan.go
+++ b/coord/control/scan.go
@@ -31,10 +31,6 @@
 		k := s.keyspaces[e.Unit.Service]
 		if c.misplaced(now, s, e, &k) {
 			misplaced = append(misplaced, e)
-		} else if whole := wholeOf(s, e, k.copies); whole != nil {
-			if cmd, work := alignCopies(e, whole); work {
-				c.propose(now, cmd)
-			}
 		} else if k.copies > 0 || len(e.Copies)+len(e.Joining) > 0 {
 			if p, work := c.planCopies(now, s, e, k.copies); work {
 				copies = append(copies, p)
--- a/coord/control/sim_check_test.go
+++ b/coord/control/sim_check_test.go
@@ -152,3 +152,10 @@
 		}
 	}
 }
+
+func sameMembers(a, b []table.MemberID) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(a, b)
+}
