Close the gaps that longer runs of the histories found

A payment ran twice (rapid): an owner that was frozen filled copies that the table had called in sync and that had restarted since. A restarted copy has forgotten its fence. The owner now fills joining copies only, and does not go on with a join once the table calls the copy in sync. 2. A unit stayed without records: an owner opened a join at the last complete copy and was lost before it had filled it. The copy now keeps the complete records until the join has replaced them. 3. A copy was reported in sync although it held nothing: an owner that read its records again remembered its copies of an earlier ownership. It now forgets them. 4.

TestCopyRefills demanded the fault of 1 and is replaced by TestCopyRestarted, which allows no dispatch at all on account of such a copy.

--- a/coord/idempotency/assignment.go
+++ b/coord/idempotency/assignment.go
@@ -28,7 +28,7 @@
 	// has no records then, because a request needs a copy in sync. It ends
 	// with the first Synced, not with the first owner: control cannot know
 	// whether an owner that it lost had begun to serve. All copies of a fresh
-	// unit count as joining.
+	// unit count as joining, and its sources need not hold anything.
 	Fresh bool
 	// Lifetime is how long records are kept; zero selects the default.
 	Lifetime time.Duration
--- a/coord/idempotency/copy.go
+++ b/coord/idempotency/copy.go
@@ -51,13 +51,17 @@
 	sweep []shard.Unit
 }
 
-// copyUnit is a unit at a copy. Without a store only the fence is remembered.
+// copyUnit is a unit at a copy. Without records only the fence is remembered.
 type copyUnit struct {
-	fence    uint64
-	touched  clock.Reading
-	store    *store
-	complete bool
-	join     JoinID
+	fence   uint64
+	touched clock.Reading
+	// store is all records of the unit, or nil.
+	store *store
+	// filling is the incomplete result of join, or nil. The store is kept
+	// until it is replaced: if the owner is lost before that, the new owner
+	// may have no other source.
+	filling *store
+	join    JoinID
 	// pageKeys are the keys to page through, taken at the first page.
 	pageKeys []string
 }
@@ -95,34 +99,48 @@
 // apply stores the records of a write that passed the fence.
 func (c *Copy) apply(s *copyUnit, req WriteRequest) Problem {
 	lifetime := time.Duration(req.LifetimeMs) * time.Millisecond
-	switch {
-	case req.Step == JoinOpen && s.join.less(req.Join):
-		c.discard(s)
-		s.join, s.store = req.Join, newStore(lifetime)
-	case s.store == nil, !s.complete && s.join != req.Join:
-		return ProblemNotHeld
-	case req.Step != JoinNone && s.join != req.Join:
-		return ProblemNotHeld
-	case req.Incarnation != 0 && req.Incarnation != c.cfg.Incarnation:
+	if req.Step == JoinOpen && s.join.less(req.Join) {
+		c.bytes -= s.filling.size()
+		s.join, s.filling = req.Join, newStore(lifetime)
+	}
+	to := s.target(req)
+	if to == nil || (req.Incarnation != 0 && req.Incarnation != c.cfg.Incarnation) {
 		return ProblemNotHeld
 	}
 	if c.full(req.Records) {
 		return ProblemFull
 	}
-	before := s.store.bytes
+	before := to.bytes
 	for i := range req.Records {
-		s.store.put(&req.Records[i])
+		to.put(&req.Records[i])
 	}
-	c.bytes += s.store.bytes - before
-	s.store.lifetime = lifetime
-	s.store.lostAtMs = max(s.store.lostAtMs, req.LostAtMs)
-	if req.Step == JoinLast {
-		s.store.sortByAge()
-		s.complete = true
+	c.bytes += to.bytes - before
+	to.lifetime = lifetime
+	to.lostAtMs = max(to.lostAtMs, req.LostAtMs)
+	if req.Step == JoinLast && s.filling != nil {
+		c.bytes -= s.store.size()
+		to.sortByAge()
+		s.store, s.filling, s.pageKeys = to, nil, nil
 	}
 	return ""
 }
 
+// target returns where a write belongs: to the join that it names, or, outside
+// of a join, to the complete records. It is nil if the copy has neither.
+func (s *copyUnit) target(req WriteRequest) *store {
+	switch {
+	case req.Join != JoinID{} && req.Join == s.join:
+		if s.filling != nil {
+			return s.filling
+		}
+		return s.store
+	case req.Step != JoinNone:
+		return nil
+	default:
+		return s.store
+	}
+}
+
 // full reports whether the records would exceed the memory bound. A record
 // that ends a request is accepted: it replaces a started one.
 func (c *Copy) full(records []Record) bool {
@@ -137,8 +155,6 @@
 
 // discard drops the records of s but not its fence.
 func (c *Copy) discard(s *copyUnit) {
-	if s.store != nil {
-		c.bytes -= s.store.bytes
-	}
-	s.store, s.complete, s.pageKeys = nil, false, nil
+	c.bytes -= s.store.size() + s.filling.size()
+	s.store, s.filling, s.pageKeys = nil, nil, nil
 }
--- a/coord/idempotency/copy_fetch.go
+++ b/coord/idempotency/copy_fetch.go
@@ -18,7 +18,7 @@
 	}
 	s.fence = req.Epoch
 	reply.Epoch = s.fence
-	if !s.complete || (req.Incarnation != 0 && req.Incarnation != c.cfg.Incarnation) {
+	if s.store == nil || (req.Incarnation != 0 && req.Incarnation != c.cfg.Incarnation) {
 		reply.Problem = ProblemNotHeld
 		return reply
 	}
--- a/coord/idempotency/copy_hold.go
+++ b/coord/idempotency/copy_hold.go
@@ -20,7 +20,7 @@
 	}
 	s.fence = epoch
 	var held *Held
-	if s.complete {
+	if s.store != nil {
 		held = &Held{Unit: unit, Epoch: epoch, store: s.store}
 	}
 	c.discard(s)
@@ -36,7 +36,7 @@
 	}
 	c.discard(s)
 	s.fence = max(s.fence, held.Epoch)
-	s.store, s.complete = held.store, true
+	s.store = held.store
 	c.bytes += s.store.bytes
 }
 
@@ -50,7 +50,7 @@
 		known[e.Unit] = e
 	}
 	for unit, s := range c.units {
-		if s.store == nil {
+		if s.store == nil && s.filling == nil {
 			continue
 		}
 		e := known[unit]
@@ -78,7 +78,7 @@
 	for _, unit := range c.sweep[:n] {
 		s := c.units[unit]
 		switch {
-		case s == nil:
+		case s == nil, s.filling != nil:
 		case s.store != nil:
 			before := s.store.bytes
 			s.store.expire(wallMs(now), c.cfg.Margin, sweepRecords, nil)
--- a/coord/idempotency/guard_test.go
+++ b/coord/idempotency/guard_test.go
@@ -1,12 +1,9 @@
 package idempotency_test
 
 import (
-	"encoding/json"
-	"fmt"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"bramleyquay.example/coord/clock"
@@ -70,27 +67,41 @@
 	is.Equal(describe(r.advance(time.Second)), "refuse 2 not-run owner-recovering, fetch b")
 }
 
-// TestCopyRefills guards against dispatch while a copy that the table calls in
-// sync has restarted and is being filled: it could not tell a new owner of
-// the request.
-func TestCopyRefills(t *testing.T) {
+// TestCopyRestarted guards against dispatch on account of a copy that the
+// table calls in sync and that has restarted. It has forgotten its fence, so
+// an owner that was frozen must not fill it either, not even to complete a
+// join that began before the copy was called in sync.
+func TestCopyRestarted(t *testing.T) {
 	is := is.New(t)
 	r := servingRig(idempotency.Config{})
-	c := idempotency.Member{ID: "c", DataCentre: "north"} // holds nothing
-	var held []idempotency.Action
-	r.hold = func(w idempotency.Write) bool {
-		last := w.Step == idempotency.JoinLast
-		if last {
-			held = append(held, w)
-		}
-		return last
-	}
-	r.do(r.owner.Adopt(r.now, idempotency.Assignment{
-		Unit: testUnit, Epoch: 3, Copies: []idempotency.Member{testCopy, c},
-	}))
-	is.Equal(describe(r.pay(1, "k")), "")
+	c := []idempotency.Member{{ID: "c", DataCentre: "south"}}
+	r.hold = func(w idempotency.Write) bool { return w.Step == idempotency.JoinLast }
+	a := idempotency.Assignment{Unit: testUnit, Epoch: 3, Copies: []idempotency.Member{testCopy}, Joining: c}
+	r.do(r.owner.Adopt(r.now, a))
 	r.hold = nil
-	is.Equal(describe(r.do(held)), "dispatch 1")
+	a.Epoch, a.Copies, a.Joining = 4, c, nil
+	r.do(r.owner.Adopt(r.now, a))
+	is.Equal(describe(r.pay(1, "k")), "")
+	is.Equal(describe(r.advance(time.Second)), "refuse 1 not-run no-record-copies")
+
+	// It acknowledged a record while it joined, and is not complete.
+	r = servingRig(idempotency.Config{})
+	r.hold = func(w idempotency.Write) bool { return w.Step == idempotency.JoinLast }
+	a = idempotency.Assignment{Unit: testUnit, Epoch: 3, Copies: []idempotency.Member{testCopy}, Joining: c}
+	r.do(r.owner.Adopt(r.now, a))
+	r.down["b"] = true
+	is.Equal(describe(r.pay(4, "k")), "")
+	r.down["b"] = false
+	a.Epoch, a.Copies, a.Joining = 4, append(a.Copies, c...), nil
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "Ready")
+	is.Equal(describe(r.advance(500*time.Millisecond)), "")
+
+	r = servingRig(idempotency.Config{})
+	is.Equal(describe(r.pay(2, "k")), "dispatch 2")
+	r.copies["b"] = idempotency.NewCopy(idempotency.CopyConfig{Self: "b", Incarnation: 22})
+	is.Equal(describe(r.pay(3, "other")), "")
+	is.Equal(describe(r.advance(time.Second)), "refuse 3 not-run no-record-copies")
+	is.Equal(r.copies["b"].Status(), idempotency.CopyStatus{})
 }
 
 // TestRestartedWhileJoining guards against a copy that is reported in sync
@@ -111,6 +122,52 @@
 	is.Equal(r.copies["c"].Status().Complete, 1)
 }
 
+// TestInterruptedJoin guards against the loss of complete records because an
+// owner began to fill the copy again and was lost before it had finished.
+func TestInterruptedJoin(t *testing.T) {
+	is := is.New(t)
+	r := servingRig(idempotency.Config{})
+	r.pay(1, "k")
+	open := idempotency.WriteRequest{Unit: testUnit, Epoch: 3, Join: idempotency.JoinID{Epoch: 3, Seq: 1}, Step: idempotency.JoinOpen}
+	is.True(r.copies["b"].Write(r.now, open).Accepted)
+	is.Equal(r.copies["b"].Status().Filling, 1)
+	page := r.copies["b"].Fetch(r.now, idempotency.FetchRequest{Unit: testUnit, Epoch: 4})
+	is.Equal(page.Problem, idempotency.Problem(""))
+	is.Equal(len(page.Records), 1)
+	is.Equal(r.copies["b"].Take(r.now, testUnit, 5).Len(), 1)
+	is.Equal(r.copies["b"].Status(), idempotency.CopyStatus{})
+}
+
+// TestFreshUnit guards against a unit that never serves because its first
+// owner was lost before it had a copy, and against dispatch while fresh.
+func TestFreshUnit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(idempotency.Config{})
+	a := idempotency.Assignment{
+		Unit: testUnit, Epoch: 5, Fresh: true, Sources: []idempotency.Member{{ID: "c"}}, Copies: []idempotency.Member{testCopy},
+	}
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "Ready, Synced")
+	is.Equal(describe(r.pay(1, "k")), "")
+	a.Epoch, a.Fresh = 6, false
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "Ready, dispatch 1")
+}
+
+// TestPeersForgotten guards against a copy that is reported in sync because
+// this member filled it in an earlier ownership.
+func TestPeersForgotten(t *testing.T) {
+	is := is.New(t)
+	r := newRig(idempotency.Config{})
+	a := idempotency.Assignment{Unit: testUnit, Epoch: 1, Fresh: true, Joining: []idempotency.Member{testCopy}}
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "Ready, Synced")
+	a.Epoch, a.Fresh, a.Sources = 9, false, []idempotency.Member{{ID: "c"}}
+	is.Equal(describe(r.do(r.owner.Adopt(r.now, a))), "fetch c")
+	is.Equal(describe(r.advance(2*time.Second)), "fetch c")
+	fetch := r.advance(2 * time.Second)[0].(idempotency.Fetch)
+	r.hold = func(w idempotency.Write) bool { return w.Step == idempotency.JoinLast }
+	reply := idempotency.FetchReply{Seq: fetch.Seq, Unit: testUnit, From: "c", Epoch: 9, Last: true}
+	is.Equal(describe(r.do(r.owner.Fetched(r.now, reply))), "Ready")
+}
+
 // TestIncompleteCopy guards against a copy that answers for records that it
 // does not have: during a join, after a restart and after a delayed message.
 func TestIncompleteCopy(t *testing.T) {
@@ -145,70 +202,32 @@
 	is.Equal(c.Write(now, older).Problem, idempotency.ProblemNotHeld)
 }
 
-// TestKeep guards against a copy that drops records it has to hold, and
-// against one that holds records for ever.
-func TestKeep(t *testing.T) {
+// TestLateRecord guards against a delayed record that replaces a newer one: a
+// late refused record would let a new owner run the key again.
+func TestLateRecord(t *testing.T) {
 	is := is.New(t)
 	r := servingRig(idempotency.Config{})
-	r.pay(1, "k")
-	c := r.copies["b"]
-	entry := &table.Entry{Unit: testUnit, Owner: "a", Epoch: 2, Copies: []table.MemberID{"b"}}
-	c.Keep(r.now, []*table.Entry{entry})
-	is.Equal(c.Status().Records, 1)
-	c.Keep(r.now, []*table.Entry{{Unit: testUnit, Owner: "a", Epoch: 1}}) // an older table
-	is.Equal(c.Status().Records, 1)
-	c.Keep(r.now, []*table.Entry{{Unit: testUnit, Owner: "c", Epoch: 3, Sources: []table.MemberID{"b"}}})
-	is.Equal(c.Status().Records, 1)
-	c.Keep(r.now, []*table.Entry{{Unit: testUnit, Owner: "c", Epoch: 4}})
-	is.Equal(c.Status(), idempotency.CopyStatus{})
-}
-
-// TestPages guards against records that are lost between the pages of a fetch
-// or the steps of a join.
-func TestPages(t *testing.T) {
-	is := is.New(t)
-	r := servingRig(idempotency.Config{PageBytes: 700})
-	for i := range uint64(40) {
-		r.pay(i+1, fmt.Sprint("k", i))
-		r.finish(i+1, "paid")
-	}
-	c := idempotency.Member{ID: "c", DataCentre: "south"}
-	actions := r.do(r.owner.Adopt(r.now, idempotency.Assignment{
-		Unit: testUnit, Epoch: 3, Copies: []idempotency.Member{testCopy}, Joining: []idempotency.Member{c},
-	}))
-	is.Equal(describe(actions), "Ready, Synced")
-	is.Equal(r.copies["c"].Status().Records, 40)
-
-	small := idempotency.NewCopy(idempotency.CopyConfig{Self: "c", Incarnation: 3, PageBytes: 700})
-	small.Put(r.now, r.copies["c"].Take(r.now, testUnit, 4))
-	records, after, last := 0, "", false
-	for !last {
-		page := small.Fetch(r.now, idempotency.FetchRequest{Unit: testUnit, Epoch: 5, After: after})
-		records += len(page.Records)
-		after, last = page.Records[len(page.Records)-1].Key, page.Last
-	}
-	is.Equal(records, 40)
+	var late []idempotency.Action
+	is.Equal(describe(r.pay(1, "k")), "dispatch 1")
+	r.hold = func(w idempotency.Write) bool { late = append(late, w); return true }
+	r.do(r.owner.NotDispatched(r.now, 1))
+	r.hold = nil
+	is.Equal(describe(r.pay(2, "k")), "dispatch 2")
+	is.Equal(describe(r.do(late)), "")
+	page := r.copies["b"].Fetch(r.now, idempotency.FetchRequest{Unit: testUnit, Epoch: 3})
+	is.Equal(page.Records[0].State, idempotency.Started)
 }
 
-// TestEncoding guards against fields that are lost on the wire.
-func TestEncoding(t *testing.T) {
+// TestCrossedAnswer guards against the answer to another request that is taken
+// for that of a request which was not dispatched.
+func TestCrossedAnswer(t *testing.T) {
 	is := is.New(t)
-	want := idempotency.WriteRequest{
-		Seq: 1, Unit: testUnit, Epoch: 2, From: "a", Incarnation: 3, Join: idempotency.JoinID{Epoch: 1, Seq: 4},
-		Step: idempotency.JoinLast, LifetimeMs: 5, LostAtMs: 6,
-		Records: []idempotency.Record{{
-			Key: "k", Digest: [32]byte{1, 2}, State: idempotency.Finished, CreatedAtMs: 7, Epoch: 2, Version: 3,
-			Answer: &idempotency.Answer{Status: 201, Header: map[string][]string{"A": {"b"}}, Body: []byte("c"), BodyOmitted: true},
-		}},
-	}
-	var got idempotency.WriteRequest
-	data, err := cbor.Marshal(want)
-	is.NoErr(err)
-	is.NoErr(cbor.Unmarshal(data, &got))
-	is.Equal(got, want)
-	got = idempotency.WriteRequest{}
-	data, err = json.Marshal(want)
-	is.NoErr(err)
-	is.NoErr(json.Unmarshal(data, &got))
-	is.Equal(got, want)
+	r := servingRig(idempotency.Config{})
+	r.down["b"] = true
+	is.Equal(describe(r.pay(1, "k")), "")
+	is.Equal(describe(r.finish(1, "crossed")), "")
+	is.Equal(describe(r.do(r.owner.Lost(r.now, 1))), "")
+	is.Equal(describe(r.do(r.owner.NotDispatched(r.now, 1))), "")
+	r.down["b"] = false
+	is.Equal(describe(r.advance(100*time.Millisecond)), "dispatch 1")
 }
--- a/coord/idempotency/owner_adopt.go
+++ b/coord/idempotency/owner_adopt.go
@@ -25,7 +25,14 @@
 	successive := u.store != nil && a.Epoch == u.epoch+1
 	u.epoch = a.Epoch
 	o.pending.dropUnit(u)
-	o.takeRecords(u, &a, successive)
+	if successive || (u.store != nil && contains(a.Sources, o.cfg.Self.ID)) {
+		o.keepRecords(u, &a)
+	} else {
+		// What the copies hold is unknown: another member may have owned the
+		// unit since they were filled.
+		u.peers = nil
+		o.takeRecords(u, &a)
+	}
 	o.setPeers(u, &a)
 	if u.store != nil {
 		o.ready(u, &a)
@@ -33,45 +40,40 @@
 	return o.out
 }
 
-// takeRecords decides where the records of u come from. Successive means that
-// this member held them as owner at the epoch before: no other owner can have
-// added any, whatever the sources are.
-func (o *Owner) takeRecords(u *ownedUnit, a *Assignment, successive bool) {
-	source := contains(a.Sources, o.cfg.Self.ID)
+// keepRecords continues with the records of this process. They are complete if
+// the member held them as owner at the epoch before, because no other owner
+// can have added any whatever the sources are, or if it is a source itself.
+func (o *Owner) keepRecords(u *ownedUnit, a *Assignment) {
+	u.store.lifetime = a.Lifetime
+	if a.RecordsLost && u.store.lostAtMs == 0 {
+		u.store.lostAtMs = wallMs(o.now)
+	}
+}
+
+// takeRecords decides where the records come from if this process has none
+// that are known to be complete.
+func (o *Owner) takeRecords(u *ownedUnit, a *Assignment) {
+	o.abandonRuns(u)
+	var lostAt int64
+	if u.store != nil {
+		lostAt = u.store.lostAtMs
+	}
+	u.store = nil
 	switch {
-	case successive, u.store != nil && source:
-		// The records of this process are complete.
-	case a.Held != nil && source:
-		o.abandonRuns(u)
+	case a.Held != nil && contains(a.Sources, o.cfg.Self.ID):
 		u.store = a.Held.store
-	case a.Fresh && len(a.Sources) == 0:
-		o.abandonRuns(u)
+	case a.Fresh:
 		u.store = newStore(a.Lifetime)
 	case a.RecordsLost && len(a.Sources) == 0:
-		o.loseRecords(u, a)
+		// If the unit lost its records before, the first loss counts.
+		u.store = newStore(a.Lifetime)
+		u.store.lostAtMs = lostAt
 	default:
-		o.abandonRuns(u)
-		u.store = nil
 		o.recover(u, a)
 		return
 	}
 	u.recovery = nil
-	u.store.lifetime = a.Lifetime
-	if a.RecordsLost && u.store.lostAtMs == 0 {
-		u.store.lostAtMs = wallMs(o.now)
-	}
-}
-
-// loseRecords starts without records after the loss of all holders. If the
-// unit lost its records earlier, the first loss counts.
-func (o *Owner) loseRecords(u *ownedUnit, a *Assignment) {
-	lostAt := wallMs(o.now)
-	if u.store != nil && u.store.lostAtMs != 0 {
-		lostAt = u.store.lostAtMs
-	}
-	o.abandonRuns(u)
-	u.store = newStore(a.Lifetime)
-	u.store.lostAtMs = lostAt
+	o.keepRecords(u, a)
 }
 
 // ready serves u and the requests that waited for its records.
@@ -139,6 +141,10 @@
 			p = &peer{id: m.ID}
 			u.forgetAcks(m.ID)
 		}
+		if !joining && p.join != nil {
+			// It holds all records, or it has restarted; its answer tells.
+			p = &peer{id: m.ID}
+		}
 		p.joining, p.remote = joining, m.DataCentre != o.cfg.Self.DataCentre
 		u.peers = append(u.peers, p)
 	}
--- a/coord/idempotency/owner_test.go
+++ b/coord/idempotency/owner_test.go
@@ -108,15 +108,16 @@
 	is := is.New(t)
 	r := servingRig(idempotency.Config{})
 	near := idempotency.Member{ID: "c", DataCentre: "north"}
-	r.do(r.owner.Adopt(r.now, idempotency.Assignment{Unit: testUnit, Epoch: 3, Copies: []idempotency.Member{near}}))
+	r.do(r.owner.Adopt(r.now, idempotency.Assignment{Unit: testUnit, Epoch: 3, Joining: []idempotency.Member{near}}))
+	r.do(r.owner.Adopt(r.now, idempotency.Assignment{Unit: testUnit, Epoch: 4, Copies: []idempotency.Member{near}}))
 	is.Equal(describe(r.pay(1, "k")), "refuse 1 not-run no-record-copies")
 	// A joining copy in another data centre lets the request wait for it.
 	r.do(r.owner.Adopt(r.now, idempotency.Assignment{
-		Unit: testUnit, Epoch: 4, Copies: []idempotency.Member{near}, Joining: []idempotency.Member{testCopy},
+		Unit: testUnit, Epoch: 5, Copies: []idempotency.Member{near}, Joining: []idempotency.Member{testCopy},
 	}))
 	is.Equal(describe(r.pay(2, "k")), "")
 	is.Equal(describe(r.do(r.owner.Adopt(r.now, idempotency.Assignment{
-		Unit: testUnit, Epoch: 5, Copies: []idempotency.Member{near, testCopy},
+		Unit: testUnit, Epoch: 6, Copies: []idempotency.Member{near, testCopy},
 	}))), "Ready, dispatch 2")
 }
 
@@ -152,10 +153,13 @@
 	r.advance(testDay / 2)
 	next := newRig(idempotency.Config{})
 	next.now = r.now
-	next.do(next.owner.Adopt(next.now, idempotency.Assignment{
-		Unit: testUnit, Epoch: 7, RecordsLost: true, Copies: []idempotency.Member{{ID: "c", DataCentre: "south"}},
+	taken := idempotency.Assignment{
+		Unit: testUnit, Epoch: 7, RecordsLost: true, Joining: []idempotency.Member{{ID: "c", DataCentre: "south"}},
 		Sources: []idempotency.Member{{ID: "a"}}, Held: r.copies["b"].Take(r.now, testUnit, 7),
-	}))
+	}
+	next.do(next.owner.Adopt(next.now, taken))
+	taken.Epoch, taken.Copies, taken.Joining, taken.Held = 8, taken.Joining, nil, nil
+	next.do(next.owner.Adopt(next.now, taken))
 	next.advance(testDay/2 + time.Minute)
 	is.Equal(describe(next.pay(1, "k")), "refuse 1 unknown records-lost")
 	next.advance(time.Second)
--- a/coord/idempotency/owner_write.go
+++ b/coord/idempotency/owner_write.go
@@ -82,11 +82,15 @@
 	}
 }
 
-// rejoin fills a copy that does not hold the unit's records. It is also done
-// for a copy that the table calls in sync: until the transfer is complete it
-// acknowledges nothing, so no request is dispatched on its account.
+// rejoin fills a joining copy that lost its records. A copy that the table
+// calls in sync is left to control: it has restarted and forgotten its fence,
+// so a previous owner could fill it and dispatch on its account.
 func (o *Owner) rejoin(w *pendingWrite) {
 	p := w.peer
+	if !p.joining {
+		p.open = false
+		return
+	}
 	if p.join != nil && o.now.Since(p.join.startedAt) < o.cfg.WriteTimeout {
 		return
 	}
--- a/coord/idempotency/sim_control_test.go
+++ b/coord/idempotency/sim_control_test.go
@@ -126,12 +126,9 @@
 		sources = append(sources, e.sources...)
 	}
 	slices.Sort(sources)
-	sources = slices.DeleteFunc(slices.Compact(sources), func(i int) bool { return !c.alive(i) })
+	sources = slices.DeleteFunc(slices.Compact(sources), func(i int) bool { return !c.alive(i) || e.fresh })
 	n := *e
 	n.epoch++
-	if e.fresh {
-		n.sources = nil
-	}
 	n.copies, n.joining, n.sources = slices.Clone(e.copies), slices.Clone(e.joining), sources
 	n.lost = e.lost || (!e.fresh && len(sources) == 0)
 	c.entries[unit] = n
--- a/coord/idempotency/status.go
+++ b/coord/idempotency/status.go
@@ -50,25 +50,25 @@
 
 // CopyStatus describes a Copy.
 type CopyStatus struct {
-	// Complete and Incomplete are numbers of units with records.
-	Complete   int   `json:"complete"`
-	Incomplete int   `json:"incomplete"`
-	Records    int   `json:"records"`
-	Bytes      int64 `json:"bytes"`
+	// Complete is the number of units with all records, Filling the number of
+	// units that are being filled.
+	Complete int   `json:"complete"`
+	Filling  int   `json:"filling"`
+	Records  int   `json:"records"`
+	Bytes    int64 `json:"bytes"`
 }
 
 // Status returns totals over all units.
 func (c *Copy) Status() CopyStatus {
 	s := CopyStatus{Bytes: c.bytes}
 	for _, u := range c.units {
-		if u.store == nil {
-			continue
-		}
-		s.Records += len(u.store.records)
-		if u.complete {
+		if u.store != nil {
 			s.Complete++
-		} else {
-			s.Incomplete++
+			s.Records += len(u.store.records)
+		}
+		if u.filling != nil {
+			s.Filling++
+			s.Records += len(u.filling.records)
 		}
 	}
 	return s
--- a/coord/idempotency/store.go
+++ b/coord/idempotency/store.go
@@ -28,6 +28,14 @@
 	return &store{records: map[string]*Record{}, lifetime: lifetime}
 }
 
+// size returns the memory of all records in bytes; it is zero for no store.
+func (s *store) size() int64 {
+	if s == nil {
+		return 0
+	}
+	return s.bytes
+}
+
 // put stores r unless the store has a newer record of the key.
 func (s *store) put(r *Record) {
 	old := s.records[r.Key]
