Add the capacity page with measured slopes

The design size was stated without a prediction of what it costs. The page gives a prediction, margin and verdict for each role from slopes that make slopes measures, and weighs the choices for connections, dispersal, regions and payment records. A test holds the table of slopes against the code.

Ruled out: times compared without a reference. Times are now scaled by a reference that is measured in between.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,10 @@
 	cd router && $(GO) build -o ../$(BIN)/ ./examples/standin ./examples/bench
 	$(BIN)/bench --daemon=$(BIN)/bramleyquay --standin=$(BIN)/standin --examples=examples/muscat
 
+# Measures the cost per unit of the control plane for docs/CAPACITY.md.
+slopes:
+	cd router && $(GO) test -run '^$$' -bench . -benchtime 20x -timeout 5m ./slopes ./store
+	cd coord && $(GO) test -run '^$$' -bench 'Payment|Encoding|Propose|Heartbeat' -benchtime 2000x ./idempotency ./raft
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/router/slopes/cluster_test.go
@@ -0,0 +1,195 @@
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/config"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+const (
+	// Sizes of docs/design.md, section 10.
+	designMembers = 3_300
+	designSplits  = 93
+	dataCentres   = 10
+	// shardsPerMember makes 66,000 shards at the design size.
+	shardsPerMember = 20
+	// serviceMembers is the assumed number of members of one service.
+	serviceMembers = 100
+)
+
+// cluster is a control state with registered members that own every unit, and
+// the snapshot to return to it.
+type cluster struct {
+	tb      testing.TB
+	state   *control.State
+	index   uint64
+	members []control.Member
+	saved   []byte
+}
+
+// clusters keeps the built states, because the largest takes seconds.
+var clusters = map[[2]int]*cluster{}
+
+// newCluster returns a cluster of n members whose units have that many record
+// copies, in its first state.
+func newCluster(tb testing.TB, n, copies int) *cluster {
+	tb.Helper()
+	key := [2]int{n, copies}
+	if c := clusters[key]; c != nil {
+		c.reset(tb)
+		return c
+	}
+	c := &cluster{tb: tb, state: control.NewState()}
+	c.document(c.newDocument(n, copies))
+	for i := range n {
+		c.register(i, n)
+	}
+	for _, b := range c.state.Barriers() {
+		c.apply(control.Command{ReleaseKeyspace: &control.ReleaseKeyspace{Name: b.Keyspace, Revision: b.TableRevision}})
+	}
+	c.assign(copies)
+	if n == designMembers {
+		c.split()
+	}
+	saved, err := c.state.Snapshot()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c.saved = saved
+	clusters[key] = c
+	return c
+}
+
+// reset returns to the first state.
+func (c *cluster) reset(tb testing.TB) {
+	c.tb = tb
+	state, err := control.Restore(c.saved)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c.state = state
+}
+
+func services(n int) int { return max(n/serviceMembers, 1) }
+
+func serviceName(i int) string { return fmt.Sprintf("service-%02d", i) }
+
+func (c *cluster) newDocument(n, copies int) config.Document {
+	doc := config.Document{Automation: config.AllAutomation()}
+	var names []string
+	for i := range dataCentres {
+		names = append(names, fmt.Sprintf("dc-%02d", i))
+		doc.DataCentres = append(doc.DataCentres, config.DataCentre{Name: names[i]})
+	}
+	for i := range services(n) {
+		doc.Services = append(doc.Services, config.Service{
+			Name: serviceName(i), Keyed: true, Payments: copies > 0, RecordCopies: copies, DataCentres: names,
+			Shards: uint32(shardsPerMember * n / services(n)),
+		})
+	}
+	return doc
+}
+
+func (c *cluster) apply(cmd control.Command) {
+	c.index++
+	if r := c.state.Apply(c.index, cmd); !r.Accepted() {
+		c.tb.Fatalf("command refused: %+v", r)
+	}
+}
+
+func (c *cluster) document(doc config.Document) {
+	text, err := json.Marshal(doc)
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	base, _, _ := c.state.Config()
+	c.apply(control.Command{ApplyDocument: &control.ApplyDocument{Base: base, ChangeID: fmt.Sprint("doc-", c.index), Author: "ann", Text: text}})
+}
+
+func (c *cluster) register(i, n int) {
+	m := control.Member{
+		ID: table.MemberID(fmt.Sprintf("member-%04d", i)), Incarnation: 1<<50 + uint64(i),
+		DataCentre: fmt.Sprintf("dc-%02d", i/services(n)%dataCentres), PeerAddr: fmt.Sprintf("10.20.%d.%d:7400", i/250, i%250),
+		State:  control.Active,
+		Target: &control.Target{Service: serviceName(i % services(n)), Slots: 12, ChecksFences: true, Incarnation: 1<<50 + uint64(i)},
+	}
+	c.members = append(c.members, m)
+	c.apply(control.Command{RegisterMember: &control.RegisterMember{Member: m}})
+}
+
+// assign gives each member of a service the same number of its units, and
+// puts the copies into the data centres that follow the owner's.
+func (c *cluster) assign(copies int) {
+	n := len(c.members)
+	var all []control.Assignment
+	c.state.Table().Each(func(e *table.Entry) bool {
+		var s int
+		if _, err := fmt.Sscanf(e.Unit.Service, "service-%d", &s); err != nil {
+			c.tb.Fatal(err)
+		}
+		at := func(k int) table.MemberID { return c.members[(s+k*services(n))%n].ID }
+		a := control.Assignment{Unit: e.Unit, Epoch: e.Epoch, To: at(int(e.Unit.Shard))}
+		for k := range copies {
+			a.Join = append(a.Join, at(int(e.Unit.Shard)+k+1))
+		}
+		all = append(all, a)
+		return true
+	})
+	c.apply(control.Command{Assign: &control.Assign{Assignments: all}})
+	for _, a := range all {
+		for _, m := range a.Join {
+			c.apply(control.Command{CopySynced: &control.CopySynced{Unit: a.Unit, Epoch: c.state.Table().Entry(a.Unit).Epoch, Copy: m}})
+		}
+	}
+}
+
+func (c *cluster) split() {
+	for i := range designSplits {
+		c.apply(control.Command{SplitKey: &control.SplitKey{Keyspace: serviceName(i % services(designMembers)), Hash: shard.Hash(fmt.Sprint("hot-", i))}})
+	}
+}
+
+// renewal returns what member i sends when it holds the newest revisions. A
+// loaded member reports the rate of each of its units.
+func (c *cluster) renewal(i int, loaded bool) control.Renewal {
+	m := c.members[i]
+	config, _, _ := c.state.Config()
+	r := control.Renewal{
+		ID: m.ID, Incarnation: m.Incarnation, Seq: 12_345, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr, Target: m.Target,
+		TableRevision: c.state.Table().Revision(), ConfigRevision: config, DirectoryRevision: c.state.DirectoryRevision(),
+		Load: control.Load{Running: 9, Limit: 12, Queued: 3, Rate: 9_712.5, ServiceTimeUs: 1_150},
+	}
+	if loaded {
+		for s := range shardsPerMember {
+			u := shard.Unit{Service: m.Target.Service, Shard: uint32(i/services(len(c.members)) + s*serviceMembers)}
+			r.UnitLoads = append(r.UnitLoads, control.UnitLoad{Unit: u, Rate: 485.5 + float64(s)})
+		}
+	}
+	return r
+}
+
+// leader returns a controller that has heard every member at the time 0.
+func (c *cluster) leader() *control.Controller {
+	l := control.NewController(control.DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	l.Lead(clock.At(0))
+	c.hear(l, 0)
+	return l
+}
+
+// hear lets every member but the lost ones renew.
+func (c *cluster) hear(l *control.Controller, now time.Duration, lost ...int) {
+	for i := range c.members {
+		if !slices.Contains(lost, i) {
+			l.Renew(clock.At(now), c.state, c.renewal(i, false))
+		}
+	}
+}
--- /dev/null
+++ b/router/slopes/control_test.go
@@ -0,0 +1,225 @@
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/table"
+)
+
+var clusterSizes = []int{10, 100, 1_000, designMembers}
+
+func encode(tb testing.TB, v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
+
+func size(tb testing.TB, v any) float64 { return float64(len(encode(tb, v))) }
+
+// renewSlopes measure one renewal at the leader with decoding and encoding.
+func renewSlopes() []slope {
+	var list []slope
+	for _, n := range clusterSizes {
+		for _, kind := range []string{"idle", "loaded"} {
+			list = append(list, slope{name: fmt.Sprintf("renew/%s/members=%d", kind, n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+				c := newCluster(tb, n, 0)
+				l := c.leader()
+				sent := encode(tb, c.renewal(n/2, kind == "loaded"))
+				var reply []byte
+				op := func() {
+					var r control.Renewal
+					if err := json.Unmarshal(sent, &r); err != nil {
+						tb.Fatal(err)
+					}
+					answer, _ := l.Renew(clock.At(0), c.state, r)
+					reply = encode(tb, answer)
+				}
+				op()
+				return op, map[string]float64{"sent-B": float64(len(sent)), "reply-B": float64(len(reply))}
+			}})
+		}
+	}
+	return list
+}
+
+// decideSlope measures the part of a renewal that the leader's only goroutine
+// for its state carries out.
+func decideSlope() []slope {
+	return []slope{{name: "decide/loaded/members=3300", prepare: func(tb testing.TB) (func(), map[string]float64) {
+		c := newCluster(tb, designMembers, 0)
+		l, r := c.leader(), c.renewal(17, true)
+		return func() { l.Renew(clock.At(0), c.state, r) }, nil
+	}}}
+}
+
+// leaderSlopes measure the leader's work without an event: the look at the
+// leases every 20 ms, and the scan of the table after a change.
+func leaderSlopes() []slope {
+	var list []slope
+	for _, n := range clusterSizes {
+		list = append(list, slope{name: fmt.Sprintf("tick/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			l := c.leader()
+			return func() { l.Tick(clock.At(0), c.state) }, nil
+		}}, slope{name: fmt.Sprintf("scan/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			l := c.leader()
+			return func() {
+				l.Lead(clock.At(0))
+				l.Tick(clock.At(200*time.Millisecond), c.state)
+			}, nil
+		}}, slope{name: fmt.Sprintf("applied/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			l := c.leader()
+			cmd := control.Command{FinishMove: &control.FinishMove{}}
+			return func() { l.Applied(clock.At(0), c.state, cmd, control.Result{}) }, nil
+		}})
+	}
+	return list
+}
+
+// loss is a number of members that are lost at once.
+type loss struct{ lost, members, copies int }
+
+var losses = []loss{
+	{1, 10, 0}, {1, 100, 0}, {1, 1_000, 0}, {1, designMembers, 0},
+	{40, 100, 0}, {40, 1_000, 0}, {40, designMembers, 0}, {330, 1_000, 0}, {330, designMembers, 0},
+	{1, designMembers, 1}, {40, designMembers, 1}, {330, designMembers, 1},
+}
+
+// lostTime is after the leases of silent members have ended, and renewedTime
+// shortly before it.
+const (
+	renewedTime = 1_200 * time.Millisecond
+	lostTime    = 1_250 * time.Millisecond
+)
+
+// plan returns a cluster with a leader whose next Tick finds the loss.
+func (l loss) plan(tb testing.TB) (*cluster, *control.Controller) {
+	c := newCluster(tb, l.members, l.copies)
+	lost := make([]int, l.lost)
+	for i := range lost {
+		// Members of one data centre follow each other in steps of services.
+		s := services(l.members)
+		lost[i] = i%s + i/s*s*dataCentres
+		if l.lost*dataCentres > l.members {
+			lost[i] = i
+		}
+	}
+	leader := c.leader()
+	c.hear(leader, renewedTime, lost...)
+	return c, leader
+}
+
+func (l loss) command(tb testing.TB, c *cluster, leader *control.Controller) control.Command {
+	for _, cmd := range leader.Tick(clock.At(lostTime), c.state) {
+		if cmd.MembersLost != nil {
+			if got := len(cmd.MembersLost.Members); got != l.lost {
+				tb.Fatalf("%d of %d lost members found", got, l.lost)
+			}
+			return cmd
+		}
+	}
+	tb.Fatal("no loss was proposed")
+	return control.Command{}
+}
+
+// lossSlopes measure the plan of a loss at the leader, its application at each
+// replica with the sizes of command and delta, and the encoding of the delta
+// for one member: the reply to the renewal, and the message that contains it.
+func lossSlopes() []slope {
+	var list []slope
+	for _, l := range losses {
+		at := fmt.Sprintf("lost=%d/members=%d/copies=%d", l.lost, l.members, l.copies)
+		list = append(list, slope{name: "loss-plan/" + at, once: true, prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c, leader := l.plan(tb)
+			return func() { l.command(tb, c, leader) }, nil
+		}}, slope{name: "loss-apply/" + at, once: true, prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c, leader := l.plan(tb)
+			from, members := c.state.Table().Revision(), c.state.DirectoryRevision()
+			cmd := l.command(tb, c, leader)
+			// Processes that plan alike need no assignments.
+			compact := control.Command{MembersLost: &control.MembersLost{Members: cmd.MembersLost.Members}}
+			sizes := map[string]float64{"command-B": commandSize(tb, cmd), "compact-B": commandSize(tb, compact)}
+			return func() {
+				c.apply(cmd)
+				d := c.state.TableDelta(from)
+				sizes["delta-B"], sizes["entries"] = size(tb, d), float64(len(d.Entries))
+				sizes["directory-B"] = size(tb, c.state.DirectorySince(members))
+			}, sizes
+		}}, slope{name: "loss-encode/" + at, prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c, leader := l.plan(tb)
+			from := c.state.Table().Revision()
+			c.apply(l.command(tb, c, leader))
+			reply := control.RenewalReply{Status: control.Granted, Table: c.state.TableDelta(from)}
+			return func() { encode(tb, map[string]json.RawMessage{"result": encode(tb, reply)}) }, nil
+		}})
+	}
+	return list
+}
+
+func commandSize(tb testing.TB, cmd control.Command) float64 {
+	data, err := control.EncodeCommand(cmd)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return float64(len(data))
+}
+
+// documentSlopes measure a configuration change at each replica.
+func documentSlopes() []slope {
+	var list []slope
+	for _, n := range []int{100, 1_000, designMembers} {
+		list = append(list, slope{name: fmt.Sprintf("document/services=%d", services(n)), once: true, prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			doc := c.newDocument(n, 0)
+			doc.Services[0].Limits.Queue = 100
+			return func() { c.document(doc) }, map[string]float64{"document-B": size(tb, doc)}
+		}})
+	}
+	return list
+}
+
+// stateSlopes measure snapshots of the replicated state, and the messages to
+// a member that restarts.
+func stateSlopes() []slope {
+	var list []slope
+	for _, n := range clusterSizes {
+		list = append(list, slope{name: fmt.Sprintf("snapshot/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			return func() {
+				if _, err := c.state.Snapshot(); err != nil {
+					tb.Fatal(err)
+				}
+			}, map[string]float64{"snapshot-B": float64(len(c.saved))}
+		}}, slope{name: fmt.Sprintf("restore/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			return func() { c.reset(tb) }, nil
+		}}, slope{name: fmt.Sprintf("full/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			full, directory := c.state.TableDelta(0), c.state.DirectorySince(0)
+			return func() { encode(tb, full); encode(tb, directory) },
+				map[string]float64{"table-B": size(tb, full), "directory-B": size(tb, directory)}
+		}})
+	}
+	return list
+}
+
+// changed returns a delta that raises the epochs of the first units.
+func changed(t *table.Table, count int) table.Delta {
+	d := table.Delta{From: t.Revision(), To: t.Revision() + 1}
+	t.Each(func(e *table.Entry) bool {
+		n := *e
+		n.Epoch++
+		d.Entries = append(d.Entries, n)
+		return len(d.Entries) < count
+	})
+	return d
+}
--- /dev/null
+++ b/router/slopes/member_test.go
@@ -0,0 +1,150 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+	"time"
+
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/lease"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/gate"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/member"
+)
+
+// quietLog drops every line.
+func quietLog() logging.Logger {
+	return logging.Part(logging.New(io.Discard, "error", false), "slopes")
+}
+
+// lookupSlopes measure 1,000 lookups of a key's owner at ingress.
+func lookupSlopes() []slope {
+	var list []slope
+	for _, n := range clusterSizes {
+		list = append(list, slope{name: fmt.Sprintf("lookup-1000/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			t := newCluster(tb, n, 0).state.Table()
+			name, i := serviceName(0), uint64(0)
+			return func() {
+				for range 1_000 {
+					i += 0x9e3779b97f4a7c15
+					if t.Lookup(name, i) == nil {
+						tb.Fatal("no owner")
+					}
+				}
+			}, map[string]float64{"entries": float64(t.Len())}
+		}})
+	}
+	return list
+}
+
+// staticMembers is the gate's view of the cluster.
+type staticMembers struct{ view *member.View }
+
+func (s staticMembers) View() *member.View { return s.view }
+func (s staticMembers) Owned(shard.Unit) (*table.Entry, time.Duration, bool) {
+	return nil, 0, false
+}
+func (s staticMembers) Lease() time.Duration { return time.Second }
+func (s staticMembers) InContact() bool      { return true }
+func (s staticMembers) Wake()                {}
+
+// applySlopes measure a delta at a member: decoding, the new table, and what
+// the gate does with it.
+func applySlopes() []slope {
+	var list []slope
+	for _, n := range clusterSizes {
+		for _, count := range []int{1, 20, 800, 6_600} {
+			if count > shardsPerMember*n {
+				continue
+			}
+			at := fmt.Sprintf("entries=%d/members=%d", count, n)
+			list = append(list, slope{name: "delta/" + at, prepare: func(tb testing.TB) (func(), map[string]float64) {
+				t := newCluster(tb, n, 0).state.Table()
+				data := encode(tb, changed(t, count))
+				return func() {
+					var d table.Delta
+					if err := json.Unmarshal(data, &d); err != nil {
+						tb.Fatal(err)
+					}
+					if _, err := t.Apply(d); err != nil {
+						tb.Fatal(err)
+					}
+				}, map[string]float64{"delta-B": float64(len(data))}
+			}})
+		}
+		list = append(list, slope{name: fmt.Sprintf("gate/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			_, doc, _ := c.state.Config()
+			view := &member.View{Table: c.state.Table(), Directory: &member.Directory{}, Document: doc, Incarnation: 1}
+			g := gate.New(gate.Config{Self: c.members[0].ID, DataCentre: "dc-00"}, staticMembers{view}, nil, quietLog())
+			return func() {
+				next, err := view.Table.Apply(changed(view.Table, 1))
+				if err != nil {
+					tb.Fatal(err)
+				}
+				newer := *view
+				newer.Table = next
+				view = &newer
+				g.Follow(view)
+			}, nil
+		}})
+	}
+	return list
+}
+
+// scriptedCaller answers a member's renewals with fixed replies.
+type scriptedCaller struct{ reply []byte }
+
+func (s scriptedCaller) Call(_ context.Context, _, _ string, params, result any) error {
+	if err := json.Unmarshal(s.reply, result); err != nil {
+		return err
+	}
+	reply, sent := result.(*control.RenewalReply), params.(control.Renewal)
+	reply.Seq, reply.Incarnation = sent.Seq, sent.Incarnation
+	return nil
+}
+
+func (s scriptedCaller) Drop(string) {}
+
+// heap returns the bytes in use by objects that are still reachable.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// memorySlopes measure what a member's view of the cluster holds, through the
+// agent that receives it.
+func memorySlopes() []slope {
+	var list []slope
+	for _, n := range clusterSizes {
+		list = append(list, slope{name: fmt.Sprintf("view/members=%d", n), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			c := newCluster(tb, n, 0)
+			revision, _, text := c.state.Config()
+			reply := control.RenewalReply{
+				Status: control.Granted, TableRevision: c.state.Table().Revision(), Table: c.state.TableDelta(0),
+				Config: &control.ConfigUpdate{Revision: revision, Document: text}, Directory: c.state.DirectorySince(0),
+			}
+			caller := scriptedCaller{reply: encode(tb, reply)}
+			before := heap()
+			ctx, cancel := context.WithCancel(tb.Context())
+			a := member.New(member.Config{ID: "x", ControlAddrs: []string{"y"}, Lease: lease.Default(), RenewTimeout: time.Second},
+				caller, quietLog(), func(*member.View) { cancel() })
+			a.Run(ctx)
+			after := heap()
+			sizes := map[string]float64{"heap-B": after - before, "reply-B": float64(len(caller.reply))}
+			runtime.KeepAlive(a)
+			runtime.KeepAlive(c)
+			return nil, sizes
+		}})
+	}
+	return list
+}
--- /dev/null
+++ b/router/slopes/record_test.go
@@ -0,0 +1,94 @@
+package slopes
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/idempotency"
+	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
+)
+
+// answerBytes is the assumed size of the answer to a payment.
+const answerBytes = 200
+
+func paymentAnswer() idempotency.Answer {
+	return idempotency.Answer{Status: 201, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, answerBytes)}
+}
+
+// payer runs payments on an owner with copies that answer at once.
+type payer struct {
+	unit    shard.Unit
+	now     clock.Reading
+	owner   *idempotency.Owner
+	copies  map[table.MemberID]*idempotency.Copy
+	id      uint64
+	written []idempotency.WriteRequest // of the last payment
+}
+
+func newPayer(copies int) *payer {
+	p := &payer{unit: shard.Unit{Service: serviceName(0), Shard: 17}, now: clock.At(time.Hour), copies: map[table.MemberID]*idempotency.Copy{}}
+	p.owner = idempotency.NewOwner(idempotency.Config{
+		Self: idempotency.Member{ID: "member-0000", DataCentre: "dc-00"}, AllowNoRemoteCopy: copies == 0, MaxBytes: 1 << 40,
+	})
+	var members []idempotency.Member
+	for i := range copies {
+		id := table.MemberID(fmt.Sprint("member-000", i+1))
+		p.copies[id] = idempotency.NewCopy(idempotency.CopyConfig{Self: id, Incarnation: 1 << 50, MaxBytes: 1 << 40})
+		members = append(members, idempotency.Member{ID: id, DataCentre: "dc-01"})
+	}
+	p.run(p.owner.Adopt(p.now, idempotency.Assignment{Unit: p.unit, Epoch: 1, Fresh: true, Joining: members}))
+	p.run(p.owner.Adopt(p.now, idempotency.Assignment{Unit: p.unit, Epoch: 2, Copies: members}))
+	return p
+}
+
+func (p *payer) run(actions []idempotency.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case idempotency.Write:
+			p.written = append(p.written, a.WriteRequest)
+			p.run(p.owner.Acked(p.now, p.copies[a.To].Write(p.now, a.WriteRequest)))
+		case idempotency.Dispatch:
+			p.run(p.owner.Finished(p.now, a.ID, paymentAnswer()))
+		}
+	}
+}
+
+func (p *payer) pay() {
+	p.id++
+	p.now = p.now.Add(time.Microsecond)
+	p.written = p.written[:0]
+	p.run(p.owner.Begin(p.now, idempotency.Request{
+		ID: p.id, Unit: p.unit, Key: "payment-" + strconv.FormatUint(1_000_000_000+p.id, 10), Deadline: p.now.Add(time.Second),
+	}))
+}
+
+// recordSlopes measure one payment at owner and copies together, without a
+// network, and the memory that its record takes on all of them.
+func recordSlopes() []slope {
+	const payments = 5_000
+	var list []slope
+	for copies := range 3 {
+		list = append(list, slope{name: fmt.Sprintf("record/copies=%d", copies), prepare: func(tb testing.TB) (func(), map[string]float64) {
+			before := heap()
+			p := newPayer(copies)
+			for range payments {
+				p.pay()
+			}
+			sizes := map[string]float64{"heap-B": (heap() - before) / payments}
+			if copies > 0 {
+				sizes["messages"] = float64(len(p.written))
+				for _, w := range p.written {
+					sizes["sent-B"] += size(tb, w)
+				}
+			}
+			runtime.KeepAlive(p)
+			return p.pay, sizes
+		}})
+	}
+	return list
+}
