--- a/coord/idempotency/guard_test.go
+++ b/coord/idempotency/guard_test.go
@@ -8,7 +8,6 @@
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/idempotency"
-	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
 )
 
--- a/router/slopes/member_test.go
+++ b/router/slopes/member_test.go
@@ -136,7 +136,7 @@
 			caller := scriptedCaller{reply: encode(tb, reply)}
 			before := heap()
 			ctx, cancel := context.WithCancel(tb.Context())
-			a := member.New(member.Config{ID: "x", ControlAddrs: []string{"y"}, Lease: lease.Default(), RenewTimeout: time.Second},
+			a := member.New(member.Config{ID: "x", Control: []member.ControlPeer{{Address: "y"}}, Lease: lease.Default(), RenewTimeout: time.Second},
 				caller, quietLog(), func(*member.View) { cancel() })
 			a.Run(ctx)
 			after := heap()
