Report the revisions that requests in progress rest on

Cause: control releases a key space that took over keys once every member has the new document, but a member reported the new revision while requests that were admitted under the older document still ran, and a call that waited kept the key space of its arrival. Both could run a key at two members after a change of key rules. Found by comparing the member with the contract that the schedules of coord/control assume. Ruled out: reporting older table revisions themselves, because deltas start at the reported revision. Change: the gate derives a call's unit again under the lock that also takes over new views, counts requests by the revisions they were admitted under, and the member reports the lowest. A payment does not run under another unit than the one that holds its record.

--- a/coord/control/messages.go
+++ b/coord/control/messages.go
@@ -24,6 +24,12 @@
 	TableRevision     uint64 `json:"tableRevision"`
 	ConfigRevision    uint64 `json:"configRevision"`
 	DirectoryRevision uint64 `json:"directoryRevision"`
+	// OldestTable and OldestConfig are the lowest revisions under which a
+	// request in progress was admitted; 0 if none runs under an older one than
+	// the member holds. Until they rise, keys that an older document placed
+	// elsewhere may still be in use at the member.
+	OldestTable  uint64 `json:"oldestTable,omitempty"`
+	OldestConfig uint64 `json:"oldestConfig,omitempty"`
 
 	Load Load `json:"load"`
 	// Released repeats the moving units that the member has stopped serving,
@@ -37,6 +43,18 @@
 	UnitLoads []UnitLoad `json:"unitLoads,omitempty"`
 }
 
+// settled returns the revisions that everything at the member rests on.
+func (r *Renewal) settled() (table, config uint64) {
+	table, config = r.TableRevision, r.ConfigRevision
+	if r.OldestTable > 0 {
+		table = min(table, r.OldestTable)
+	}
+	if r.OldestConfig > 0 {
+		config = min(config, r.OldestConfig)
+	}
+	return table, config
+}
+
 // Target describes the target beside a member.
 type Target struct {
 	Service string `json:"service"`
--- a/coord/control/renew.go
+++ b/coord/control/renew.go
@@ -60,7 +60,8 @@
 	reply.Draining = m.State == Draining
 	reply.MayStop = m.Leaving && s.idle(m.ID)
 	if v := c.seen[r.ID]; v != nil {
-		v.load, v.table, v.config = r.Load, r.TableRevision, r.ConfigRevision
+		v.load = r.Load
+		v.table, v.config = r.settled()
 	}
 	c.takeReports(now, s, m, r)
 	if r.Leaving && !m.Leaving {
--- a/router/call/call.go
+++ b/router/call/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bramleyquay.example/coord/admission"
+	"bramleyquay.example/coord/config"
 )
 
 // Call is one request of a caller.
@@ -52,6 +53,27 @@
 // Sharded reports whether only the owner of the call's unit may run it.
 func (c *Call) Sharded() bool { return c.Keyspace != "" }
 
+// UnitKey returns the key that decides which unit the call belongs to.
+func (c *Call) UnitKey(s *config.Service) string {
+	if s.Keyed {
+		return c.Key
+	}
+	return c.IdempotencyKey
+}
+
+// CurrentKeyspace returns the key space of a sharded call by a document that
+// may be newer than the one it was built with.
+func (c *Call) CurrentKeyspace(doc *config.Document) (string, bool) {
+	if doc == nil {
+		return "", false
+	}
+	s := doc.Service(c.Service)
+	if s == nil || !s.Sharded() {
+		return "", false
+	}
+	return s.KeyspaceOf(c.UnitKey(s))
+}
+
 // Payment reports whether the call is recorded and runs at most once.
 func (c *Call) Payment() bool { return c.IdempotencyKey != "" && c.Class == admission.Payment }
 
--- a/router/gate/dispatch.go
+++ b/router/gate/dispatch.go
@@ -11,15 +11,15 @@
 
 	"bramleyquay.example/coord/admission"
 	"bramleyquay.example/coord/outcome"
-	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/router/call"
 )
 
 // permit allows one dispatch.
 type permit struct {
 	target *target
-	unit   shard.Unit
-	epoch  uint64
+	// entered is zero for a call that is not sharded.
+	entered entered
+	epoch   uint64
 	// timeout never exceeds the remaining lease for a sharded call.
 	timeout time.Duration
 	// lease is cancelled when the lease expires; nil for calls without unit.
@@ -74,8 +74,8 @@
 	if c.Key != "" {
 		req.Header.Set(call.HeaderKey, c.Key)
 	}
-	if p.unit.Service != "" {
-		req.Header.Set(call.HeaderUnit, p.unit.String())
+	if p.entered.unit.Service != "" {
+		req.Header.Set(call.HeaderUnit, p.entered.unit.String())
 		req.Header.Set(call.HeaderEpoch, strconv.FormatUint(p.epoch, 10))
 	}
 	return req
--- a/router/gate/do.go
+++ b/router/gate/do.go
@@ -21,7 +21,7 @@
 	if c.Payment() {
 		return g.payments.do(ctx, c)
 	}
-	return g.run(ctx, c)
+	return g.run(ctx, c, shard.Unit{})
 }
 
 // precheck refuses early what the check before dispatch would refuse anyway.
@@ -47,7 +47,12 @@
 	if !c.Sharded() {
 		return shard.Unit{}
 	}
-	if e := g.members.View().Table.Lookup(c.Keyspace, c.Hash); e != nil {
+	v := g.members.View()
+	keyspace, ok := c.CurrentKeyspace(v.Document)
+	if !ok {
+		return shard.Unit{}
+	}
+	if e := v.Table.Lookup(keyspace, c.Hash); e != nil {
 		return e.Unit
 	}
 	return shard.Unit{}
@@ -66,27 +71,28 @@
 	}
 }
 
-// run takes a slot, checks ownership once more and dispatches.
-func (g *Gate) run(ctx context.Context, c *call.Call) (*call.Response, *outcome.Refusal) {
+// run takes a slot, checks ownership once more and dispatches. A payment names
+// the unit that holds its record; it does not run under another one.
+func (g *Gate) run(ctx context.Context, c *call.Call, recorded shard.Unit) (*call.Response, *outcome.Refusal) {
 	id, refusal := g.slots.acquire(ctx, c.Class, c.Deadline)
 	if refusal != nil {
 		return nil, refusal
 	}
-	p, refusal := g.permit(c)
+	p, refusal := g.permit(c, recorded)
 	if refusal != nil {
 		g.slots.abandon(id)
 		return nil, refusal
 	}
 	p.done = func(s admission.Sample) {
 		g.slots.release(id, s)
-		g.leaveKey(c)
+		g.leaveUnit(p)
 	}
 	return g.dispatch(ctx, c, p)
 }
 
 // permit is the last check before dispatch. On success the key counts as
-// running until leaveKey.
-func (g *Gate) permit(c *call.Call) (*permit, *outcome.Refusal) {
+// running until leaveUnit.
+func (g *Gate) permit(c *call.Call, recorded shard.Unit) (*permit, *outcome.Refusal) {
 	p := &permit{target: g.target.Load(), timeout: time.Until(c.Deadline)}
 	if p.timeout <= 0 {
 		return nil, outcome.Refuse(outcome.ReasonDeadline, "the deadline passed before dispatch")
@@ -97,14 +103,17 @@
 	if !c.Sharded() {
 		return p, g.precheck(c)
 	}
-	p.unit = g.unitOf(c)
-	if !g.units.enter(key{c.Keyspace, c.Hash}) {
+	var ok bool
+	if p.entered, ok = g.units.enter(c); !ok {
 		return nil, outcome.Refuse(outcome.ReasonNotOwner, "the unit moves away")
 	}
 	p.lease = g.leaseContext()
-	e, left, refusal := g.owned(p.unit)
+	e, left, refusal := g.owned(p.entered.unit)
+	if refusal == nil && recorded.Service != "" && recorded != p.entered.unit {
+		refusal = outcome.Refuse(outcome.ReasonNotOwner, "the key belongs to another unit by now")
+	}
 	if refusal != nil {
-		g.leaveKey(c)
+		g.leaveUnit(p)
 		return nil, refusal
 	}
 	p.epoch = e.Epoch
@@ -112,8 +121,8 @@
 	return p, nil
 }
 
-func (g *Gate) leaveKey(c *call.Call) {
-	if c.Sharded() && g.units.leave(key{c.Keyspace, c.Hash}) {
+func (g *Gate) leaveUnit(p *permit) {
+	if p.entered.unit.Service != "" && g.units.leave(p.entered) {
 		g.members.Wake()
 	}
 }
--- a/router/gate/follow.go
+++ b/router/gate/follow.go
@@ -13,7 +13,7 @@
 // as payment units, and what its records have to know about them.
 func (g *Gate) assignments(v *member.View) func(*table.Entry) (idempotency.Assignment, bool) {
 	return func(e *table.Entry) (idempotency.Assignment, bool) {
-		if e.Owner != g.cfg.Self || v.Document == nil {
+		if e.Owner != g.cfg.Self || e.Phase == table.Unowned || v.Document == nil {
 			return idempotency.Assignment{}, false
 		}
 		name, _, _ := strings.Cut(e.Unit.Service, ":")
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -52,7 +52,7 @@
 func New(cfg Config, members Membership, caller Caller, log logging.Logger) *Gate {
 	g := &Gate{
 		cfg: cfg, members: members, log: log,
-		units:    newUnits(cfg.Self),
+		units:    newUnits(cfg.Self, members.View()),
 		slots:    newAdmitter(admission.Config{Slots: 1}),
 		rates:    newRates(),
 		grantNow: make(chan struct{}, 1),
@@ -107,7 +107,7 @@
 // Follow takes over a new view of the cluster.
 func (g *Gate) Follow(v *member.View) {
 	g.configure(v)
-	released := g.units.follow(v.Table)
+	released := g.units.follow(v)
 	g.payments.follow(v, g.assignments(v))
 	if released {
 		g.members.Wake()
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -30,8 +30,9 @@
 	if refusal := p.bufferBody(c); refusal != nil {
 		return nil, refusal
 	}
+	unit := p.gate.unitOf(c)
 	id, decided := p.begin(idempotency.Request{
-		Unit: p.gate.unitOf(c), Key: c.IdempotencyKey, Digest: digest(c),
+		Unit: unit, Key: c.IdempotencyKey, Digest: digest(c),
 		IssuedAtMs: c.IssuedAtMs, Deadline: timesource.Reading(c.Deadline),
 	})
 	defer p.forget(id)
@@ -42,7 +43,7 @@
 	// Once dispatched, a payment goes on without its caller until its deadline:
 	// a resend then finds the answer instead of an unknown outcome.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
-	resp, refusal := p.gate.run(ctx, c)
+	resp, refusal := p.gate.run(ctx, c, unit)
 	if refusal != nil {
 		cancel()
 		return nil, p.notAnswered(id, refusal, decided)
--- a/router/gate/report.go
+++ b/router/gate/report.go
@@ -20,6 +20,7 @@
 		HotKeys:   hot,
 		UnitLoads: units,
 	}
+	r.OldestTable, r.OldestConfig = g.units.oldest()
 	if t := g.target.Load(); t != nil {
 		r.Target = t.describe()
 	}
--- a/router/gate/units.go
+++ b/router/gate/units.go
@@ -6,6 +6,8 @@
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/member"
 )
 
 // units counts the requests in progress of each key and notes which units stop
@@ -19,9 +21,12 @@
 	self table.MemberID
 
 	mu       sync.Mutex
-	table    *table.Table
+	view     *member.View
 	running  map[key]int
 	stopping map[shard.Unit]uint64
+	// admitted counts the running requests by the revisions that they were
+	// admitted under.
+	admitted map[revisions]int
 }
 
 // key is a key by its hash.
@@ -30,50 +35,97 @@
 	hash     uint64
 }
 
-func newUnits(self table.MemberID) *units {
-	return &units{self: self, table: table.Empty(), running: map[key]int{}, stopping: map[shard.Unit]uint64{}}
+// revisions are those of a table and a document.
+type revisions struct{ table, config uint64 }
+
+// entered is a request that enter has counted.
+type entered struct {
+	key   key
+	under revisions
+	unit  shard.Unit
 }
 
-// enter counts a request. It reports false if the key's unit stops. The caller
-// checks ownership after enter, so that a unit which begins to move in
-// between is not released while the request goes on.
-func (u *units) enter(k key) bool {
+func newUnits(self table.MemberID, v *member.View) *units {
+	return &units{
+		self: self, view: v,
+		running: map[key]int{}, stopping: map[shard.Unit]uint64{}, admitted: map[revisions]int{},
+	}
+}
+
+// enter counts a request for a key and finds its unit by the newest document,
+// which may place the key elsewhere than the one of its arrival did. It
+// reports false if no unit holds the key or the unit stops. The caller checks
+// ownership after enter, so that a unit which begins to move in between is not
+// released while the request goes on.
+func (u *units) enter(c *call.Call) (entered, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if len(u.stopping) > 0 {
-		if e := u.table.Lookup(k.keyspace, k.hash); e != nil {
-			if _, stops := u.stopping[e.Unit]; stops {
-				return false
-			}
-		}
+	keyspace, ok := c.CurrentKeyspace(u.view.Document)
+	if !ok {
+		return entered{}, false
 	}
-	u.running[k]++
-	return true
+	e := u.view.Table.Lookup(keyspace, c.Hash)
+	if e == nil {
+		return entered{}, false
+	}
+	if _, stops := u.stopping[e.Unit]; stops {
+		return entered{}, false
+	}
+	r := entered{key: key{keyspace, c.Hash}, under: u.revisions(), unit: e.Unit}
+	u.running[r.key]++
+	u.admitted[r.under]++
+	return r, true
+}
+
+func (u *units) revisions() revisions {
+	return revisions{table: u.view.Table.Revision(), config: u.view.ConfigRevision}
 }
 
 // leave ends a request that enter has counted. It reports whether a unit may
 // be released by it.
-func (u *units) leave(k key) bool {
+func (u *units) leave(r entered) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.running[k]--
-	if u.running[k] > 0 {
+	if u.admitted[r.under]--; u.admitted[r.under] == 0 {
+		delete(u.admitted, r.under)
+	}
+	if u.running[r.key]--; u.running[r.key] > 0 {
 		return false
 	}
-	delete(u.running, k)
+	delete(u.running, r.key)
 	return len(u.stopping) > 0
 }
 
-// follow takes over a new table. It reports whether a unit may be released.
-func (u *units) follow(t *table.Table) bool {
+// oldest returns the lowest revisions under which a running request was
+// admitted; 0 if none runs under older ones than the newest.
+func (u *units) oldest() (table, config uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.revisions()
+	table, config = now.table, now.config
+	for r := range u.admitted {
+		table, config = min(table, r.table), min(config, r.config)
+	}
+	if table == now.table {
+		table = 0
+	}
+	if config == now.config {
+		config = 0
+	}
+	return table, config
+}
+
+// follow takes over a new view. It reports whether a unit may be released.
+func (u *units) follow(v *member.View) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if t == u.table {
+	same := v.Table == u.view.Table
+	u.view = v
+	if same {
 		return false
 	}
-	u.table = t
 	clear(u.stopping)
-	t.Each(func(e *table.Entry) bool {
+	v.Table.Each(func(e *table.Entry) bool {
 		if e.Owner == u.self && e.Phase == table.Moving {
 			u.stopping[e.Unit] = e.Epoch
 		}
@@ -91,7 +143,7 @@
 	}
 	busy := map[shard.Unit]bool{}
 	for k := range u.running {
-		if e := u.table.Lookup(k.keyspace, k.hash); e != nil {
+		if e := u.view.Table.Lookup(k.keyspace, k.hash); e != nil {
 			busy[e.Unit] = true
 		}
 	}
--- a/router/ingress/owner.go
+++ b/router/ingress/owner.go
@@ -21,7 +21,10 @@
 	last := outcome.Refuse(outcome.ReasonNoOwner, "no instance serves the unit")
 	for n := 1; ; n++ {
 		changed := in.members.Changed()
-		e := in.members.View().Table.Lookup(c.Keyspace, c.Hash)
+		e, refusal := in.entry(c)
+		if refusal != nil {
+			return nil, worse(last, refusal)
+		}
 		if e != nil && e.Phase == table.Serving && e.Owner != "" {
 			resp, refusal := in.tryOwner(ctx, c, e)
 			if refusal != nil && refusal.Outcome == outcome.NotRun && awaitsOwner(refusal.Reason) && c.Repeatable() {
@@ -41,6 +44,17 @@
 	}
 }
 
+// entry finds the call's unit by the newest document and table. It refuses a
+// call that the newest document has no place for.
+func (in *Ingress) entry(c *call.Call) (*table.Entry, *outcome.Refusal) {
+	v := in.members.View()
+	keyspace, ok := c.CurrentKeyspace(v.Document)
+	if !ok {
+		return nil, outcome.Refuse(outcome.ReasonNoRule, "the configuration has changed and no rule covers the key any more")
+	}
+	return v.Table.Lookup(keyspace, c.Hash), nil
+}
+
 // mayTryAgain decides whether a refused call waits for its owner and is sent
 // again.
 func (in *Ingress) mayTryAgain(c *call.Call, s *service, n int, refusal *outcome.Refusal) bool {
@@ -161,6 +175,6 @@
 
 // replaced reports whether the unit of the call has an owner other than e's.
 func (in *Ingress) replaced(c *call.Call, e *table.Entry) bool {
-	now := in.members.View().Table.Lookup(c.Keyspace, c.Hash)
+	now, _ := in.entry(c)
 	return now != nil && now.Owner != e.Owner && now.Epoch > e.Epoch
 }
--- a/router/member/agent.go
+++ b/router/member/agent.go
@@ -191,6 +191,7 @@
 		DataCentre: a.cfg.DataCentre, PeerAddr: a.cfg.PeerAddr,
 		Target: rep.Target, Leaving: a.leaving,
 		TableRevision: v.Table.Revision(), ConfigRevision: v.ConfigRevision, DirectoryRevision: v.Directory.Revision,
+		OldestTable: rep.OldestTable, OldestConfig: rep.OldestConfig,
 		Load: rep.Load, Released: rep.Released, Synced: rep.Synced, HotKeys: rep.HotKeys, UnitLoads: rep.UnitLoads,
 	}, a.leader
 }
--- a/router/member/report.go
+++ b/router/member/report.go
@@ -4,7 +4,10 @@
 
 // Report is what a process tells control with a renewal besides its identity.
 type Report struct {
-	Target    *control.Target
+	Target *control.Target
+	// OldestTable and OldestConfig are as in control.Renewal.
+	OldestTable, OldestConfig uint64
+
 	Load      control.Load
 	Released  []control.UnitEpoch
 	Synced    []control.CopySynced
