--- a/coord/idempotency/copy.go
+++ b/coord/idempotency/copy.go
@@ -79,6 +79,10 @@
 // Write applies a write of the unit's owner.
 func (c *Copy) Write(now clock.Reading, req WriteRequest) WriteReply {
 	reply := WriteReply{Seq: req.Seq, Unit: req.Unit, From: c.cfg.Self, Incarnation: c.cfg.Incarnation}
+	if !validRecords(req.Records) || req.Step > JoinLast {
+		reply.Problem = ProblemInvalid
+		return reply
+	}
 	s := c.unit(req.Unit)
 	s.touched = now
 	if req.Epoch < s.fence {
--- a/coord/idempotency/message.go
+++ b/coord/idempotency/message.go
@@ -16,6 +16,8 @@
 	ProblemNotHeld Problem = "not-held"
 	// ProblemFull means that the copy's memory bound is reached.
 	ProblemFull Problem = "full"
+	// ProblemInvalid means that no owner can have written the message.
+	ProblemInvalid Problem = "invalid"
 )
 
 // JoinID identifies one transfer of all records of a unit to a copy. Later
--- a/coord/idempotency/record.go
+++ b/coord/idempotency/record.go
@@ -46,6 +46,28 @@
 	Version uint64 `json:"version" cbor:"7,keyasint"`
 }
 
+// valid reports whether an owner can have written r. A finished record without
+// a final answer could not be given to a caller.
+func (r *Record) valid() bool {
+	switch {
+	case r.Key == "" || r.State < Started || r.State > Refused:
+		return false
+	case r.State == Finished:
+		return r.Answer != nil && r.Answer.Status >= 200 && r.Answer.Status <= 999
+	default:
+		return r.Answer == nil
+	}
+}
+
+func validRecords(records []Record) bool {
+	for i := range records {
+		if !records[i].valid() {
+			return false
+		}
+	}
+	return true
+}
+
 // newer reports whether r replaces old.
 func (r *Record) newer(old *Record) bool {
 	if r.Epoch != old.Epoch {
--- a/coord/idempotency/recovery.go
+++ b/coord/idempotency/recovery.go
@@ -67,7 +67,7 @@
 	case reply.Problem == ProblemStale && reply.Epoch > u.epoch:
 		o.drop(u)
 		return o.out
-	case reply.Problem != "", !reply.Last && len(reply.Records) == 0:
+	case reply.Problem != "", !reply.Last && len(reply.Records) == 0, !validRecords(reply.Records):
 		o.fetchFailed(u)
 		return o.out
 	}
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -26,7 +26,7 @@
 	})
 	defer p.forget(id)
 	d := p.await(ctx, id, decided)
-	if d.refusal != nil || d.answer != nil {
+	if !d.dispatch {
 		return result(d)
 	}
 	// Once dispatched, a payment goes on without its caller until its deadline:
@@ -130,6 +130,9 @@
 	if d.refusal != nil {
 		return nil, d.refusal
 	}
+	if d.answer == nil {
+		return nil, outcome.Undecided(outcome.ReasonUpstreamBroken, "the record of an earlier try has no answer")
+	}
 	return &call.Response{
 		Status: d.answer.Status, Header: http.Header(d.answer.Header), Replayed: d.replayed,
 		Body: io.NopCloser(bytes.NewReader(d.answer.Body)), Length: int64(len(d.answer.Body)),
--- a/router/gate/payments.go
+++ b/router/gate/payments.go
@@ -39,9 +39,10 @@
 	table, config uint64
 }
 
-// decision is what the owner's records decide about one request. The zero
-// decision allows the dispatch.
+// decision is what the owner's records decide about one request: exactly one of
+// dispatch, answer and refusal is set.
 type decision struct {
+	dispatch bool
 	answer   *idempotency.Answer
 	replayed bool
 	refusal  *outcome.Refusal
@@ -103,7 +104,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case idempotency.Dispatch:
-			p.decide(a.ID, decision{})
+			p.decide(a.ID, decision{dispatch: true})
 		case idempotency.Reply:
 			p.decide(a.ID, decision{answer: a.Answer, replayed: a.Replayed})
 		case idempotency.Refuse:
