--- /dev/null
+++ b/router/controlnode/hostile_test.go
@@ -0,0 +1,66 @@
+package controlnode
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/peer"
+)
+
+var quietly = logging.Part(logging.New(io.Discard, "error", false), "test")
+
+// TestNonsenseMessages guards against a message that ends the replica or makes
+// its folder unusable. After each the replica still answers, and in the end its
+// folder can be opened.
+func TestNonsenseMessages(t *testing.T) {
+	is := is.New(t)
+	cfg := Config{ID: "one", Cluster: "c", Folder: t.TempDir(), SnapshotEntries: 100}
+	n, err := Open(cfg, peer.NewClient(&peer.Dialer{}, nil), quietly)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	var id raft.ID
+	for end := time.Now().Add(5 * time.Second); id == ""; time.Sleep(5 * time.Millisecond) {
+		st, formed, err := n.Status(ctx)
+		is.NoErr(err)
+		is.True(time.Now().Before(end)) // the replica takes part
+		if formed {
+			id = st.ID
+		}
+	}
+	for i, text := range []string{
+		`{}`, `{"k":255,"f":"x","t":1}`, `{"k":6,"f":"x","t":18446744073709551615}`, `{"k":6,"f":"","t":1}`,
+		`{"k":5,"f":"x","t":1,"e":[{}]}`, `{"k":5,"f":"x","t":1,"i":9,"lt":1,"e":[{"i":11,"t":1}]}`, `{"k":9,"f":"x","t":9}`,
+		`{"k":9,"f":"x","t":9,"s":{}}`, `{"k":10,"f":"x","t":3}`, `{"k":7,"f":"x","t":3,"c":99,"rd":1}`, `{"k":8,"f":"x","t":3,"rd":7}`,
+	} {
+		var m raft.Message
+		is.NoErr(json.Unmarshal([]byte(text), &m))
+		m.To = id
+		_, err := n.step(ctx, m)
+		is.NoErr(err)
+		_, _, err = n.Status(ctx)
+		is.NoErr(err)
+		t.Log(i, text)
+	}
+	// A snapshot that is well formed for the log and no state at all.
+	_, err = n.step(ctx, raft.Message{Kind: raft.MsgSnapshot, From: "x", To: id, Term: 9, Snapshot: &raft.Snapshot{
+		Index: 10, Term: 4, Membership: raft.Membership{Voters: []raft.ID{"x"}}, Data: []byte("nonsense"),
+	}})
+	is.NoErr(err)
+	_, _, err = n.Status(ctx)
+	is.NoErr(err)
+	cancel()
+	is.NoErr(<-ended)
+	again, err := Open(cfg, peer.NewClient(&peer.Dialer{}, nil), quietly)
+	is.NoErr(err) // the folder holds nothing that cannot be restored
+	is.NoErr(again.store.Close())
+}
--- a/router/controlnode/serve.go
+++ b/router/controlnode/serve.go
@@ -33,6 +33,14 @@
 	if n.raft == nil {
 		return
 	}
+	// A snapshot is stored before it is installed: one that cannot be restored
+	// would stop this replica for good.
+	if s := m.Snapshot; s != nil && len(s.Data) > 0 {
+		if _, err := control.Restore(s.Data); err != nil {
+			n.log.Warnf("snapshot of replica %s refused: %v", m.From, err)
+			return
+		}
+	}
 	if err := n.raft.Step(m); err != nil {
 		n.log.Debugf("message from replica %s refused: %v", m.From, err)
 	}
--- /dev/null
+++ b/router/ingress/tries_test.go
@@ -0,0 +1,227 @@
+package ingress_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/control"
+	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/ingress"
+	"bramleyquay.example/router/member/memberfake"
+)
+
+// gates is an ingress.RemoteGates whose answers a test writes.
+type gates struct {
+	mu    sync.Mutex
+	tries int
+	// answer gets the number of the try, from 1; nil is an answer.
+	answer func(ctx context.Context, n int) *outcome.Refusal
+	// hold, if set, keeps each answer's body open until it returns.
+	hold func()
+}
+
+// heldBody is empty and ends when hold has returned.
+type heldBody struct{ hold func() }
+
+// Read implements io.Reader.
+func (b heldBody) Read([]byte) (int, error) { b.hold(); return 0, io.EOF }
+
+// Forward implements ingress.RemoteGates.
+func (g *gates) Forward(ctx context.Context, _ string, _ *call.Call) (*call.Response, *choice.GateLoad, *outcome.Refusal) {
+	g.mu.Lock()
+	g.tries++
+	n, answer, hold := g.tries, g.answer, g.hold
+	g.mu.Unlock()
+	if r := answer(ctx, n); r != nil {
+		return nil, nil, r
+	}
+	if hold != nil {
+		return &call.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(heldBody{hold})}, nil, nil
+	}
+	return &call.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Length: 2}, nil, nil
+}
+
+func (g *gates) script(answer func(ctx context.Context, n int) *outcome.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tries, g.answer = 0, answer
+}
+
+func (g *gates) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tries
+}
+
+// newFar starts an ingress with three members of the service plain, of which
+// one owns the units of the others.
+func newFar(t *testing.T, phase table.Phase) (*ingress.Ingress, *gates) {
+	t.Helper()
+	owner := func(space string) table.Entry {
+		return table.Entry{Unit: unit(space), Owner: "m1", Epoch: 3, Phase: phase}
+	}
+	var members []control.Member
+	for _, id := range []table.MemberID{"m1", "m2", "m3"} {
+		members = append(members, control.Member{ID: id, DataCentre: "a", PeerAddr: string(id), State: control.Active, Target: &control.Target{Service: "plain", Slots: 50}})
+	}
+	doc := document()
+	doc.Automation.Repeats = true
+	view, err := memberfake.View(1, doc, []table.Entry{owner("keyed:k"), owner("pay")}, members...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gates{}
+	return ingress.New(ingress.Config{Self: "far", DataCentre: "a", MaxHeld: 8, Seed: 1}, memberfake.New("far", view), nil, g, quietly), g
+}
+
+// send passes a request to the ingress.
+func send(in *ingress.Ingress, method, path string, body io.Reader) *http.Response {
+	req := httptest.NewRequest(method, path, body)
+	req.Header.Set(call.HeaderKey, "k1")
+	req.Header.Set(call.HeaderTimeout, "400")
+	if strings.HasPrefix(path, "/pay") {
+		req.Header.Set(call.HeaderIdempotencyKey, "i")
+	}
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, req)
+	return w.Result()
+}
+
+// TestRepeatsNeedProof guards against a second run of a request that is not
+// idempotent, and against a not-run that forgets an earlier unknown try.
+func TestRepeatsNeedProof(t *testing.T) {
+	busy := outcome.Refuse(outcome.ReasonQueueFull, "")
+	unreached := outcome.Refuse(outcome.ReasonConnection, "")
+	broken := outcome.Undecided(outcome.ReasonConnection, "")
+	late := outcome.Undecided(outcome.ReasonUpstreamBroken, "")
+	for _, c := range []struct {
+		name, method, path string
+		streamed           bool
+		tries              []*outcome.Refusal // then answers
+		count              int
+		outcome            string
+	}{
+		{"not-run", "POST", "/plain/x", false, []*outcome.Refusal{busy}, 2, "done"},
+		{"not reached", "POST", "/plain/x", false, []*outcome.Refusal{unreached, unreached}, 3, "done"},
+		{"unknown", "POST", "/plain/x", false, []*outcome.Refusal{broken}, 1, "unknown"},
+		{"unknown after not-run", "POST", "/plain/x", false, []*outcome.Refusal{busy, broken}, 2, "unknown"},
+		{"streamed body", "POST", "/plain/x", true, []*outcome.Refusal{busy}, 1, "not-run"},
+		{"unknown GET", "GET", "/plain/x", false, []*outcome.Refusal{broken}, 2, "done"},
+		{"unknown GET, then not-run", "GET", "/plain/x", false, []*outcome.Refusal{broken, busy, busy, busy, busy, busy}, 0, "unknown"},
+		{"keyed not-run", "POST", "/keyed/x", false, []*outcome.Refusal{unreached}, 2, "done"},
+		{"keyed unknown", "POST", "/keyed/x", false, []*outcome.Refusal{broken}, 1, "unknown"},
+		{"keyed DELETE", "DELETE", "/keyed/x", false, []*outcome.Refusal{late}, 1, "unknown"},
+		{"keyed streamed body", "POST", "/keyed/x", true, []*outcome.Refusal{unreached}, 1, "not-run"},
+		{"keyed GET, then not-run", "GET", "/keyed/x", false, []*outcome.Refusal{broken, busy, busy, busy, busy, busy}, 0, "unknown"},
+		{"payment at the target", "POST", "/pay/x", false, []*outcome.Refusal{late}, 1, "unknown"},
+		{"payment not-run", "POST", "/pay/x", false, []*outcome.Refusal{unreached}, 2, "done"},
+		{"payment unknown, then not-run", "POST", "/pay/x", false, []*outcome.Refusal{broken, busy, busy, busy, busy, busy}, 0, "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			in, g := newFar(t, table.Serving)
+			g.script(func(_ context.Context, n int) *outcome.Refusal {
+				if n <= len(c.tries) {
+					return c.tries[n-1]
+				}
+				return nil
+			})
+			var body io.Reader = strings.NewReader("body")
+			if c.streamed {
+				body = struct{ io.Reader }{body}
+			}
+			is.Equal(outcomeOf(send(in, c.method, c.path, body)), c.outcome)
+			if c.count > 0 {
+				is.Equal(g.count(), c.count)
+			}
+		})
+	}
+}
+
+// TestHeldRequestsAreBounded guards against requests without owner that fill
+// the memory, and against telling their callers that a deadline passed.
+func TestHeldRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	in, g := newFar(t, table.Moving)
+	g.script(func(context.Context, int) *outcome.Refusal { return nil })
+	results := make(chan string, 64)
+	for range cap(results) {
+		go func() {
+			data, _ := io.ReadAll(send(in, http.MethodGet, "/keyed/x", nil).Body) // recorders do not fail
+			results <- string(data)
+		}()
+	}
+	overloaded, ended := 0, 0
+	for range cap(results) {
+		is.True(in.Status().Held <= 8)
+		text := <-results
+		is.True(strings.Contains(text, `"outcome":"not-run"`))
+		switch {
+		case strings.Contains(text, string(outcome.ReasonOverloaded)):
+			overloaded++
+			is.True(!strings.Contains(text, "deadline passed"))
+		default:
+			ended++
+		}
+	}
+	is.True(overloaded >= cap(results)-8)
+	is.True(ended <= 8)
+	is.Equal(in.Status().Held, 0)
+	is.Equal(g.count(), 0)
+}
+
+// TestHedges guards against hedges of requests that must run once, and against
+// a loser that goes on after the winner's answer.
+func TestHedges(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		tries        int
+	}{
+		{"GET", "/plain/x", 2}, {"POST", "/plain/x", 1}, {"POST", "/pay/x", 1}, {"GET", "/keyed/x", 1},
+	} {
+		t.Run(c.method+c.path, func(t *testing.T) {
+			is := is.New(t)
+			in, g := newFar(t, table.Serving)
+			g.script(func(context.Context, int) *outcome.Refusal { time.Sleep(time.Millisecond); return nil })
+			for range 300 { // the latency is known from 100 samples on
+				is.Equal(outcomeOf(send(in, http.MethodGet, "/plain/x", nil)), "done")
+			}
+			cancelled := make(chan struct{})
+			g.script(func(ctx context.Context, n int) *outcome.Refusal {
+				if n > 1 {
+					return nil
+				}
+				<-ctx.Done()
+				close(cancelled)
+				return outcome.Undecided(outcome.ReasonConnection, "cancelled")
+			})
+			inTime := false
+			g.hold = func() { // the loser must end while the winner's answer is still on its way
+				select {
+				case <-cancelled:
+					inTime = true
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+			resp := send(in, c.method, c.path, strings.NewReader("b"))
+			is.Equal(g.count(), c.tries)
+			if c.tries == 1 {
+				is.Equal(outcomeOf(resp), "unknown")
+				return
+			}
+			is.Equal(outcomeOf(resp), "done")
+			is.True(inTime)
+		})
+	}
+}
