Name only complete holders as sources of records

Cause: a finished move named the old owner as a source of the unit's records even if it had not read them yet; the histories of the records show that this can make a payment run twice. A unit whose first copy never came into sync was counted as having lost its records when its owner was lost. Ruled out: keeping a leaving member until new owners have read its records; members of services without a report would never stop. Change: sources are the copies in sync, and the owner if it had the records. Documents carry the leader's time for the history, and the time until a document is everywhere is measured by the leader. A wait for the records' confirmation has a limit.

--- a/coord/control/apply_document.go
+++ b/coord/control/apply_document.go
@@ -40,7 +40,7 @@
 	s.replaceKeyspaces(e, spaces, gains)
 	s.doc = doc
 	s.documents.add(DocumentRevision{
-		Revision: current.Revision + 1, Author: c.Author, ChangeID: c.ChangeID, Index: s.index, Text: slices.Clone(c.Text),
+		Revision: current.Revision + 1, Author: c.Author, ChangeID: c.ChangeID, Index: s.index, Text: slices.Clone(c.Text), AtMs: c.AtMs,
 	})
 	s.refreshStates(e)
 	return Result{}
--- a/coord/control/apply_units.go
+++ b/coord/control/apply_units.go
@@ -57,7 +57,7 @@
 	if refused != nil {
 		return *refused
 	}
-	n.Sources = with(n.Copies, n.Owner)
+	n.Sources = sourcesAfter(&n)
 	n.Owner, n.Next, n.Phase = n.Next, "", table.Serving
 	n.Copies = without(n.Copies, only(n.Owner))
 	n.Joining = without(n.Joining, only(n.Owner))
@@ -66,6 +66,23 @@
 	return Result{}
 }
 
+// sourcesAfter returns who holds every record of a unit that its owner gives
+// up: the copies in sync, and the owner if it had read the records itself. An
+// owner that had not may lack records that the earlier sources hold. A unit
+// whose first copy never came into sync has no records at all.
+func sourcesAfter(n *table.Entry) []table.MemberID {
+	switch {
+	case len(n.Sources) == 0:
+		return slices.Clone(n.Copies)
+	case slices.Contains(n.Sources, n.Owner):
+		return with(n.Copies, n.Owner)
+	case len(n.Copies) > 0:
+		return slices.Clone(n.Copies)
+	default:
+		return n.Sources
+	}
+}
+
 func (s *State) cancelMove(e *edit, c *CancelMove) Result {
 	n, refused := s.at(e, c.Unit, c.Epoch, table.Moving)
 	if refused != nil {
--- a/coord/control/changes.go
+++ b/coord/control/changes.go
@@ -38,6 +38,11 @@
 
 // commandDigest tells a resent change from another one with the same id.
 func commandDigest(c Command) uint64 {
+	if d := c.ApplyDocument; d != nil {
+		timeless := *d
+		timeless.AtMs = 0
+		c.ApplyDocument = &timeless
+	}
 	data, err := EncodeCommand(c)
 	if err != nil {
 		return 0
--- a/coord/control/command_config.go
+++ b/coord/control/command_config.go
@@ -10,6 +10,9 @@
 	Author   string `json:"author" cbor:"3,keyasint"`
 	// Text is the document as JSON.
 	Text []byte `json:"text" cbor:"4,keyasint"`
+	// AtMs is the leader's wall clock in Unix milliseconds, for the history
+	// only. It differs in a resend of the same change.
+	AtMs int64 `json:"atMs,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // ReleaseKeyspace lets a key space be served that was created or that took
--- a/coord/control/documents.go
+++ b/coord/control/documents.go
@@ -14,6 +14,8 @@
 	Index uint64 `json:"index" cbor:"4,keyasint"`
 	// Text is the document as JSON.
 	Text []byte `json:"text" cbor:"5,keyasint"`
+	// AtMs is when the leader took the change, in Unix milliseconds.
+	AtMs int64 `json:"atMs,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // documentHistory holds recent documents, oldest first.
--- a/coord/control/strip.go
+++ b/coord/control/strip.go
@@ -37,8 +37,8 @@
 // any more. An owner that had sources at its epoch and is not among them may
 // not have read them yet; it reports itself as synced once it has.
 func lostRecords(old, n *table.Entry, ownerGone bool) bool {
-	if len(n.Copies) > 0 {
-		return false
+	if len(n.Copies) > 0 || (len(old.Copies) == 0 && len(old.Sources) == 0) {
+		return false // without a copy in sync nothing was ever dispatched
 	}
 	if ownerGone || old.Owner == "" {
 		return len(old.Copies) > 0 || ownerGone && old.Phase != table.Unowned
--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -39,6 +39,7 @@
 	lastReview clock.Reading
 	waiting    map[uint64]waiter
 	compacted  uint64
+	spread     spread
 	// seen are the revisions that members were last woken for.
 	seen revisions
 
--- a/router/controlnode/process.go
+++ b/router/controlnode/process.go
@@ -105,6 +105,7 @@
 	}
 	n.lastReview = now
 	n.proposeAll(n.controller.Tick(now, n.state))
+	n.reviewSpread(now)
 }
 
 // proposeAll proposes the controller's commands. The controller repeats those
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -102,7 +102,7 @@
 		answer.Body, answer.BodyOmitted = nil, true
 	}
 	p.event(func(now clock.Reading) []idempotency.Action { return p.owner.Finished(now, id, answer) })
-	d := <-decided
+	d := p.confirmed(decided)
 	if d.refusal != nil {
 		_ = resp.Body.Close() // the answer is not passed on
 		return nil, d.refusal
@@ -115,6 +115,19 @@
 	return resp, nil
 }
 
+// confirmTimeout bounds the wait for the records' confirmation of an answer. The
+// records confirm by the request's deadline; a longer wait is a fault.
+const confirmTimeout = time.Minute
+
+func (p *payments) confirmed(decided chan decision) decision {
+	select {
+	case d := <-decided:
+		return d
+	case <-time.After(confirmTimeout):
+		return decision{refusal: outcome.Undecided(outcome.ReasonInProgress, "the answer could not be recorded")}
+	}
+}
+
 // joinedBody is an answer whose beginning has been read.
 type joinedBody struct {
 	io.Reader
--- a/router/leader/local.go
+++ b/router/leader/local.go
@@ -81,6 +81,7 @@
 	}
 	result, err := l.propose(ctx, control.Command{ApplyDocument: &control.ApplyDocument{
 		Base: q.Base, ChangeID: q.ChangeID, Author: q.Author, Text: document.Canonical(doc),
+		AtMs: time.Now().UnixMilli(),
 	}})
 	if err != nil {
 		return operator.ApplyReply{}, err
@@ -100,7 +101,7 @@
 	var list []operator.Change
 	err := l.read(ctx, func(s *control.State, _ *control.Controller) {
 		for _, d := range s.History(historyLength) {
-			list = append(list, operator.Change{Revision: d.Revision, Author: d.Author, ChangeID: d.ChangeID, At: l.watch.accepted(d.Revision)})
+			list = append(list, operator.Change{Revision: d.Revision, Author: d.Author, ChangeID: d.ChangeID, At: time.UnixMilli(d.AtMs)})
 		}
 	})
 	return list, err
@@ -116,7 +117,7 @@
 	err := l.read(ctx, func(s *control.State, _ *control.Controller) {
 		for _, d := range s.History(historyLength) {
 			if revision == 0 || d.Revision == revision {
-				reply, found = operator.DocumentReply{Revision: d.Revision, Author: d.Author, Text: string(d.Text), At: l.watch.accepted(d.Revision)}, true
+				reply, found = operator.DocumentReply{Revision: d.Revision, Author: d.Author, Text: string(d.Text), At: time.UnixMilli(d.AtMs)}, true
 				return
 			}
 		}
@@ -179,8 +180,8 @@
 		if err != nil {
 			return operator.Result{}, err
 		}
-		if string(e.Owner) == q.To {
-			return operator.Result{Text: fmt.Sprintf("unit %s is at %s already", unit, q.To), Already: true}, nil
+		if string(e.Owner) == q.To || (e.Phase == table.Moving && string(e.Next) == q.To) {
+			return operator.Result{Text: fmt.Sprintf("unit %s is at %s or on its way there already", unit, q.To), Already: true}, nil
 		}
 		result, err := l.node.Propose(ctx, control.Command{BeginMove: &control.BeginMove{
 			Unit: unit, Epoch: e.Epoch, To: table.MemberID(q.To), ChangeID: q.ChangeID, Author: q.Author,
--- a/router/leader/status.go
+++ b/router/leader/status.go
@@ -29,11 +29,16 @@
 		for _, m := range view.Moves {
 			st.Moves = append(st.Moves, operator.MoveStatus{Unit: m.Unit.String(), From: string(m.From), To: string(m.To)})
 		}
-		st.Config = l.configStatus(view)
+		st.Config = configStatus(view)
 	})
 	if err != nil {
 		return st, err
 	}
+	spread, err := l.node.Spread(ctx)
+	if err != nil {
+		return st, l.failure(err)
+	}
+	st.Config.EverywhereMs = spread.Took.Milliseconds()
 	group, _, err := l.node.Status(ctx)
 	if err != nil {
 		return st, l.failure(err)
@@ -114,7 +119,7 @@
 }
 
 // configStatus counts the members that lack the newest document.
-func (l *Local) configStatus(view control.Status) operator.ConfigStatus {
+func configStatus(view control.Status) operator.ConfigStatus {
 	c := operator.ConfigStatus{Revision: view.ConfigRevision, Everywhere: true}
 	for _, m := range view.Members {
 		if m.State != control.Lost && m.ConfigRevision < view.ConfigRevision {
@@ -122,6 +127,5 @@
 			c.Everywhere = false
 		}
 	}
-	c.EverywhereMs = l.watch.spread(view.ConfigRevision, c.Everywhere).Milliseconds()
 	return c
 }
