--- a/router/ingress/forwarder.go
+++ b/router/ingress/forwarder.go
@@ -87,6 +87,9 @@
 		return nil
 	}
 	for i, into := range []*int{&l.Running, &l.Limit, &l.Queued} {
+		if fields[i] == "" {
+			return nil
+		}
 		for _, d := range fields[i] {
 			if d < '0' || d > '9' || *into > 1<<20 {
 				return nil
