--- a/coord/internal/loadsim/straggler_test.go
+++ b/coord/internal/loadsim/straggler_test.go
@@ -29,6 +29,8 @@
 // measureAll adds the policies and the length that docs/measurements.md lists.
 var measureAll = flag.Bool("loadsim.all", false, "measure all policies for 60 s instead of three for 15 s")
 
+var stragglerSeed = flag.Uint64("loadsim.seed", 1, "seed of the straggler runs")
+
 type policy struct {
 	name string
 	// always policies run without the flag as well.
@@ -62,7 +64,7 @@
 		{muscat3, 1, exact, 0}, {muscat4, 1, exact, 0}, {muscat4, 2, exact, 0}, {cascadia, 1, exact, 0}, {cascadia, 2, exact, 0},
 		{muscat4, 1, late, 0}, {cascadia, 1, lying, 0}, {muscat4, 1, exact, 0.6}, {cascadia, 1, exact, 0.6},
 	}
-	length, seed := 15*time.Second, uint64(1)
+	length, seed := 15*time.Second, *stragglerSeed
 	if *measureAll {
 		length = 60 * time.Second
 	}
