Wait for a grant instead of counting a fence as shed load

Cause: on a busy machine the balance scenario had 7 refusals: targets refused requests whose grant had just ended, and the ingress counted that as shed load and gave up after four tries. Change: a target's conflict is a lease refusal that asks for a grant at once and is held like one.

--- a/router/gate/dispatch.go
+++ b/router/gate/dispatch.go
@@ -91,13 +91,17 @@
 }
 
 // refusedByTarget returns the refusal of a target that states that it did not
-// run the request.
+// run the request. A conflict means that the request is outside of the target's
+// grant, which a new grant resolves; other refusals shed load.
 func refusedByTarget(resp *http.Response) *outcome.Refusal {
 	if resp.Header.Get(call.HeaderOutcome) != string(outcome.NotRun) {
 		return nil
 	}
 	defer resp.Body.Close()
 	_, _ = io.CopyN(io.Discard, resp.Body, 4<<10) // lets the connection be used again
+	if resp.StatusCode == http.StatusConflict {
+		return outcome.Refuse(outcome.ReasonLease, "the target's grant has ended or names a later epoch")
+	}
 	return outcome.Refuse(outcome.ReasonTargetRefused, "the target refused the request: "+resp.Status)
 }
 
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -156,9 +156,6 @@
 		old.close()
 	}
 	g.members.Wake()
-	select {
-	case g.grantNow <- struct{}{}:
-	default:
-	}
+	g.requestGrant()
 	return ""
 }
--- a/router/gate/granter.go
+++ b/router/gate/granter.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// requestGrant gives the target a grant at once.
+func (g *Gate) requestGrant() {
+	select {
+	case g.grantNow <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Gate) grant(ctx context.Context, t *target) {
 	valid := g.members.Lease() - grantMargin
 	if valid <= 0 {
--- a/router/ingress/any.go
+++ b/router/ingress/any.go
@@ -17,10 +17,10 @@
 	var tried []table.MemberID
 	last := outcome.Refuse(outcome.ReasonNoOwner, "no target of the service is registered")
 	for n := 1; ; n++ {
-		id, ok := s.pick(in.members.View(), tried)
+		id, ok := s.pick(in.members.View(), c, tried)
 		if !ok && len(tried) > 0 {
 			tried = tried[:0]
-			id, ok = s.pick(in.members.View(), nil)
+			id, ok = s.pick(in.members.View(), c, nil)
 		}
 		if !ok {
 			if refusal := in.hold(ctx, in.members.Changed(), last); refusal != nil {
@@ -97,7 +97,7 @@
 
 // hedge starts the second try; nil if the budget or the targets do not allow it.
 func (in *Ingress) hedge(ctx context.Context, s *service, id table.MemberID, c *call.Call, n int, results chan *entrant) *entrant {
-	other, ok := s.pick(in.members.View(), []table.MemberID{id})
+	other, ok := s.pick(in.members.View(), c, []table.MemberID{id})
 	if !ok {
 		return nil
 	}
--- a/router/ingress/service.go
+++ b/router/ingress/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/outcome"
@@ -26,6 +27,7 @@
 	policy  *retry.Policy
 	// The revisions that the targets and switches were taken from.
 	directory, config uint64
+	reviewed          clock.Reading
 }
 
 func newService(name string, cfg Config) *service {
@@ -69,13 +71,26 @@
 	s.policy.Request()
 }
 
-// pick chooses a target and counts a try there.
-func (s *service) pick(v *member.View, exclude []table.MemberID) (table.MemberID, bool) {
+// overdueInterval is the time between two looks for targets that have stopped
+// answering.
+const overdueInterval = 10 * time.Millisecond
+
+// pick chooses a target and counts a try there. A call that cannot be hedged
+// is never used to probe a suspect.
+func (s *service) pick(v *member.View, c *call.Call, exclude []table.MemberID) (table.MemberID, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.follow(v)
 	now := timesource.Now()
-	id, ok := s.chooser.Pick(now, exclude...)
+	if now.MonoSince(s.reviewed) >= overdueInterval {
+		s.reviewed = now
+		s.chooser.Overdue(now)
+	}
+	choose := s.chooser.PickSteady
+	if c.Idempotent() && c.Repeatable() {
+		choose = s.chooser.Pick
+	}
+	id, ok := choose(now, exclude...)
 	if ok {
 		s.chooser.Started(now, id)
 	}
@@ -137,6 +152,5 @@
 func (s *service) mayHedge(a retry.Attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.chooser.Overdue(timesource.Now())
 	return s.policy.Hedge(a)
 }
