Move the units of a target that is gone; bind grants to the clock

Cause: a target that was killed or froze while the process beside it was well kept its units. Ruled out: a late release by the gate; the intervals show that the overlap began when the target woke. Change: a target that is silent for 750 ms or refuses connections is reported as gone; requests without a whole answer keep their key busy until the deadline that the target was given. Grants and requests carry their end as an absolute time. The stand-in's work ends at its deadline: the remaining overlap in the trace was a request that was frozen in the middle and came to its end 3 s later.

--- a/coord/control/scan.go
+++ b/coord/control/scan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/placement"
 	"bramleyquay.example/coord/table"
 )
@@ -50,6 +51,9 @@
 	if r == nil || r.Member.State == Lost || c.expired(now, &r.Member) {
 		return false
 	}
+	if r.Member.Target == nil && !s.doc.Automation.Allowed(config.Failover) {
+		return false // the target may come back; moving is a failover
+	}
 	return r.Member.State == Draining || !k.serves(&r.Member)
 }
 
--- a/router/call/headers.go
+++ b/router/call/headers.go
@@ -10,6 +10,7 @@
 const (
 	HeaderKey            = "Bq-Key"
 	HeaderTimeout        = "Bq-Timeout-Ms"
+	HeaderDeadline       = "Bq-Deadline-Ms"
 	HeaderIssuedAt       = "Bq-Issued-At"
 	HeaderOutcome        = "Bq-Outcome"
 	HeaderReplayed       = "Bq-Replayed"
--- a/router/gate/dispatch.go
+++ b/router/gate/dispatch.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"bramleyquay.example/coord/admission"
@@ -24,18 +26,35 @@
 	timeout time.Duration
 	// lease is cancelled when the lease expires; nil for calls without unit.
 	lease context.Context
-	// done must be called once with the target's service time.
-	done func(admission.Sample)
+	// free must be called once with the target's service time, leave once when
+	// the request surely runs no more.
+	free  func(admission.Sample)
+	leave func()
+}
+
+// end frees the slot. A target that gave no whole answer may still run the
+// request until the deadline that it was given, so the key counts as running
+// until then and its unit does not move before.
+func (p *permit) end(s admission.Sample, mayRun bool, begin time.Time) {
+	p.free(s)
+	if rest := p.timeout - time.Since(begin); mayRun && rest > 0 && p.entered.unit.Service != "" {
+		time.AfterFunc(rest, p.leave)
+		return
+	}
+	p.leave()
 }
 
 // dispatch sends the call to the target and returns its answer.
 func (g *Gate) dispatch(ctx context.Context, c *call.Call, p *permit) (*call.Response, *outcome.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	stop := context.AfterFunc(p.target.ctx, cancel)
 	if p.lease != nil {
-		stop := context.AfterFunc(p.lease, cancel)
-		inner := cancel
-		cancel = func() { stop(); inner() }
+		stopLease := context.AfterFunc(p.lease, cancel)
+		stopTarget := stop
+		stop = func() bool { stopLease(); return stopTarget() }
 	}
+	inner := cancel
+	cancel = func() { stop(); inner() }
 	sent := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
 	begin := time.Now()
@@ -43,7 +62,10 @@
 	sample := admission.Sample{ServiceTime: time.Since(begin), Failed: err != nil}
 	if err != nil {
 		cancel()
-		p.done(sample)
+		if !sent && errors.Is(err, syscall.ECONNREFUSED) {
+			g.loseTarget(p.target, "it refuses connections")
+		}
+		p.end(sample, sent, begin)
 		return nil, targetError(err, sent)
 	}
 	refusal := refusedByTarget(resp)
@@ -55,14 +77,14 @@
 	}
 	if refusal != nil {
 		cancel()
-		p.done(sample)
+		p.end(sample, false, begin)
 		return nil, refusal
 	}
 	return &call.Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Body: &answerBody{inner: resp.Body, cancel: cancel, done: func(failed bool) {
 			sample.Failed = failed
-			p.done(sample)
+			p.end(sample, failed, begin)
 		}},
 	}, nil
 }
@@ -71,6 +93,9 @@
 	req := c.NewRequest(ctx, p.target.Address)
 	call.SetIdempotencyKey(req.Header, c.IdempotencyKey)
 	req.Header.Set(call.HeaderTimeout, strconv.FormatInt(max(p.timeout.Milliseconds(), 1), 10))
+	// The absolute time lets a target that was frozen recognise a request that
+	// waited in its connection meanwhile.
+	req.Header.Set(call.HeaderDeadline, strconv.FormatInt(time.Now().Add(p.timeout).UnixMilli(), 10))
 	if c.Key != "" {
 		req.Header.Set(call.HeaderKey, c.Key)
 	}
--- a/router/gate/do.go
+++ b/router/gate/do.go
@@ -83,10 +83,8 @@
 		g.slots.abandon(id)
 		return nil, refusal
 	}
-	p.done = func(s admission.Sample) {
-		g.slots.release(id, s)
-		g.leaveUnit(p)
-	}
+	p.free = func(s admission.Sample) { g.slots.release(id, s) }
+	p.leave = func() { g.leaveUnit(p) }
 	return g.dispatch(ctx, c, p)
 }
 
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -34,6 +34,10 @@
 	payments *payments
 	rates    *rates
 	target   atomic.Pointer[target]
+	// announced is when the target announced itself last.
+	announced atomic.Int64
+	// incarnation is the last target's, which may be gone for the moment.
+	incarnation atomic.Uint64
 	// grantNow asks for a grant at once, for a target that has just arrived.
 	grantNow chan struct{}
 
@@ -82,11 +86,38 @@
 			g.cancelOwned()
 		}
 		held = valid
+		g.checkTarget()
 		g.payments.tick()
 		g.rates.tick()
 	}
 }
 
+// targetSilence is the time without an announcement after which a target counts
+// as gone. Targets announce themselves every 200 ms.
+const targetSilence = 750 * time.Millisecond
+
+// checkTarget gives up a target that has fallen silent: it is frozen or gone,
+// and its units must move to other targets.
+func (g *Gate) checkTarget() {
+	if time.Since(time.Unix(0, g.announced.Load())) < targetSilence {
+		return
+	}
+	if t := g.target.Load(); t != nil {
+		g.loseTarget(t, "it has not announced itself for "+targetSilence.String())
+	}
+}
+
+// loseTarget ends the requests at a target and reports it as gone, until it
+// announces itself again.
+func (g *Gate) loseTarget(t *target, why string) {
+	if !g.target.CompareAndSwap(t, nil) {
+		return
+	}
+	g.log.Warnf("target at %s is gone: %s", t.Address, why)
+	t.close()
+	g.members.Wake()
+}
+
 // cancelOwned ends the requests that run under the lease.
 func (g *Gate) cancelOwned() {
 	if n := g.units.total(); n > 0 {
@@ -142,13 +173,14 @@
 	if g.cfg.RequireFences && !a.ChecksFences {
 		return "the settings of this process require a target that checks fences"
 	}
+	g.announced.Store(time.Now().UnixNano())
 	old := g.target.Load()
 	if old != nil && old.Announcement == a {
 		return ""
 	}
 	g.target.Store(newTarget(a))
 	g.configure(g.members.View())
-	if old == nil || old.Incarnation != a.Incarnation {
+	if g.incarnation.Swap(a.Incarnation) != a.Incarnation {
 		g.log.Infof("target of service %s at %s announced, incarnation %x; it counts as cold", a.Service, a.Address, a.Incarnation)
 		g.slots.targetStarted(a.Incarnation)
 	}
--- a/router/gate/granter.go
+++ b/router/gate/granter.go
@@ -25,6 +25,10 @@
 type Grant struct {
 	// ValidMs is the time in milliseconds from the grant's arrival.
 	ValidMs int64 `json:"validMs"`
+	// ValidUntilMs is the same end in Unix milliseconds; the earlier one counts.
+	// A target that was frozen finds old grants in its connections when it
+	// wakes, and must not count them from then.
+	ValidUntilMs int64 `json:"validUntilMs"`
 	// Fence is the incarnation of the member that grants.
 	Fence uint64 `json:"fence"`
 }
@@ -59,7 +63,7 @@
 	if valid <= 0 {
 		return
 	}
-	body, err := json.Marshal(Grant{ValidMs: valid.Milliseconds(), Fence: g.members.View().Incarnation})
+	body, err := json.Marshal(Grant{ValidMs: valid.Milliseconds(), ValidUntilMs: time.Now().Add(valid).UnixMilli(), Fence: g.members.View().Incarnation})
 	if err != nil {
 		return
 	}
--- a/router/gate/target.go
+++ b/router/gate/target.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -51,6 +52,9 @@
 	transport *http.Transport
 	// grants has a connection of its own, so that requests cannot delay a grant.
 	grants *http.Transport
+	// ctx ends when the target is gone.
+	ctx  context.Context
+	lose context.CancelFunc
 }
 
 func newTarget(a Announcement) *target {
@@ -66,10 +70,14 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
-	return &target{Announcement: a, transport: transport, grants: &http.Transport{MaxConnsPerHost: 1}}
+	t := &target{Announcement: a, transport: transport, grants: &http.Transport{MaxConnsPerHost: 1}}
+	t.ctx, t.lose = context.WithCancel(context.Background())
+	return t
 }
 
+// close ends the requests at the target and its connections.
 func (t *target) close() {
+	t.lose()
 	t.transport.CloseIdleConnections()
 	t.grants.CloseIdleConnections()
 }
--- a/router/standin/target.go
+++ b/router/standin/target.go
@@ -47,7 +47,7 @@
 }
 
 const (
-	announceInterval = 500 * time.Millisecond
+	announceInterval = 200 * time.Millisecond
 	announceTimeout  = time.Second
 	// maxSlots is the buffer for bodies that are echoed.
 	maxBody = 1 << 20
@@ -125,8 +125,13 @@
 		http.Error(w, "outside of the grant or of an older epoch", http.StatusConflict)
 		return
 	}
+	if late(r) {
+		w.Header().Set(call.HeaderOutcome, "not-run")
+		http.Error(w, "the deadline has passed", http.StatusGatewayTimeout)
+		return
+	}
 	begin := time.Now()
-	defer func() { t.logInterval(r.Header.Get(call.HeaderKey), begin) }()
+	defer func() { t.logInterval(r, begin) }()
 	n := t.running.Add(1)
 	defer t.running.Add(-1)
 	t.count(n)
@@ -138,6 +143,9 @@
 		t.logRun(key, r)
 	}
 	time.Sleep(t.serviceTime(n))
+	if late(r) { // frozen in between; nothing takes effect after the deadline
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	answer, _ := json.Marshal(map[string]any{ // plain values always encode
 		"service": t.cfg.Service, "key": r.Header.Get(call.HeaderKey), "path": r.URL.Path,
@@ -155,13 +163,25 @@
 	_, _ = t.runs.WriteString(line) // a short append is written whole
 }
 
+// late reports whether a request's deadline passed before it was read.
+func late(r *http.Request) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(call.HeaderDeadline), 10, 64)
+	return err == nil && time.Now().UnixMilli() > ms
+}
+
 // logInterval appends when a request for a key ran, for the check that no two
-// targets run requests for one key at once.
-func (t *Target) logInterval(key string, begin time.Time) {
+// targets run requests for one key at once. Work after the deadline does not
+// take effect, so the interval ends there at the latest.
+func (t *Target) logInterval(r *http.Request, begin time.Time) {
+	key := r.Header.Get(call.HeaderKey)
 	if t.times == nil || key == "" {
 		return
 	}
-	line := fmt.Sprintf("%s %d %d\n", key, begin.UnixNano(), time.Now().UnixNano())
+	end := time.Now()
+	if ms, err := strconv.ParseInt(r.Header.Get(call.HeaderDeadline), 10, 64); err == nil && end.UnixMilli() > ms {
+		end = time.UnixMilli(ms)
+	}
+	line := fmt.Sprintf("%s %d %d\n", key, begin.UnixNano(), end.UnixNano())
 	_, _ = t.times.WriteString(line) // a short append is written whole
 }
 
@@ -218,6 +238,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.grantUntil = time.Now().Add(time.Duration(g.ValidMs) * time.Millisecond)
+	if end := time.UnixMilli(g.ValidUntilMs); end.Before(t.grantUntil) {
+		t.grantUntil = end
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
