Bound the repeats that net/http makes by itself

Cause: http.Transport sends an idempotent request again on the next idle connection whenever a reused one breaks. A GET that makes the target drop its connection ran once per idle connection (9 times with 8 idle ones, at either ingress; a gate keeps up to 129), outside of the budget of repeats.

Change: the exchange is cancelled at its third connection. One repeat stays free, because an idle connection may have been closed by the other end.

--- a/router/gate/dispatch.go
+++ b/router/gate/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
@@ -36,15 +35,14 @@
 		inner := cancel
 		cancel = func() { stop(); inner() }
 	}
-	sent := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	ctx, connections := call.WatchConnections(ctx, cancel)
 	begin := time.Now()
 	resp, err := p.target.transport.RoundTrip(targetRequest(ctx, c, p))
 	sample := admission.Sample{ServiceTime: time.Since(begin), Failed: err != nil}
 	if err != nil {
 		cancel()
 		p.done(sample)
-		return nil, targetError(err, sent)
+		return nil, targetError(err, connections.Any())
 	}
 	refusal := refusedByTarget(resp)
 	if refusal == nil && resp.StatusCode < http.StatusOK {
--- a/router/ingress/forwarder.go
+++ b/router/ingress/forwarder.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -46,12 +45,11 @@
 // itself only if no connection was made, so that no byte reached the gate.
 func (f *Forwarder) Forward(ctx context.Context, addr string, c *call.Call) (*call.Response, *choice.GateLoad, *outcome.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	sent := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	ctx, connections := call.WatchConnections(ctx, cancel)
 	resp, err := f.transport.RoundTrip(call.HopRequest(ctx, c, addr))
 	if err != nil {
 		cancel()
-		return nil, nil, forwardError(err, sent)
+		return nil, nil, forwardError(err, connections.Any())
 	}
 	load := parseLoad(resp.Header.Get(call.HeaderLoad))
 	if refusal, ok := call.ReadRefusal(resp); ok {
