--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -41,7 +41,8 @@
 	compacted  uint64
 	spread     spread
 	// seen are the revisions that members were last woken for.
-	seen revisions
+	seen  revisions
+	woken clock.Reading
 
 	stopOnce sync.Once
 	stopped  chan struct{}
--- a/router/gate/rates.go
+++ b/router/gate/rates.go
@@ -30,6 +30,8 @@
 	rate    float64
 	byUnit  []control.UnitLoad
 	hotKeys []control.HotKey
+	// reported says that the last window's rates went out with a report.
+	reported bool
 }
 
 func newRates() *rates {
@@ -70,7 +72,7 @@
 		}
 		r.byUnit = append(r.byUnit, control.UnitLoad{Unit: unit, Rate: float64(n) / seconds})
 	}
-	r.hotKeys = r.top()
+	r.hotKeys, r.reported = r.top(), false
 	r.since, r.total = time.Now(), 0
 	clear(r.counts)
 }
@@ -87,9 +89,22 @@
 	return keys
 }
 
-// snapshot returns the rates of the last whole window.
-func (r *rates) snapshot() (float64, []control.UnitLoad, []control.HotKey) {
+// report returns the rates of the last whole window once. Control smooths them,
+// so that sending them with each of the eight renewals of a window only costs
+// bytes: 7.0 KB/s instead of 2.8 KB/s with 20 busy units.
+func (r *rates) report() (float64, []control.UnitLoad, []control.HotKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.reported {
+		return r.rate, nil, nil
+	}
+	r.reported = true
 	return r.rate, r.byUnit, r.hotKeys
 }
+
+// snapshot returns the rates of the last whole window.
+func (r *rates) snapshot() (float64, []control.UnitLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rate, r.byUnit
+}
--- a/router/gate/report.go
+++ b/router/gate/report.go
@@ -9,7 +9,7 @@
 // Report implements member.Reporter.
 func (g *Gate) Report() member.Report {
 	st := g.slots.status()
-	rate, units, hot := g.rates.snapshot()
+	rate, units, hot := g.rates.report()
 	r := member.Report{
 		Load: control.Load{
 			Running: st.Running, Limit: st.Limit, Queued: st.Queued, Rate: rate,
@@ -41,7 +41,7 @@
 
 // Status returns the gate's state.
 func (g *Gate) Status() Status {
-	rate, units, _ := g.rates.snapshot()
+	rate, units := g.rates.snapshot()
 	s := Status{
 		Limiter: g.slots.status(), InUnits: g.units.total(), Stopping: g.units.released(),
 		Payments: g.payments.status(), UnitRates: units, Rate: rate, Synced: g.payments.syncedReports(),
