--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MODULES := coord router
 BIN := bin
 
-.PHONY: all build fmt-check vet lint test race bench slopes demo clean
+.PHONY: all build fmt-check vet lint test bench slopes faults demo clean
 
 all: build
 
@@ -42,5 +42,10 @@
 	cd router && $(GO) test -run '^$$' -bench . -benchtime 20x -timeout 5m ./slopes ./store
 	cd coord && $(GO) test -run '^$$' -bench 'Payment|Encoding|Propose|Heartbeat' -benchtime 2000x ./idempotency ./raft
 
+# Prints for how long callers get no answer under each fault and pairs of them.
+faults: build
+	cd router && $(GO) build -o ../$(BIN)/ ./examples/standin ./examples/faults
+	$(BIN)/faults --daemon=$(BIN)/bramleyquay --standin=$(BIN)/standin --examples=examples/muscat
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/router/examples/faults/bench.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleyquay.example/router/harness"
+)
+
+// bench is a cluster under load.
+type bench struct {
+	cluster *harness.Cluster
+	loads   []*harness.Load
+	leader  *harness.Node
+
+	mu   sync.Mutex
+	down map[string]bool
+	errs []error
+}
+
+const (
+	// watch is the time that a fault lasts. Losses are repaired within 2 s.
+	watch = 3500 * time.Millisecond
+	// patience bounds the wait until everything is served again.
+	patience = 30 * time.Second
+)
+
+func run(ctx context.Context, o options) error {
+	folder, err := os.MkdirTemp("", "bramleyquay-faults-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	l := harness.Muscat()
+	l.Folder, l.Daemon, l.Standin, l.Template = folder, o.Daemon, o.Standin, filepath.Join(o.Examples, "process.hujson.tmpl")
+	c, err := harness.New(l)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	b := &bench{cluster: c, down: map[string]bool{}}
+	if err := b.start(ctx, filepath.Join(o.Examples, "document.hujson")); err != nil {
+		return err
+	}
+	fmt.Println("| fault | catalogue ms | enrolment ms | learners ms | not-run | unknown |")
+	fmt.Println("|---|---|---|---|---|---|")
+	for _, group := range faults {
+		if err := b.measure(ctx, group); err != nil {
+			return err
+		}
+	}
+	return b.finish()
+}
+
+func (b *bench) start(ctx context.Context, document string) error {
+	text, err := os.ReadFile(document)
+	if err != nil {
+		return err
+	}
+	if err := b.cluster.Start(); err != nil {
+		return err
+	}
+	if _, err := b.cluster.Apply(ctx, 0, "faults", string(text)); err != nil {
+		return err
+	}
+	if err := b.cluster.AwaitServing(ctx); err != nil {
+		return err
+	}
+	b.loads = []*harness.Load{
+		{Service: "catalogue", Keyed: true, Callers: 24, Pause: 5 * time.Millisecond},
+		{Service: "enrolment", Payments: true, Callers: 12, Pause: 10 * time.Millisecond},
+		{Service: "learners", Callers: 12, Pause: 10 * time.Millisecond},
+	}
+	for _, l := range b.loads {
+		l.Entry, l.Timeout = b.entry, 5*time.Second
+		l.Start()
+	}
+	return nil
+}
+
+// measure injects faults at once and prints one row.
+func (b *bench) measure(ctx context.Context, group []fault) error {
+	time.Sleep(time.Second)
+	var err error
+	if b.leader, err = b.cluster.Leader(ctx); err != nil {
+		return err
+	}
+	var before [2]int
+	for _, l := range b.loads {
+		l.ResetGaps()
+		n := l.Counts()
+		before[0], before[1] = before[0]+n.NotRun, before[1]+n.Unknown
+	}
+	names := make([]string, 0, len(group))
+	for _, f := range group {
+		names = append(names, f.name)
+		f.inject(b)
+	}
+	time.Sleep(watch)
+	row := "| " + strings.Join(names, " + ") + " |"
+	notRun, unknown := -before[0], -before[1]
+	for _, l := range b.loads {
+		row += fmt.Sprintf(" %d |", l.LongestGap().Milliseconds())
+		n := l.Counts()
+		notRun, unknown = notRun+n.NotRun, unknown+n.Unknown
+	}
+	fmt.Printf("%s %d | %d |\n", row, notRun, unknown)
+	for _, f := range group {
+		f.repair(b)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return b.cluster.AwaitServing(ctx)
+}
+
+// finish checks the payments of the whole run.
+func (b *bench) finish() error {
+	for _, l := range b.loads {
+		l.Stop()
+	}
+	runs, err := b.cluster.Runs()
+	if err != nil {
+		return err
+	}
+	twice, missing := harness.CheckPayments(runs, b.loads[1].Paid())
+	fmt.Printf("\npayments run: %d, run twice: %d, confirmed without a run: %d\n", len(runs), twice, missing)
+	intervals, err := b.cluster.Intervals("catalogue")
+	if err != nil {
+		return err
+	}
+	x, y, overlap := harness.Overlap(intervals)
+	fmt.Printf("keyed requests: %d, two owners at once: %t\n", len(intervals), overlap)
+	if overlap {
+		b.note(fmt.Errorf("two owners: %+v and %+v", x, y))
+	}
+	if twice+missing > 0 {
+		b.note(errors.New("payments ran twice or not at all"))
+	}
+	return errors.Join(b.errs...)
+}
+
+func (b *bench) note(err error) {
+	if err != nil {
+		b.errs = append(b.errs, err)
+	}
+}
+
+// avoid keeps callers away from a node that is about to fail.
+func (b *bench) avoid(n *harness.Node) *harness.Node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down[n.ID] = true
+	return n
+}
+
+// restart starts everything that has ended or is frozen.
+func (b *bench) restart() {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for _, n := range append(append([]*harness.Node{}, b.cluster.Control...), b.cluster.Nodes...) {
+		n.Daemon.Resume()
+		b.note(n.Start())
+		b.note(n.AwaitReady(ctx))
+		b.mu.Lock()
+		delete(b.down, n.ID)
+		b.mu.Unlock()
+	}
+}
+
+func (b *bench) entry(r *rand.Rand) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		n := b.cluster.Nodes[r.IntN(len(b.cluster.Nodes))]
+		if !b.down[n.ID] {
+			return n.Caller
+		}
+	}
+}
--- /dev/null
+++ b/router/examples/faults/main.go
@@ -0,0 +1,32 @@
+// Command faults breaks a small cluster in one way after the other, and in
+// pairs, and prints for how long callers of each service got no answer.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+type options struct {
+	Daemon   string `required:"" help:"The bramleyquay program."`
+	Standin  string `required:"" help:"The stand-in target program."`
+	Examples string `required:"" help:"Folder with document.hujson and process.hujson.tmpl."`
+}
+
+// limit bounds the whole run.
+const limit = 9 * time.Minute
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("faults"), kong.Description("Measures unavailable time for each fault."))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := run(ctx, o); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "faults failed:", err) // the exit code tells as well
+		os.Exit(1)
+	}
+}
--- a/router/harness/process.go
+++ b/router/harness/process.go
@@ -32,7 +32,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
-		return nil
+		select {
+		case <-p.done: // it has ended by itself
+		default:
+			return nil
+		}
 	}
 	log, err := os.OpenFile(p.LogFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -101,6 +105,9 @@
 	return cmd.ProcessState.ExitCode()
 }
 
+// StopLimit is a generous time for a graceful shutdown.
+const StopLimit = 30 * time.Second
+
 // Running reports whether the process was started and has not ended.
 func (p *Process) Running() bool {
 	p.mu.Lock()
--- a/router/scenario/state_test.go
+++ b/router/scenario/state_test.go
@@ -84,6 +84,7 @@
 		servers += n.Operator + ","
 	}
 	ts.Setenv("BQ_SERVERS", servers[:len(servers)-1])
+	ts.Setenv("SECRET", c.Secret)
 	ts.Setenv("BQ_SECRET_FILE", filepath.Join(l.Folder, "secret"))
 }
 
