Start the wait for losses anew after a pause of the leader

The leader's goroutine was held by a sync of its log for longer than a lease; its next look at the leases came before the renewals that waited in its queue, so it declared every member lost, and all record copies went with their members. Ruled out: missing ticks of the replicated log, which were made up on the next event; a slow member, because all were lost at once. Change: the controller counts a gap between two ticks above 250 ms as a pause and waits one lease again.

--- a/coord/control/controller.go
+++ b/coord/control/controller.go
@@ -21,7 +21,8 @@
 	cfg     Config
 	rng     *rand.Rand
 	leading bool
-	first   bool // no Tick or Renew since Lead
+	first   bool          // no Tick or Renew since Lead
+	ticked  clock.Reading // the last Tick
 	tracker *lease.Tracker
 	losing  map[table.MemberID]loss
 	flights map[subject]flight
@@ -78,7 +79,7 @@
 func (c *Controller) Follow() { c.reset(clock.Reading{}) }
 
 func (c *Controller) reset(now clock.Reading) {
-	c.leading, c.first, c.out = false, true, nil
+	c.leading, c.first, c.out, c.ticked = false, true, nil, clock.Reading{}
 	c.tracker = lease.NewTracker(c.cfg.Lease)
 	c.tracker.Reset(now)
 	c.losing = map[table.MemberID]loss{}
@@ -106,6 +107,7 @@
 		return nil
 	}
 	c.out = nil
+	c.notePause(now)
 	c.expireFlights(now)
 	c.observe(now, s)
 	c.declareLosses(now, s)
@@ -120,6 +122,16 @@
 	return c.out
 }
 
+// notePause starts the wait for losses anew after a pause of the leader: the
+// renewals of that time are still in its queues. Losses that were proposed
+// stay proposed.
+func (c *Controller) notePause(now clock.Reading) {
+	if !c.ticked.IsZero() && now.MonoSince(c.ticked) > c.cfg.PauseLimit {
+		c.tracker.Reset(now)
+	}
+	c.ticked = now
+}
+
 // Applied reports that a command was applied, whoever proposed it.
 func (c *Controller) Applied(now clock.Reading, s *State, cmd Command, _ Result) {
 	if !c.leading {
--- a/coord/control/controller_config.go
+++ b/coord/control/controller_config.go
@@ -16,6 +16,12 @@
 	// ProposalTimeout is the time after which a proposal that was not applied
 	// is made again. A shorter time repeats commands during a slow commit.
 	ProposalTimeout time.Duration
+	// PauseLimit is the time between two ticks from which the leader counts as
+	// paused, by a stalled disk for example. It has heard nobody meanwhile, so
+	// it waits one lease anew before it declares a loss. A lower value delays
+	// failover after shorter stalls; a higher one than the slack of a lease
+	// makes a stall look like the loss of every member.
+	PauseLimit time.Duration
 	// ScanInterval is the least time between two scans of the whole table for
 	// units and copies to be moved. A scan of 66,000 units costs milliseconds.
 	ScanInterval time.Duration
@@ -50,6 +56,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Lease: lease.Default(), Placement: placement.Default(), Drain: drain.Default(),
+		PauseLimit:      250 * time.Millisecond,
 		ProposalTimeout: time.Second, ScanInterval: 100 * time.Millisecond,
 		RebalanceInterval: 2 * time.Second, MovesPerMinute: 120, MovedShare: 0.1,
 		LoadHalfLife: 30 * time.Second, MinUnitRate: 1, CopyChanges: 256,
