Let forwarders keep the port that they are given

Cause: a scenario failed to listen while a demo ran beside it: a port that was found free was taken by the other program before its use. Change: forwarders listen on a port of the kernel's choice and keep it.

--- a/router/harness/cluster.go
+++ b/router/harness/cluster.go
@@ -157,15 +157,11 @@
 	for _, r := range c.Control {
 		addr := r.Peer
 		if s != nil {
-			ports, err := freePorts(1)
+			link, err := NewForwarder(r.Peer)
 			if err != nil {
 				return err
 			}
-			link, err := NewForwarder(ports[0], r.Peer)
-			if err != nil {
-				return err
-			}
-			n.links, addr = append(n.links, link), ports[0]
+			n.links, addr = append(n.links, link), link.Addr()
 		}
 		v.Control = append(v.Control, replica{ID: r.ID, Address: addr})
 	}
--- a/router/harness/forwarder.go
+++ b/router/harness/forwarder.go
@@ -20,9 +20,9 @@
 	conns []net.Conn
 }
 
-// NewForwarder listens on addr and forwards to another address.
-func NewForwarder(addr, to string) (*Forwarder, error) {
-	l, err := net.Listen("tcp", addr)
+// NewForwarder listens on a free port and forwards to an address.
+func NewForwarder(to string) (*Forwarder, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -31,6 +31,9 @@
 	return f, nil
 }
 
+// Addr returns the address that the forwarder listens on.
+func (f *Forwarder) Addr() string { return f.listener.Addr().String() }
+
 func (f *Forwarder) accept() {
 	for {
 		conn, err := f.listener.Accept()
