Show the longest gap of each service and the replicas' addresses

Cause: seen in a browser, the state page showed a gap of 0 s for every service and no address for any replica, because nothing filled these fields. Change: the leader follows for how long units have no serving owner by its table; addresses come from the settings or the directory.

--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -40,6 +40,7 @@
 	waiting    map[uint64]waiter
 	compacted  uint64
 	spread     spread
+	gaps       *gaps
 	// seen are the revisions that members were last woken for.
 	seen  revisions
 	woken clock.Reading
--- a/router/controlnode/process.go
+++ b/router/controlnode/process.go
@@ -26,6 +26,9 @@
 		n.raft.Advance(r)
 		n.follow()
 	}
+	if n.leading {
+		n.gaps.follow(n.state.Table(), timesource.Now())
+	}
 	n.review()
 	n.wake()
 	return n.compact()
@@ -88,6 +91,7 @@
 	case leads && !n.leading:
 		n.leading = true
 		n.controller.Lead(timesource.Now())
+		n.gaps = newGaps()
 		n.log.Infof("leads in term %d; no loss is declared before one lease has passed", st.Term)
 	case !leads && n.leading:
 		n.leading = false
--- a/router/leader/status.go
+++ b/router/leader/status.go
@@ -39,12 +39,27 @@
 		return st, l.failure(err)
 	}
 	st.Config.EverywhereMs = spread.Took.Milliseconds()
+	if err := l.fillGaps(ctx, &st); err != nil {
+		return st, l.failure(err)
+	}
 	group, _, err := l.node.Status(ctx)
 	if err != nil {
 		return st, l.failure(err)
 	}
 	st.Leader, st.Term, st.Replicas = string(group.ID), group.Term, replicas(group)
-	return st, nil
+	addresses, err := l.node.Addresses(ctx)
+	for i := range st.Replicas {
+		st.Replicas[i].Address = addresses[st.Replicas[i].ID]
+	}
+	return st, err
+}
+
+func (l *Local) fillGaps(ctx context.Context, st *operator.Status) error {
+	longest, err := l.node.LongestGaps(ctx)
+	for i := range st.Services {
+		st.Services[i].LongestGapMs = longest[st.Services[i].Name].Milliseconds()
+	}
+	return err
 }
 
 func replicas(group raft.Status) []operator.ReplicaStatus {
