--- a/router/examples/faults/bench.go
+++ b/router/examples/faults/bench.go
@@ -33,11 +33,15 @@
 )
 
 func run(ctx context.Context, o options) error {
-	folder, err := os.MkdirTemp("", "bramleyquay-faults-")
-	if err != nil {
-		return err
+	folder := o.Folder
+	if folder == "" {
+		temporary, err := os.MkdirTemp("", "bramleyquay-faults-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(temporary)
+		folder = temporary
 	}
-	defer os.RemoveAll(folder)
 	l := harness.Muscat()
 	l.Folder, l.Daemon, l.Standin, l.Template = folder, o.Daemon, o.Standin, filepath.Join(o.Examples, "process.hujson.tmpl")
 	c, err := harness.New(l)
@@ -52,7 +56,10 @@
 	fmt.Println("| fault | catalogue ms | enrolment ms | learners ms | not-run | unknown |")
 	fmt.Println("|---|---|---|---|---|---|")
 	for _, group := range faults {
-		if err := b.measure(ctx, group); err != nil {
+		if !strings.Contains(rowName(group), o.Only) {
+			continue
+		}
+		if err := b.measure(ctx, group, o.Reasons); err != nil {
 			return err
 		}
 	}
@@ -86,7 +93,7 @@
 }
 
 // measure injects faults at once and prints one row.
-func (b *bench) measure(ctx context.Context, group []fault) error {
+func (b *bench) measure(ctx context.Context, group []fault, reasons bool) error {
 	time.Sleep(time.Second)
 	var err error
 	if b.leader, err = b.cluster.Leader(ctx); err != nil {
@@ -98,13 +105,12 @@
 		n := l.Counts()
 		before[0], before[1] = before[0]+n.NotRun, before[1]+n.Unknown
 	}
-	names := make([]string, 0, len(group))
+	known := b.reasons()
 	for _, f := range group {
-		names = append(names, f.name)
 		f.inject(b)
 	}
 	time.Sleep(watch)
-	row := "| " + strings.Join(names, " + ") + " |"
+	row := "| " + rowName(group) + " |"
 	notRun, unknown := -before[0], -before[1]
 	for _, l := range b.loads {
 		row += fmt.Sprintf(" %d |", l.LongestGap().Milliseconds())
@@ -112,6 +118,13 @@
 		notRun, unknown = notRun+n.NotRun, unknown+n.Unknown
 	}
 	fmt.Printf("%s %d | %d |\n", row, notRun, unknown)
+	if reasons {
+		for text, n := range b.reasons() {
+			if n > known[text] {
+				fmt.Printf("  %d x %s\n", n-known[text], text)
+			}
+		}
+	}
 	for _, f := range group {
 		f.repair(b)
 	}
@@ -120,6 +133,25 @@
 	return b.cluster.AwaitServing(ctx)
 }
 
+func rowName(group []fault) string {
+	names := make([]string, 0, len(group))
+	for _, f := range group {
+		names = append(names, f.name)
+	}
+	return strings.Join(names, " + ")
+}
+
+// reasons counts the refusals so far by their text.
+func (b *bench) reasons() map[string]int {
+	out := map[string]int{}
+	for _, l := range b.loads {
+		for text, n := range l.Counts().ByReason {
+			out[l.Service+" "+text] += n
+		}
+	}
+	return out
+}
+
 // finish checks the payments of the whole run.
 func (b *bench) finish() error {
 	for _, l := range b.loads {
--- a/router/examples/faults/main.go
+++ b/router/examples/faults/main.go
@@ -15,6 +15,9 @@
 	Daemon   string `required:"" help:"The bramleyquay program."`
 	Standin  string `required:"" help:"The stand-in target program."`
 	Examples string `required:"" help:"Folder with document.hujson and process.hujson.tmpl."`
+	Only     string `help:"Run only rows whose name contains this text."`
+	Folder   string `help:"Folder that is kept; a temporary one by default."`
+	Reasons  bool   `help:"Print the refusals of each row."`
 }
 
 // limit bounds the whole run.
