--- a/router/gate/payments.go
+++ b/router/gate/payments.go
@@ -51,7 +51,10 @@
 func newPayments(g *Gate, caller Caller) *payments {
 	p := &payments{
 		gate: g, caller: caller,
-		owner:   idempotency.NewOwner(idempotency.Config{Self: idempotency.Member{ID: g.cfg.Self, DataCentre: g.cfg.DataCentre}}),
+		owner: idempotency.NewOwner(idempotency.Config{
+			Self:      idempotency.Member{ID: g.cfg.Self, DataCentre: g.cfg.DataCentre},
+			PageBytes: recordPageBytes, WriteTimeout: recordRepeat,
+		}),
 		adopted: map[shard.Unit]uint64{},
 		waiting: map[uint64]chan decision{},
 		synced:  map[syncedKey]control.CopySynced{},
@@ -62,7 +65,9 @@
 }
 
 func (p *payments) newCopies() *idempotency.Copy {
-	return idempotency.NewCopy(idempotency.CopyConfig{Self: p.gate.cfg.Self, Incarnation: p.incarnation})
+	return idempotency.NewCopy(idempotency.CopyConfig{
+		Self: p.gate.cfg.Self, Incarnation: p.incarnation, PageBytes: recordPageBytes,
+	})
 }
 
 // begin asks the records about a request. The answer arrives on the channel.
@@ -241,5 +246,13 @@
 	}{p.owner.Status(), p.copies.Status()}
 }
 
-// recordTimeout bounds one write or fetch; the owner repeats it.
-const recordTimeout = 500 * time.Millisecond
+const (
+	// recordTimeout bounds one write or fetch; the owner repeats it.
+	recordTimeout = time.Second
+	// recordRepeat is the time after which a write or fetch without an answer is
+	// repeated. With 100 ms and pages of 1 MB the transfers of many units at
+	// once took longer than that, and their repeats kept each other late.
+	recordRepeat = 400 * time.Millisecond
+	// recordPageBytes is the size of one message of records.
+	recordPageBytes = 64 << 10
+)
