Keep metrics by key instead of by name; take the gate's load without its medians

Cause: at half of the saturating rate the path through another process added 1.33 ms at the 99th percentile, above the goal of 1 ms. Each request built two metric names, and each forwarded one computed the limiter's whole status. Change: counters are found by a typed key; the load header uses a call without medians.

--- a/coord/admission/status.go
+++ b/coord/admission/status.go
@@ -41,3 +41,9 @@
 		Reductions:        l.reductions,
 	}
 }
+
+// Load returns the requests at the target, those that may run now and those
+// that wait. It costs less than Status.
+func (l *Limiter) Load() (running, limit, queued int) {
+	return l.running.len(), l.ramp.limit(), l.queue.len()
+}
--- a/router/gate/admitter.go
+++ b/router/gate/admitter.go
@@ -94,6 +94,13 @@
 	a.arm()
 }
 
+// load returns what an answer tells its sender about the gate.
+func (a *admitter) load() (running, limit, queued int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limiter.Load()
+}
+
 func (a *admitter) status() admission.Status {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/router/gate/peerhttp.go
+++ b/router/gate/peerhttp.go
@@ -48,6 +48,6 @@
 // loadHeader gives running, limit and queue length for the sender's choice of
 // targets.
 func (g *Gate) loadHeader() string {
-	st := g.slots.status()
-	return strconv.Itoa(st.Running) + "/" + strconv.Itoa(st.Limit) + "/" + strconv.Itoa(st.Queued)
+	running, limit, queued := g.slots.load()
+	return strconv.Itoa(running) + "/" + strconv.Itoa(limit) + "/" + strconv.Itoa(queued)
 }
--- a/router/ingress/metrics.go
+++ b/router/ingress/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,17 +15,46 @@
 // hedges counts second tries that were started because the first was late.
 var hedges = metrics.NewCounter("bramleyquay_ingress_hedges_total")
 
-// record counts a request by service and outcome. Unknown service names are
-// not used as labels, so that callers cannot create series.
+// result names the counter of one kind of answer.
+type result struct {
+	service string
+	outcome outcome.Outcome
+	reason  outcome.Reason
+}
+
+// counters and answers hold metrics by result and service, because a look-up
+// by the full name costs more than the rest of the bookkeeping of a request.
+// Unknown service names are not used, so that callers cannot create series.
+var counters, answers sync.Map
+
+// record counts a request by service and outcome.
 func record(service string, begin time.Time, refusal *outcome.Refusal) {
-	result, reason := outcome.Done, outcome.Reason("")
+	r := result{service: service, outcome: outcome.Done}
 	if refusal != nil {
-		result, reason = refusal.Outcome, refusal.Reason
+		r.outcome, r.reason = refusal.Outcome, refusal.Reason
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("bramleyquay_ingress_requests_total{service=%q,outcome=%q,reason=%q}", service, result, reason)).Inc()
+	counter(r).Inc()
 	if refusal == nil {
-		metrics.GetOrCreateHistogram(fmt.Sprintf("bramleyquay_ingress_answer_seconds{service=%q}", service)).UpdateDuration(begin)
+		answerTimes(service).UpdateDuration(begin)
+	}
+}
+
+func counter(r result) *metrics.Counter {
+	if c, ok := counters.Load(r); ok {
+		return c.(*metrics.Counter)
+	}
+	c := metrics.GetOrCreateCounter(fmt.Sprintf("bramleyquay_ingress_requests_total{service=%q,outcome=%q,reason=%q}", r.service, r.outcome, r.reason))
+	counters.Store(r, c)
+	return c
+}
+
+func answerTimes(service string) *metrics.Histogram {
+	if h, ok := answers.Load(service); ok {
+		return h.(*metrics.Histogram)
 	}
+	h := metrics.GetOrCreateHistogram(fmt.Sprintf("bramleyquay_ingress_answer_seconds{service=%q}", service))
+	answers.Store(service, h)
+	return h
 }
 
 // Status is the ingress's part of a state dump.
