Use one piece of code where two stood

Cause: the last read of the change found logic that was written twice: which sync reports control awaits (control and gate), the service of a key space (four places), the name of a replica id (three), the answer body that ends a context (ingress and gate), the list of all nodes of a cluster (six). The formation file also kept a replica id that nothing read; the identity file has it. Change: table.Entry.AwaitsSync, config.ServiceOf, controlnode.NameOf, call.CancelBody and harness.Cluster.All; no behaviour, check or bound changes.

--- a/coord/config/service.go
+++ b/coord/config/service.go
@@ -151,3 +151,9 @@
 	}
 	return s.Name + ":" + s.Rules[best].Name, true
 }
+
+// ServiceOf returns the name of the service that a key space belongs to.
+func ServiceOf(keyspace string) string {
+	service, _, _ := strings.Cut(keyspace, ":")
+	return service
+}
--- a/coord/control/hotkey_split.go
+++ b/coord/control/hotkey_split.go
@@ -2,10 +2,10 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/hotkey"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
@@ -83,7 +83,7 @@
 			if e == nil || e.Owner != from {
 				continue
 			}
-			service := serviceOf(k.Keyspace)
+			service := config.ServiceOf(k.Keyspace)
 			out[service] = append(out[service], hotkey.KeyLoad{Keyspace: k.Keyspace, Shard: e.Unit.Shard, Hash: k.Hash, Rate: k.Rate, Owner: from})
 		}
 	}
@@ -94,7 +94,7 @@
 	out := map[string][]hotkey.SplitKey{}
 	for _, name := range t.Services() {
 		t.EachSplit(name, func(e *table.Entry) {
-			service := serviceOf(name)
+			service := config.ServiceOf(name)
 			out[service] = append(out[service], hotkey.SplitKey{Keyspace: name, Shard: e.Unit.Shard, Hash: e.Unit.Key, Owner: e.Owner})
 		})
 	}
@@ -105,9 +105,3 @@
 	}
 	return out
 }
-
-// serviceOf returns the service of a key space name.
-func serviceOf(keyspace string) string {
-	service, _, _ := strings.Cut(keyspace, ":")
-	return service
-}
--- a/coord/control/renew.go
+++ b/coord/control/renew.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"slices"
-
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/table"
 )
@@ -82,7 +80,7 @@
 	}
 	for _, y := range r.Synced {
 		e := s.tbl.Entry(y.Unit)
-		if e != nil && e.Phase == table.Serving && e.Owner == m.ID && e.Epoch == y.Epoch && awaits(e, y.Copy) {
+		if e != nil && e.Phase == table.Serving && e.Owner == m.ID && e.Epoch == y.Epoch && e.AwaitsSync(y.Copy) {
 			c.propose(now, Command{CopySynced: &y})
 		}
 	}
@@ -116,11 +114,3 @@
 	c.lose(now, s, []Member{old})
 	c.register(now, r)
 }
-
-// awaits reports whether a report that m is in sync changes the entry.
-func awaits(e *table.Entry, m table.MemberID) bool {
-	if m == e.Owner {
-		return len(e.Sources) > 0 && !slices.Contains(e.Sources, m)
-	}
-	return slices.Contains(e.Joining, m)
-}
--- a/coord/table/entry.go
+++ b/coord/table/entry.go
@@ -38,3 +38,13 @@
 func (e *Entry) Holds(m MemberID) bool {
 	return e.Owner == m || e.HasCopy(m) || slices.Contains(e.Joining, m)
 }
+
+// AwaitsSync reports whether a report that m holds all records of the unit
+// would change the entry: m is a joining copy, or an owner that is not known to
+// have read the records.
+func (e *Entry) AwaitsSync(m MemberID) bool {
+	if m == e.Owner {
+		return len(e.Sources) > 0 && !slices.Contains(e.Sources, m)
+	}
+	return slices.Contains(e.Joining, m)
+}
--- a/router/call/response.go
+++ b/router/call/response.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"context"
 	"io"
 	"net/http"
 )
@@ -16,3 +17,16 @@
 	// Replayed marks the recorded answer of an earlier try.
 	Replayed bool
 }
+
+// CancelBody ends the request's context when the answer is closed.
+type CancelBody struct {
+	io.ReadCloser
+	Cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *CancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.Cancel()
+	return err
+}
--- a/router/controlnode/formation.go
+++ b/router/controlnode/formation.go
@@ -33,8 +33,6 @@
 	Birth string `json:"birth"`
 	// Births holds the founders' births once the group was formed.
 	Births map[string]string `json:"births,omitempty"`
-	// Replica is the id under which this folder takes part; empty before.
-	Replica raft.ID `json:"replica,omitempty"`
 
 	folder string
 }
@@ -227,7 +225,7 @@
 }
 
 func (n *Node) record(id raft.ID, births map[string]string, founded *raft.Stored) error {
-	n.formation.Births, n.formation.Replica = births, id
+	n.formation.Births = births
 	if err := n.formation.save(); err != nil {
 		return err
 	}
--- a/router/controlnode/gaps.go
+++ b/router/controlnode/gaps.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"maps"
-	"strings"
 	"time"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
@@ -52,7 +52,7 @@
 
 func (g *gaps) end(u shard.Unit, took time.Duration) {
 	delete(g.open, u)
-	service, _, _ := strings.Cut(u.Service, ":")
+	service := config.ServiceOf(u.Service)
 	g.longest[service] = max(g.longest[service], took)
 }
 
@@ -60,7 +60,7 @@
 func (g *gaps) current(now clock.Reading) map[string]time.Duration {
 	out := maps.Clone(g.longest)
 	for u, since := range g.open {
-		service, _, _ := strings.Cut(u.Service, ":")
+		service := config.ServiceOf(u.Service)
 		out[service] = max(out[service], now.MonoSince(since))
 	}
 	return out
--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -204,16 +204,23 @@
 	if n.raft != nil {
 		if leader := n.raft.Status().Leader; leader != "" && leader != n.raft.Status().ID {
 			e.Leader = n.address(leader)
-			e.ID, _, _ = strings.Cut(string(leader), ".")
+			e.ID = NameOf(leader)
 		}
 	}
 	return e
 }
 
+// NameOf returns a replica's name in the settings. A replica whose folder was
+// lost returns under the id name.random.
+func NameOf(id raft.ID) string {
+	name, _, _ := strings.Cut(string(id), ".")
+	return name
+}
+
 // address returns the peer address of a replica: from the settings by the name
 // before the dot, or from the directory for replicas that were added later.
 func (n *Node) address(id raft.ID) string {
-	name, _, _ := strings.Cut(string(id), ".")
+	name := NameOf(id)
 	for _, p := range n.cfg.Peers {
 		if p.ID == name {
 			return p.Address
--- a/router/examples/faults/bench.go
+++ b/router/examples/faults/bench.go
@@ -196,7 +196,7 @@
 func (b *bench) restart() {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	for _, n := range append(append([]*harness.Node{}, b.cluster.Control...), b.cluster.Nodes...) {
+	for _, n := range b.cluster.All() {
 		n.Daemon.Resume()
 		b.note(n.Start())
 		b.note(n.AwaitReady(ctx))
--- a/router/gate/follow.go
+++ b/router/gate/follow.go
@@ -1,9 +1,9 @@
 package gate
 
 import (
-	"strings"
 	"time"
 
+	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/idempotency"
 	"bramleyquay.example/coord/table"
 	"bramleyquay.example/router/member"
@@ -16,8 +16,7 @@
 		if e.Owner != g.cfg.Self || e.Phase == table.Unowned || v.Document == nil {
 			return idempotency.Assignment{}, false
 		}
-		name, _, _ := strings.Cut(e.Unit.Service, ":")
-		s := v.Document.Service(name)
+		s := v.Document.Service(config.ServiceOf(e.Unit.Service))
 		if s == nil || !s.Payments {
 			return idempotency.Assignment{}, false
 		}
--- a/router/gate/pay.go
+++ b/router/gate/pay.go
@@ -48,7 +48,7 @@
 		cancel()
 		return nil, p.notAnswered(id, refusal, decided)
 	}
-	resp.Body = &closingBody{ReadCloser: resp.Body, cancel: cancel}
+	resp.Body = &call.CancelBody{ReadCloser: resp.Body, Cancel: cancel}
 	return p.finish(id, resp, decided)
 }
 
@@ -137,19 +137,6 @@
 // Close implements io.Closer.
 func (b *joinedBody) Close() error { return b.closer.Close() }
 
-// closingBody ends the request's context when the answer is closed.
-type closingBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b *closingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
-}
-
 func result(d decision) (*call.Response, *outcome.Refusal) {
 	if d.refusal != nil {
 		return nil, d.refusal
--- a/router/gate/payments.go
+++ b/router/gate/payments.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -123,7 +122,7 @@
 		case idempotency.Released:
 			p.copies.Put(timesource.Now(), a.Held)
 		case idempotency.Ready:
-			if e := p.gate.members.View().Table.Entry(a.Unit); e != nil && awaits(e, p.gate.cfg.Self) {
+			if e := p.gate.members.View().Table.Entry(a.Unit); e != nil && e.AwaitsSync(p.gate.cfg.Self) {
 				p.reportSynced(control.CopySynced{Unit: a.Unit, Epoch: a.Epoch, Copy: p.gate.cfg.Self})
 			}
 		}
@@ -200,20 +199,12 @@
 func (p *payments) dropSynced(t *table.Table) {
 	for key, s := range p.synced {
 		e := t.Entry(s.Unit)
-		if e == nil || e.Epoch != s.Epoch || e.Owner != p.gate.cfg.Self || !awaits(e, s.Copy) {
+		if e == nil || e.Epoch != s.Epoch || e.Owner != p.gate.cfg.Self || !e.AwaitsSync(s.Copy) {
 			delete(p.synced, key)
 		}
 	}
 }
 
-// awaits reports whether control still needs to hear that m is in sync.
-func awaits(e *table.Entry, m table.MemberID) bool {
-	if m == e.Owner {
-		return len(e.Sources) > 0 && !slices.Contains(e.Sources, m)
-	}
-	return slices.Contains(e.Joining, m)
-}
-
 func (p *payments) syncedReports() []control.CopySynced {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/harness/cluster.go
+++ b/router/harness/cluster.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"text/template"
 )
@@ -51,7 +52,7 @@
 	if err := c.place(); err != nil {
 		return nil, err
 	}
-	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
+	for _, n := range c.All() {
 		if err := c.prepare(n); err != nil {
 			return nil, err
 		}
@@ -213,6 +214,9 @@
 	return nil
 }
 
+// All returns the control nodes and then the others.
+func (c *Cluster) All() []*Node { return slices.Concat(c.Control, c.Nodes) }
+
 // Of returns the nodes of a service.
 func (c *Cluster) Of(service string) []*Node {
 	var list []*Node
@@ -226,7 +230,7 @@
 
 // Start starts every process.
 func (c *Cluster) Start() error {
-	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
+	for _, n := range c.All() {
 		if err := n.Start(); err != nil {
 			return err
 		}
@@ -262,7 +266,7 @@
 
 // Stop kills every process that still runs.
 func (c *Cluster) Stop() {
-	for _, n := range append(append([]*Node{}, c.Control...), c.Nodes...) {
+	for _, n := range c.All() {
 		n.Daemon.Kill()
 		if n.Target != nil {
 			n.Target.Kill()
--- a/router/ingress/any.go
+++ b/router/ingress/any.go
@@ -156,6 +156,6 @@
 	if e.refusal != nil {
 		return nil
 	}
-	e.resp.Body = &cancelBody{ReadCloser: e.resp.Body, cancel: e.cancel}
+	e.resp.Body = &call.CancelBody{ReadCloser: e.resp.Body, Cancel: e.cancel}
 	return e.resp
 }
--- a/router/ingress/forwarder.go
+++ b/router/ingress/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -66,7 +65,7 @@
 	return &call.Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Replayed: resp.Header.Get(call.HeaderReplayed) != "",
-		Body:     &cancelBody{ReadCloser: resp.Body, cancel: cancel},
+		Body:     &call.CancelBody{ReadCloser: resp.Body, Cancel: cancel},
 	}, load, nil
 }
 
@@ -97,16 +96,3 @@
 	}
 	return &l
 }
-
-// cancelBody ends the request's context when the answer is closed.
-type cancelBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b *cancelBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
-}
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -148,7 +148,7 @@
 		cancel()
 		return nil, refusal
 	}
-	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
+	resp.Body = &call.CancelBody{ReadCloser: resp.Body, Cancel: cancel}
 	return resp, nil
 }
 
--- a/router/ingress/owner.go
+++ b/router/ingress/owner.go
@@ -150,7 +150,7 @@
 				cancel()
 				return nil, t.refusal
 			}
-			t.resp.Body = &cancelBody{ReadCloser: t.resp.Body, cancel: cancel}
+			t.resp.Body = &call.CancelBody{ReadCloser: t.resp.Body, Cancel: cancel}
 			return t.resp, nil
 		case <-changed:
 		}
--- a/router/leader/local.go
+++ b/router/leader/local.go
@@ -153,19 +153,19 @@
 // leaveDrained hands leadership away if this replica stands in what is
 // drained. The drain is in force either way.
 func (l *Local) leaveDrained(ctx context.Context, q operator.DrainRequest) {
-	drained := map[raft.ID]bool{}
+	drained := map[string]bool{}
 	err := l.node.Read(ctx, func(s *control.State, _ *control.Controller) {
 		for _, m := range s.Members() {
 			if q.Name == m.DataCentre || q.Name == string(m.ID) {
-				drained[raft.ID(m.ID)] = true
+				drained[string(m.ID)] = true
 			}
 		}
 	})
 	st, formed, statusErr := l.node.Status(ctx)
-	if err != nil || statusErr != nil || !formed || !drained[baseID(st.ID)] {
+	if err != nil || statusErr != nil || !formed || !drained[controlnode.NameOf(st.ID)] {
 		return
 	}
-	_ = l.node.Transfer(ctx, func(id raft.ID) bool { return drained[baseID(id)] }) // it stays if nobody else can lead
+	_ = l.node.Transfer(ctx, func(id raft.ID) bool { return drained[controlnode.NameOf(id)] }) // it stays if nobody else can lead
 }
 
 // moveAttempts bounds the repeats of a move whose unit changed in between, for
--- a/router/leader/membership.go
+++ b/router/leader/membership.go
@@ -4,20 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 
 	"bramleyquay.example/coord/raft"
 	"bramleyquay.example/router/operator"
 	"bramleyquay.example/router/peer"
 )
 
-// baseID returns the name of a replica in the settings. A replica whose folder
-// was lost returns as name.random.
-func baseID(id raft.ID) raft.ID {
-	name, _, _ := strings.Cut(string(id), ".")
-	return raft.ID(name)
-}
-
 // ControlChange implements operator.Control.
 func (l *Local) ControlChange(ctx context.Context, q operator.ControlChangeRequest) (operator.Result, error) {
 	kind, done := changeKind(q.Op)
--- a/router/scenario/commands_test.go
+++ b/router/scenario/commands_test.go
@@ -96,7 +96,7 @@
 // restart starts processes that have ended; "restart down" starts all.
 func restart(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
-	for _, n := range append(append([]*harness.Node{}, s.cluster.Control...), s.cluster.Nodes...) {
+	for _, n := range s.cluster.All() {
 		if args[0] == "down" && n.Daemon.Running() || args[0] != "down" && n.ID != args[0] {
 			continue
 		}
--- a/router/scenario/state_test.go
+++ b/router/scenario/state_test.go
@@ -98,7 +98,7 @@
 		ts.Check(err)
 		return n
 	}
-	for _, n := range append(append([]*harness.Node{}, s.cluster.Control...), s.cluster.Nodes...) {
+	for _, n := range s.cluster.All() {
 		if n.ID == name {
 			return n
 		}
