Add routing documents, key ranges, their leader, grants and per-target dispatch

The platform needs routes by host and path, ownership by contiguous ranges of a numeric key space, grants that travel in a target's announcements, and a queue ordered by objective. They are pure state machines in coord/.

--- /dev/null
+++ b/coord/dispatch/queue.go
@@ -0,0 +1,255 @@
+// Package dispatch decides when the requests of one target run: in which
+// order, and which are refused at once because they cannot end in time. It
+// answers the load of routes with different worth and service time on one
+// target with few slots, hot or cold.
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+)
+
+// Config tunes a Queue.
+type Config struct {
+	// Slots is the number of requests that the target runs at once.
+	Slots int
+	// Length bounds the waiting requests.
+	Length int
+	// LateShare is the part of the time between objective and deadline that a
+	// request may be expected to need when it is queued. Zero refuses what
+	// will miss its objective; one queues whatever may meet its deadline.
+	LateShare float64
+	// RankStep is the head start of a more urgent rank in the queue.
+	RankStep time.Duration
+}
+
+// DefaultConfig suits targets with some ten slots.
+func DefaultConfig(slots int) Config {
+	return Config{Slots: slots, Length: 8 * max(slots, 1), LateShare: 0, RankStep: 100 * time.Millisecond}
+}
+
+// Request asks for a slot. Times are on the monotonic clock.
+type Request struct {
+	ID uint64
+	// Class groups requests with similar service times, for instance a route.
+	Class string
+	Rank  int
+	// Arrived is when the caller's request was read.
+	Arrived time.Duration
+	// Objective is the end of full worth, Deadline that of the caller's wait.
+	Objective, Deadline time.Duration
+}
+
+// Action is a decision about one request.
+type Action struct {
+	ID    uint64
+	Start bool
+	// Reason and RetryAfter are set for a refusal.
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Reasons of a refusal.
+const (
+	ReasonFull     = "queue full"
+	ReasonLate     = "cannot end in time"
+	ReasonDeadline = "deadline passed"
+)
+
+// Queue decides about one target. It is not safe for concurrent use.
+type Queue struct {
+	cfg     Config
+	running map[uint64]started
+	waiting []Request
+	times   map[string]time.Duration // mean service time by class
+	pace    pace
+}
+
+type started struct {
+	class string
+	at    time.Duration
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue {
+	return &Queue{cfg: cfg, running: map[uint64]started{}, times: map[string]time.Duration{}}
+}
+
+// SetSlots changes the number of slots.
+func (q *Queue) SetSlots(n int) {
+	if n > 0 && n != q.cfg.Slots {
+		q.cfg.Slots, q.cfg.Length = n, DefaultConfig(n).Length
+	}
+}
+
+// SetCold bounds the starts per second until a time. A rate of zero or a time
+// in the past lifts the bound.
+func (q *Queue) SetCold(now clock.Reading, until time.Duration, rate float64) {
+	q.pace.set(now.Mono, until, rate)
+}
+
+// Offer asks for a slot. A request that neither starts nor is refused waits.
+func (q *Queue) Offer(now clock.Reading, r Request) []Action {
+	q.waiting = append(q.waiting, r)
+	actions := q.fill(now)
+	at := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
+	if at < 0 {
+		return actions
+	}
+	wait := q.expectedWait(now, r)
+	late := r.Objective + time.Duration(q.cfg.LateShare*float64(r.Deadline-r.Objective))
+	switch {
+	case len(q.waiting) > q.cfg.Length:
+		return append(actions, q.refuse(at, ReasonFull, wait))
+	case now.Mono+wait+q.serviceTime(r.Class) > late:
+		return append(actions, q.refuse(at, ReasonLate, now.Mono+wait+q.serviceTime(r.Class)-late))
+	}
+	return actions
+}
+
+func (q *Queue) refuse(at int, reason string, after time.Duration) Action {
+	r := q.waiting[at]
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter)}
+}
+
+// minRetryAfter keeps callers from asking again before anything can change.
+const minRetryAfter = 50 * time.Millisecond
+
+// Done reports the end of a running request; complete says that its service
+// time is meaningful.
+func (q *Queue) Done(now clock.Reading, id uint64, complete bool) []Action {
+	s, ok := q.running[id]
+	if !ok {
+		return q.Cancel(now, id)
+	}
+	delete(q.running, id)
+	if complete {
+		q.learn(s.class, now.Mono-s.at)
+	}
+	return q.fill(now)
+}
+
+// Cancel withdraws a waiting request.
+func (q *Queue) Cancel(now clock.Reading, id uint64) []Action {
+	q.waiting = slices.DeleteFunc(q.waiting, func(r Request) bool { return r.ID == id })
+	return q.fill(now)
+}
+
+// Tick starts and refuses what time alone has made due.
+func (q *Queue) Tick(now clock.Reading) []Action { return q.fill(now) }
+
+// Load returns the running and waiting requests and the limit.
+func (q *Queue) Load() (running, waiting, limit int) {
+	return len(q.running), len(q.waiting), q.cfg.Slots
+}
+
+// Wait returns the time until a new request of no urgency would start.
+func (q *Queue) Wait(now clock.Reading) time.Duration {
+	return q.expectedWait(now, Request{Rank: maxRank, Objective: now.Mono + time.Hour})
+}
+
+// maxRank is a rank below that of any route.
+const maxRank = 1 << 10
+
+// fill starts what fits and refuses what can no longer meet its deadline.
+func (q *Queue) fill(now clock.Reading) []Action {
+	var out []Action
+	for i := 0; i < len(q.waiting); {
+		r := q.waiting[i]
+		if now.Mono+q.serviceTime(r.Class)/4 >= r.Deadline {
+			out = append(out, q.refuse(i, ReasonDeadline, 0))
+			continue
+		}
+		i++
+	}
+	for len(q.waiting) > 0 && len(q.running) < q.cfg.Slots && q.pace.take(now.Mono) {
+		i := q.next(now)
+		r := q.waiting[i]
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.running[r.ID] = started{class: r.Class, at: now.Mono}
+		out = append(out, Action{ID: r.ID, Start: true})
+	}
+	return out
+}
+
+// next returns the index of the request that starts next.
+func (q *Queue) next(now clock.Reading) int {
+	best := 0
+	for i := 1; i < len(q.waiting); i++ {
+		if q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// compare orders requests that can still meet their objective before those
+// that cannot, then by objective with a head start for urgent ranks.
+func (q *Queue) compare(now clock.Reading, a, b *Request) int {
+	if c := cmp.Compare(q.missed(now, a), q.missed(now, b)); c != 0 {
+		return c
+	}
+	return cmp.Compare(q.due(a), q.due(b))
+}
+
+func (q *Queue) missed(now clock.Reading, r *Request) int {
+	if now.Mono+q.serviceTime(r.Class)/2 > r.Objective {
+		return 1
+	}
+	return 0
+}
+
+func (q *Queue) due(r *Request) time.Duration {
+	return r.Objective + time.Duration(r.Rank)*q.cfg.RankStep
+}
+
+// expectedWait estimates when a request would start from the work before it.
+func (q *Queue) expectedWait(now clock.Reading, r Request) time.Duration {
+	var work time.Duration
+	for _, s := range q.running {
+		mean := q.serviceTime(s.class)
+		// Service times are skewed: a run that is past its mean needs a
+		// part of it still.
+		work += max(mean-(now.Mono-s.at), mean/4)
+	}
+	ahead := 0
+	for i := range q.waiting {
+		w := &q.waiting[i]
+		if w.ID != r.ID && q.compare(now, w, &r) <= 0 {
+			work += q.serviceTime(w.Class)
+			ahead++
+		}
+	}
+	slots := max(q.cfg.Slots, 1)
+	wait := time.Duration(0)
+	if len(q.running)+ahead >= slots {
+		wait = work / time.Duration(slots)
+	}
+	return max(wait, q.pace.wait(now.Mono, ahead))
+}
+
+const (
+	// firstServiceTime stands for a class without answers yet.
+	firstServiceTime = 100 * time.Millisecond
+	// learnShare is the weight of the newest service time.
+	learnShare = 0.1
+)
+
+func (q *Queue) serviceTime(class string) time.Duration {
+	if t, ok := q.times[class]; ok {
+		return t
+	}
+	return firstServiceTime
+}
+
+func (q *Queue) learn(class string, t time.Duration) {
+	old, ok := q.times[class]
+	if !ok {
+		old = t
+	}
+	q.times[class] = old + time.Duration(learnShare*float64(t-old))
+}
--- /dev/null
+++ b/coord/dispatch/queue_test.go
@@ -0,0 +1,110 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/dispatch"
+)
+
+const ms = time.Millisecond
+
+func request(id uint64, class string, rank int, now, objective, deadline time.Duration) dispatch.Request {
+	return dispatch.Request{ID: id, Class: class, Rank: rank, Arrived: now, Objective: now + objective, Deadline: now + deadline}
+}
+
+// Guards against more requests at the target than it has slots.
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(2))
+	for id := range uint64(4) {
+		q.Offer(clock.At(0), request(id, "a", 0, 0, 500*ms, 2000*ms))
+	}
+	running, waiting, _ := q.Load()
+	is.Equal(running, 2)
+	is.Equal(waiting, 2)
+	a := q.Done(clock.At(10*ms), 0, true)
+	is.Equal(len(a), 1)
+	is.True(a[0].Start)
+}
+
+// Guards against a short call that waits behind long requests: its parent
+// holds a slot meanwhile.
+func TestShortObjectiveFirst(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(1))
+	q.Offer(clock.At(0), request(1, "long", 0, 0, 900*ms, 2000*ms))
+	q.Offer(clock.At(0), request(2, "long", 0, 0, 900*ms, 2000*ms))
+	q.Offer(clock.At(0), request(3, "call", 0, 0, 250*ms, 500*ms))
+	a := q.Done(clock.At(10*ms), 1, false)
+	is.Equal(a[0].ID, uint64(3))
+}
+
+// Guards against a queue in which every request is served too late.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(1))
+	refused, inTime, served := 0, 0, 0
+	// Arrivals every 50 ms, service 100 ms: twice what the target can serve.
+	type run struct {
+		id       uint64
+		end, due time.Duration
+	}
+	var current *run
+	due := map[uint64]time.Duration{}
+	begin := func(now time.Duration, actions []dispatch.Action) {
+		for _, a := range actions {
+			if a.Start {
+				current = &run{id: a.ID, end: now + 100*ms, due: due[a.ID]}
+			} else {
+				refused++
+				is.True(a.RetryAfter > 0)
+			}
+		}
+	}
+	id := uint64(0)
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * ms {
+		if current != nil && now >= current.end {
+			r := current
+			current = nil
+			served++
+			if now <= r.due {
+				inTime++
+			}
+			begin(now, q.Done(clock.At(now), r.id, true))
+		}
+		if now%(50*ms) == 0 {
+			id++
+			due[id] = now + 300*ms
+			begin(now, q.Offer(clock.At(now), request(id, "a", 0, now, 300*ms, 1000*ms)))
+		}
+	}
+	if served < 195 || inTime < 9*served/10 {
+		t.Fatalf("served %d, in time %d, refused %d", served, inTime, refused)
+	}
+}
+
+// Guards against a cold target that gets more than it bears within a second.
+func TestColdPace(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(12))
+	q.SetCold(clock.At(0), 3*time.Second, 5)
+	starts := 0
+	count := func(actions []dispatch.Action) {
+		for _, a := range actions {
+			if a.Start {
+				starts++
+			}
+		}
+	}
+	for id := range uint64(200) {
+		now := clock.At(time.Duration(id) * 5 * ms)
+		count(q.Offer(now, request(id, "a", 0, now.Mono, 500*ms, 2000*ms)))
+		count(q.Tick(now))
+	}
+	is.True(starts <= 6)
+	is.True(starts >= 4)
+}
--- /dev/null
+++ b/coord/fleet/command.go
@@ -0,0 +1,86 @@
+// Package fleet holds the replicated state of a control group that routes by
+// document and grants ranges of keys, and the decisions of its leader.
+package fleet
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/coord/routes"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("fleet")
+
+// Command is one entry of the replicated log. Exactly one field is set.
+type Command struct {
+	ApplyDocument *ApplyDocument `cbor:"1,keyasint,omitempty"`
+	SetDrain      *SetDrain      `cbor:"2,keyasint,omitempty"`
+	ReplaceRows   *ReplaceRows   `cbor:"3,keyasint,omitempty"`
+}
+
+// ApplyDocument replaces the routing document.
+type ApplyDocument struct {
+	// ChangeID identifies the change with its content, so that a resend gets
+	// the first answer.
+	ChangeID string `json:"changeId" cbor:"1,keyasint"`
+	// Base is the version that the change builds on.
+	Base uint64 `json:"base" cbor:"2,keyasint"`
+	// Document is valid.
+	Document *routes.Document `json:"document" cbor:"3,keyasint"`
+	// Text is the document as its author wrote it.
+	Text []byte `json:"text" cbor:"4,keyasint"`
+}
+
+// SetDrain starts or ends the drain of a data centre. Repeats have no effect.
+type SetDrain struct {
+	DataCentre string `json:"dataCentre" cbor:"1,keyasint"`
+	On         bool   `json:"on" cbor:"2,keyasint"`
+}
+
+// ReplaceRows replaces the rows of one service's key space.
+type ReplaceRows struct {
+	Service string `cbor:"1,keyasint"`
+	// Base is the revision of the key space that the leader planned with. The
+	// command has no effect on another one.
+	Base uint64       `cbor:"2,keyasint"`
+	Rows []ranges.Row `cbor:"3,keyasint"`
+}
+
+// Outcome states what a command did.
+type Outcome string
+
+const (
+	// Accepted means that the command is in force, now or since an earlier
+	// command with the same change id.
+	Accepted Outcome = "accepted"
+	// Conflict means that another version is current. Nothing changed.
+	Conflict Outcome = "conflict"
+	// Refused means that the command can never be accepted. Nothing changed.
+	Refused Outcome = "refused"
+)
+
+// Result is what a command did and the version in force after it.
+type Result struct {
+	Outcome Outcome `json:"outcome"`
+	Version uint64  `json:"version"`
+}
+
+var (
+	encMode = must(cbor.CanonicalEncOptions().EncMode())
+	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// EncodeCommand returns the log form of c.
+func EncodeCommand(c Command) ([]byte, error) {
+	data, err := encMode.Marshal(c)
+	return data, Error.Wrap(err)
+}
--- /dev/null
+++ b/coord/fleet/messages.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/coord/routes"
+)
+
+// Condition is what a target says of itself.
+type Condition string
+
+const (
+	// Ready targets take work.
+	Ready Condition = "ready"
+	// Draining targets finish what they have.
+	Draining Condition = "draining"
+	// Gone targets have ended or have not been heard of for long.
+	Gone Condition = "gone"
+)
+
+// Member is a process and the target beside it.
+type Member struct {
+	// Process is the peer address of the process.
+	Process    string `json:"process"`
+	DataCentre string `json:"dataCentre"`
+	// Target is empty while no target has announced itself.
+	Target    string    `json:"target,omitempty"`
+	Life      int64     `json:"life,omitempty"`
+	Service   string    `json:"service,omitempty"`
+	Slots     int       `json:"slots,omitempty"`
+	Condition Condition `json:"condition,omitempty"`
+	// Leaving is set while the process stops.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Holder returns the holder that m's target is.
+func (m Member) Holder() ranges.Holder {
+	if m.Target == "" {
+		return ranges.Holder{}
+	}
+	return ranges.Holder{Target: m.Target, Life: m.Life, Process: m.Process}
+}
+
+// Renewal is what a process sends to the leader several times a second.
+type Renewal struct {
+	Member Member    `json:"member"`
+	Known  Revisions `json:"known"`
+	// Released repeats the rows that the target has given back, until the
+	// table shows it.
+	Released []Released `json:"released,omitempty"`
+	// Ended repeats the holders at this process that have certainly ended.
+	Ended []ranges.Holder `json:"ended,omitempty"`
+	// Rates holds the request rates of the busy buckets, if they were measured
+	// since the last renewal.
+	Rates []BucketRate `json:"rates,omitempty"`
+	// Capacity is the rate that the target could serve, relative to others.
+	Capacity float64 `json:"capacity,omitempty"`
+}
+
+// Released is one row that a target gave back.
+type Released struct {
+	Row      ranges.Row `json:"row"`
+	Handover string     `json:"handover,omitempty"`
+}
+
+// BucketRate is the request rate of one bucket, per second.
+type BucketRate struct {
+	Bucket int     `json:"b"`
+	Rate   float64 `json:"r"`
+}
+
+// Reply answers a Renewal. A process applies the rows before the lease.
+type Reply struct {
+	Known Revisions `json:"known"`
+	// Lease is the time, from the sending of the renewal, for which the target
+	// may hold the rows that the table gives it. Zero grants nothing.
+	Lease time.Duration `json:"lease,omitempty"`
+	// The parts that changed since the renewal's revisions.
+	Document *routes.Document `json:"document,omitempty"`
+	Drained  *[]string        `json:"drained,omitempty"`
+	Spaces   map[string]Space `json:"spaces,omitempty"`
+	Members  *[]Member        `json:"members,omitempty"`
+	// Settled says that the leader has heard from every process that is up, so
+	// that Members is complete.
+	Settled bool `json:"settled,omitempty"`
+	// Replicas are the peer addresses of the control group.
+	Replicas []string `json:"replicas,omitempty"`
+}
--- /dev/null
+++ b/coord/hold/ledger.go
@@ -0,0 +1,178 @@
+// Package hold keeps account, in the process beside a target, of the key
+// ranges that the target holds. Grants travel in the answers to the target's
+// announcements and never outlast the lease of the control group.
+package hold
+
+import (
+	"slices"
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/ranges"
+)
+
+// Config tunes a Ledger.
+type Config struct {
+	// MaxHold is the longest time that one grant may name.
+	MaxHold time.Duration
+	// ClockShare is the part of a grant by which the target's clock may be
+	// slow; grants are shorter by it.
+	ClockShare float64
+	// MinHold is the shortest grant that is worth giving.
+	MinHold time.Duration
+}
+
+// DefaultConfig returns the settings for targets whose clocks run at most 2%
+// slow.
+func DefaultConfig(maxHold time.Duration) Config {
+	return Config{MaxHold: maxHold, ClockShare: 0.02, MinHold: 100 * time.Millisecond}
+}
+
+// Announcement is what a target says of its rows. The fences of Released are
+// not known.
+type Announcement struct {
+	// Holds are the rows that the target holds or still works on.
+	Holds []ranges.Row
+	// Released are rows that it gave back, with their handover tokens.
+	Released []ranges.Row
+}
+
+// Grant answers an announcement.
+type Grant struct {
+	Rows []ranges.Row
+	// For counts from the sending of the announcement. Zero renews nothing.
+	For time.Duration
+}
+
+// Ledger is the account of one target. It is not safe for concurrent use.
+type Ledger struct {
+	cfg      Config
+	holder   ranges.Holder
+	rows     []ranges.Row // the key space of the target's service
+	leaseEnd time.Duration
+	granted  []ranges.Row
+	until    time.Duration
+	released map[key]fleet.Released
+	unlisted map[key]int
+}
+
+// key names one row at one fence.
+type key struct {
+	from, to uint16
+	fence    uint64
+}
+
+func keyOf(r ranges.Row) key { return key{r.From, r.To, r.Fence} }
+
+// quietAnnouncements is the number of announcements in a row that do not list
+// a row after which it counts as given back without a token. The first may
+// have been sent before the answer that left the row out.
+const quietAnnouncements = 2
+
+// New returns the ledger of a holder.
+func New(cfg Config, h ranges.Holder) *Ledger {
+	return &Ledger{cfg: cfg, holder: h, released: map[key]fleet.Released{}, unlisted: map[key]int{}}
+}
+
+// Holder returns the target that the ledger is about.
+func (l *Ledger) Holder() ranges.Holder { return l.holder }
+
+// SetRows puts a new table into force.
+func (l *Ledger) SetRows(rows []ranges.Row) {
+	l.rows = rows
+	asked := map[key]bool{}
+	for _, r := range rows {
+		if r.Holder == l.holder && r.Releasing {
+			asked[keyOf(r)] = true
+		}
+	}
+	for k := range l.released {
+		if !asked[k] {
+			delete(l.released, k)
+		}
+	}
+	for k := range l.unlisted {
+		if !asked[k] {
+			delete(l.unlisted, k)
+		}
+	}
+}
+
+// SetLease records a lease that was asked for at sent. The table that came
+// with it must be in force already.
+func (l *Ledger) SetLease(sent clock.Reading, d time.Duration) {
+	l.leaseEnd = max(l.leaseEnd, sent.Mono+d)
+}
+
+// Announce takes the target's account of its rows and returns what it may
+// hold from now on.
+func (l *Ledger) Announce(now clock.Reading, a Announcement) Grant {
+	l.noteReleased(a)
+	left := l.leaseEnd - now.Mono
+	d := min(time.Duration(float64(left)*(1-l.cfg.ClockShare)), l.cfg.MaxHold)
+	if d < l.cfg.MinHold {
+		return Grant{}
+	}
+	g := Grant{For: d}
+	for _, r := range l.rows {
+		if r.Holder == l.holder && !r.Releasing {
+			g.Rows = append(g.Rows, r)
+		}
+	}
+	l.granted, l.until = g.Rows, now.Mono+d
+	return g
+}
+
+func (l *Ledger) noteReleased(a Announcement) {
+	for _, r := range l.rows {
+		if r.Holder != l.holder || !r.Releasing {
+			continue
+		}
+		k := keyOf(r)
+		if _, done := l.released[k]; done {
+			continue
+		}
+		if slices.ContainsFunc(a.Holds, func(h ranges.Row) bool { return h.From <= r.To && r.From <= h.To }) {
+			l.unlisted[k] = 0
+			continue
+		}
+		i := slices.IndexFunc(a.Released, func(g ranges.Row) bool { return g.From <= r.From && r.To <= g.To })
+		if i >= 0 {
+			l.released[k] = fleet.Released{Row: r, Handover: a.Released[i].Handover}
+			continue
+		}
+		if l.unlisted[k]++; l.unlisted[k] >= quietAnnouncements {
+			l.released[k] = fleet.Released{Row: r}
+		}
+	}
+}
+
+// Released returns the rows to report to control.
+func (l *Ledger) Released() []fleet.Released {
+	out := make([]fleet.Released, 0, len(l.released))
+	for _, r := range l.released {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Holds reports whether the target may begin a request on a key now: the last
+// grant names it, has not run out, and the key was not asked back since.
+func (l *Ledger) Holds(now clock.Reading, k uint16) bool {
+	if now.Mono >= l.until || now.Mono >= l.leaseEnd {
+		return false
+	}
+	g, ok := ranges.Find(l.granted, k)
+	if !ok {
+		return false
+	}
+	r, ok := ranges.Find(l.rows, k)
+	return ok && r.Holder == l.holder && r.Fence == g.Fence && !r.Releasing
+}
+
+// Owns reports whether the table gives a key to the target, granted or not.
+func (l *Ledger) Owns(k uint16) bool {
+	r, ok := ranges.Find(l.rows, k)
+	return ok && r.Holder == l.holder && !r.Releasing
+}
--- /dev/null
+++ b/coord/hold/ledger_test.go
@@ -0,0 +1,74 @@
+package hold_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/hold"
+	"bramleyquay.example/coord/ranges"
+)
+
+var self = ranges.Holder{Target: "t", Life: 7, Process: "p"}
+
+func row(from, to uint16, fence uint64) ranges.Row {
+	return ranges.Row{From: from, To: to, Holder: self, Fence: fence}
+}
+
+func ledger() *hold.Ledger {
+	l := hold.New(hold.DefaultConfig(10*time.Second), self)
+	l.SetRows([]ranges.Row{row(0, 99, 3), {From: 100, To: ranges.LastKey}})
+	return l
+}
+
+// Guards against a target that holds keys beyond the lease of its process.
+func TestGrantEndsBeforeLease(t *testing.T) {
+	is := is.New(t)
+	l := ledger()
+	is.Equal(l.Announce(clock.At(0), hold.Announcement{}).For, time.Duration(0))
+	l.SetLease(clock.At(time.Second), 4*time.Second)
+	g := l.Announce(clock.At(2*time.Second), hold.Announcement{})
+	is.Equal(len(g.Rows), 1)
+	// The target's clock may run 2% slow.
+	is.True(time.Duration(float64(g.For)*1.02) <= 3*time.Second)
+	is.True(l.Holds(clock.At(2*time.Second), 50))
+	is.True(!l.Holds(clock.At(2*time.Second), 100))
+	is.True(!l.Holds(clock.At(5*time.Second), 50))
+}
+
+// Guards against a release that is reported while the target still works on
+// the row, and against a lost handover token.
+func TestRelease(t *testing.T) {
+	is := is.New(t)
+	l := ledger()
+	l.SetLease(clock.At(0), 4*time.Second)
+	l.Announce(clock.At(0), hold.Announcement{})
+	asked := row(0, 99, 3)
+	asked.Releasing = true
+	l.SetRows([]ranges.Row{asked, {From: 100, To: ranges.LastKey}})
+	is.True(!l.Holds(clock.At(0), 50))
+	g := l.Announce(clock.At(time.Second), hold.Announcement{Holds: []ranges.Row{row(0, 99, 3)}})
+	is.Equal(len(g.Rows), 0)
+	is.True(g.For > 0)
+	is.Equal(len(l.Released()), 0)
+	l.Announce(clock.At(time.Second), hold.Announcement{Released: []ranges.Row{{From: 0, To: 99, Handover: "h"}}})
+	is.Equal(l.Released()[0].Handover, "h")
+	l.Announce(clock.At(time.Second), hold.Announcement{})
+	is.Equal(len(l.Released()), 1)
+}
+
+// Guards against a row that stays bound to a target that forgot it, and
+// against one announcement, sent before the answer that asked, that frees it.
+func TestUnlistedRow(t *testing.T) {
+	is := is.New(t)
+	l := ledger()
+	asked := row(0, 99, 3)
+	asked.Releasing = true
+	l.SetRows([]ranges.Row{asked, {From: 100, To: ranges.LastKey}})
+	l.Announce(clock.At(0), hold.Announcement{})
+	is.Equal(len(l.Released()), 0)
+	l.Announce(clock.At(0), hold.Announcement{})
+	is.Equal(len(l.Released()), 1)
+}
--- /dev/null
+++ b/coord/ranges/plan.go
@@ -0,0 +1,217 @@
+package ranges
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Candidate is a holder that takes part in the division of a key space.
+type Candidate struct {
+	Holder Holder
+	// Capacity is relative to the other candidates.
+	Capacity float64
+}
+
+// Config tunes Plan.
+type Config struct {
+	// Stripes is the number of rows that a key space without rows is cut into
+	// per candidate, within MinStripes and MaxStripes in all. More stripes
+	// spread busy neighbours better; each takes room in every grant.
+	Stripes, MinStripes, MaxStripes int
+	// Imbalance is the load of a holder relative to its share from which rows
+	// move. A lower value balances better and moves more.
+	Imbalance float64
+	// MaxMoves bounds the rows that move for balance at once. A moving row is
+	// not served until its next holder announces itself.
+	MaxMoves int
+}
+
+// DefaultConfig suits key spaces of 3 to 40 holders: 128 rows among 3 holders
+// fit a grant of 4 KiB with their handover tokens.
+func DefaultConfig() Config {
+	return Config{Stripes: 8, MinStripes: 128, MaxStripes: 512, Imbalance: 1.25, MaxMoves: 3}
+}
+
+// Assign gives rows without a holder to the candidates that are furthest below
+// their share. It returns the new rows and whether anything changed.
+func Assign(rows []Row, candidates []Candidate, load *Load, cfg Config) ([]Row, bool) {
+	if len(candidates) == 0 || !slices.ContainsFunc(rows, func(r Row) bool { return r.Holder.IsZero() }) {
+		return rows, false
+	}
+	rows = stripe(slices.Clone(rows), len(candidates), cfg)
+	w := load.weights()
+	b := newBalance(rows, candidates, w)
+	var free []int
+	for i, r := range rows {
+		if r.Holder.IsZero() {
+			free = append(free, i)
+		}
+	}
+	// Heavy rows first: light ones fill the gaps that they leave.
+	slices.SortStableFunc(free, func(i, j int) int { return cmp.Compare(w.of(rows[j]), w.of(rows[i])) })
+	for _, i := range free {
+		to := b.lightest()
+		rows[i].Holder, rows[i].Fence, rows[i].Releasing = candidates[to].Holder, 0, false
+		b.have[to] += w.of(rows[i])
+	}
+	return rows, true
+}
+
+// stripe cuts a key space that nobody ever held.
+func stripe(rows []Row, candidates int, cfg Config) []Row {
+	if len(rows) != 1 || rows[0].Fence != 0 || !rows[0].Holder.IsZero() {
+		return rows
+	}
+	n := min(max(cfg.Stripes*candidates, cfg.MinStripes), cfg.MaxStripes)
+	out := make([]Row, 0, n)
+	for i := range n {
+		from := i * Buckets / n * bucketKeys
+		to := (i+1)*Buckets/n*bucketKeys - 1
+		out = append(out, Row{From: uint16(from), To: uint16(to)})
+	}
+	return out
+}
+
+// Vacate asks the holders that leaves reports to give all their rows back.
+func Vacate(rows []Row, leaves func(Holder) bool) ([]Row, bool) {
+	changed := false
+	for i, r := range rows {
+		if r.Holder.IsZero() || r.Releasing || !leaves(r.Holder) {
+			continue
+		}
+		if !changed {
+			rows, changed = slices.Clone(rows), true
+		}
+		rows[i].Releasing = true
+	}
+	return rows, changed
+}
+
+// Free takes rows from holders that are known to hold nothing any more.
+func Free(rows []Row, gone func(Holder) bool) ([]Row, bool) {
+	changed := false
+	for i, r := range rows {
+		if r.Holder.IsZero() || !gone(r.Holder) {
+			continue
+		}
+		if !changed {
+			rows, changed = slices.Clone(rows), true
+		}
+		rows[i].Holder, rows[i].Releasing, rows[i].Handover = Holder{}, false, ""
+	}
+	return rows, changed
+}
+
+// Released frees one row that its holder has given back.
+func Released(rows []Row, from Row, handover string) ([]Row, bool) {
+	for i, r := range rows {
+		if r.From == from.From && r.To == from.To && r.Fence == from.Fence && r.Holder == from.Holder && r.Releasing {
+			rows = slices.Clone(rows)
+			rows[i].Holder, rows[i].Releasing, rows[i].Handover = Holder{}, false, handover
+			return rows, true
+		}
+	}
+	return rows, false
+}
+
+// Rebalance asks the most loaded holders to give back what others have room
+// for. It does nothing while earlier moves are under way.
+func Rebalance(rows []Row, candidates []Candidate, load *Load, cfg Config) ([]Row, bool) {
+	if len(candidates) < 2 || slices.ContainsFunc(rows, func(r Row) bool { return r.Releasing || r.Holder.IsZero() }) {
+		return rows, false
+	}
+	w := load.weights()
+	b := newBalance(rows, candidates, w)
+	out, changed := slices.Clone(rows), false
+	for range cfg.MaxMoves {
+		from, to := b.heaviest(), b.lightest()
+		if b.have[from] < cfg.Imbalance*b.share[from] && b.have[to]*cfg.Imbalance > b.share[to] {
+			break
+		}
+		room := min(b.have[from]-b.share[from], b.share[to]-b.have[to])
+		i, cut, moved := pick(out, candidates[from].Holder, room, w)
+		if i < 0 {
+			break
+		}
+		if cut > 0 {
+			out = split(out, i, cut)
+		}
+		out[i].Releasing, changed = true, true
+		b.have[from] -= moved
+		b.have[to] += moved
+	}
+	if !changed {
+		return rows, false
+	}
+	return out, true
+}
+
+// minMove is the least share of the load that is worth a move.
+const minMove = 0.005
+
+// pick returns the row of a holder whose load, or the load of its first part
+// up to cut, is nearest to room without exceeding it.
+func pick(rows []Row, h Holder, room float64, w *Load) (index int, cut uint16, moved float64) {
+	index = -1
+	for i, r := range rows {
+		if r.Holder != h || r.Releasing {
+			continue
+		}
+		sum := 0.0
+		for b := Bucket(r.From); b <= Bucket(r.To); b++ {
+			sum += w[b]
+			if sum > room {
+				break
+			}
+			if sum > moved && sum >= minMove {
+				index, moved, cut = i, sum, 0
+				if b < Bucket(r.To) {
+					cut = uint16((b + 1) * bucketKeys)
+				}
+			}
+		}
+	}
+	return index, cut, moved
+}
+
+// balance compares what candidates hold with their shares.
+type balance struct{ have, share []float64 }
+
+func newBalance(rows []Row, candidates []Candidate, w *Load) *balance {
+	b := &balance{have: make([]float64, len(candidates)), share: make([]float64, len(candidates))}
+	sum := 0.0
+	for _, c := range candidates {
+		sum += c.Capacity
+	}
+	at := map[Holder]int{}
+	for i, c := range candidates {
+		b.share[i] = c.Capacity / sum
+		at[c.Holder] = i
+	}
+	for _, r := range rows {
+		if i, ok := at[r.Holder]; ok && !r.Releasing {
+			b.have[i] += w.of(r)
+		}
+	}
+	return b
+}
+
+func (b *balance) lightest() int {
+	best := 0
+	for i := range b.have {
+		if b.have[i]/b.share[i] < b.have[best]/b.share[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+func (b *balance) heaviest() int {
+	best := 0
+	for i := range b.have {
+		if b.have[i]/b.share[i] > b.have[best]/b.share[best] {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/coord/routes/routes_test.go
@@ -0,0 +1,70 @@
+package routes_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/routes"
+)
+
+func document() *routes.Document {
+	return &routes.Document{
+		Version: 3,
+		Routes: []routes.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Kind: routes.Safe, Timeout: time.Second, Attempts: 2,
+				Parts: []routes.Part{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Kind: routes.Unsafe, Timeout: time.Second,
+				Parts: []routes.Part{{Service: "two", Weight: 1}}},
+		},
+		Services: []routes.Service{{Name: "one"}, {Name: "two"}},
+	}
+}
+
+// Guards against a shorter prefix that takes the requests of a longer one.
+func TestLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	table := routes.NewTable(document())
+	is.Equal(table.Match("A.example:80", "/x/y/z").Name, "deep")
+	is.Equal(table.Match("a.example", "/x/y").Name, "all")
+	is.Equal(table.Match("b.example", "/x/y/z"), nil)
+}
+
+// Guards against shares that drift from the weights over a short time.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	table := routes.NewTable(document())
+	r := table.Match("a.example", "/")
+	count := map[string]int{}
+	for range 50 {
+		count[table.Next(r)]++
+	}
+	is.Equal(count["one"], 45)
+	is.Equal(count["two"], 5)
+}
+
+// Guards against an invalid document that comes into force.
+func TestValidate(t *testing.T) {
+	tests := map[string]func(*routes.Document){
+		"unknown service":    func(d *routes.Document) { d.Routes[0].Parts[0].Service = "three" },
+		"same place":         func(d *routes.Document) { d.Routes[1].Prefix = "/" },
+		"no weight":          func(d *routes.Document) { d.Routes[1].Parts[0].Weight = 0 },
+		"long timeout":       func(d *routes.Document) { d.Routes[0].Timeout = 601 * time.Second },
+		"objective too high": func(d *routes.Document) { d.Routes[0].Objective = 61 * time.Second },
+		"unknown kind":       func(d *routes.Document) { d.Routes[0].Kind = "odd" },
+		"no version":         func(d *routes.Document) { d.Version = 0 },
+	}
+	if f := document().Validate(); len(f) > 0 {
+		t.Fatalf("valid document refused: %v", f)
+	}
+	for name, spoil := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := document()
+			spoil(d)
+			if len(d.Validate()) == 0 {
+				t.Fatal("accepted")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coord/routes/validate.go
@@ -0,0 +1,101 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one reason for which a document is refused.
+type Finding struct {
+	// Place names the item, for instance route "a".
+	Place string `json:"place"`
+	Text  string `json:"text"`
+}
+
+// String implements fmt.Stringer.
+func (f Finding) String() string { return f.Place + ": " + f.Text }
+
+// Validate returns every reason to refuse the document; none if it is valid.
+func (d *Document) Validate() []Finding {
+	v := validation{services: map[string]bool{}, places: map[[2]string]bool{}, names: map[string]bool{}}
+	if d.Version == 0 {
+		v.add("document", "the version is 0")
+	}
+	for i := range d.Services {
+		v.service(&d.Services[i])
+	}
+	for i := range d.Routes {
+		v.route(&d.Routes[i])
+	}
+	return v.findings
+}
+
+type validation struct {
+	services map[string]bool
+	places   map[[2]string]bool
+	names    map[string]bool
+	findings []Finding
+}
+
+func (v *validation) add(place, format string, args ...any) {
+	v.findings = append(v.findings, Finding{Place: place, Text: fmt.Sprintf(format, args...)})
+}
+
+func (v *validation) service(s *Service) {
+	place := fmt.Sprintf("service %q", s.Name)
+	switch {
+	case s.Name == "":
+		v.add(place, "the name is empty")
+	case v.services[s.Name]:
+		v.add(place, "the name occurs twice")
+	}
+	if s.ColdRate < 0 || s.ColdPeriod < 0 || s.Warmup < 0 || s.MaxConnections < 0 {
+		v.add(place, "a figure is negative")
+	}
+	v.services[s.Name] = true
+}
+
+func (v *validation) route(r *Route) {
+	place := fmt.Sprintf("route %q", r.Name)
+	if r.Name == "" || v.names[r.Name] {
+		v.add(place, "the name is empty or occurs twice")
+	}
+	v.names[r.Name] = true
+	at := [2]string{strings.ToLower(r.Host), r.Prefix}
+	if v.places[at] {
+		v.add(place, "another route has host %q and prefix %q", r.Host, r.Prefix)
+	}
+	v.places[at] = true
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		v.add(place, "host %q or prefix %q is not complete", r.Host, r.Prefix)
+	}
+	if r.Kind != Safe && r.Kind != Unsafe {
+		v.add(place, "kind %q is unknown", r.Kind)
+	}
+	if r.Timeout < 0 || r.Timeout > MaxTimeout {
+		v.add(place, "timeout %s is outside 0 to %s", r.Timeout, MaxTimeout)
+	}
+	if r.Timeout > 0 && r.Objective-r.Timeout >= MaxObjectiveExcess {
+		v.add(place, "objective %s is too far above the timeout %s", r.Objective, r.Timeout)
+	}
+	if r.Objective < 0 || r.Attempts < 0 || r.Rank < 0 {
+		v.add(place, "a figure is negative")
+	}
+	v.parts(place, r.Parts)
+}
+
+func (v *validation) parts(place string, parts []Part) {
+	sum := 0
+	for _, p := range parts {
+		if !v.services[p.Service] {
+			v.add(place, "service %q is unknown", p.Service)
+		}
+		if p.Weight < 0 {
+			v.add(place, "weight %d of service %q is negative", p.Weight, p.Service)
+		}
+		sum += p.Weight
+	}
+	if sum <= 0 {
+		v.add(place, "the weights add up to %d", sum)
+	}
+}
