--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target works on a fresh machine with Go, make and the module proxy.
 
 GO ?= go
-MODULES := coord router
+MODULES := coord router platform
 BIN := bin
 
 .PHONY: all build fmt-check vet lint test bench slopes faults demo clean
@@ -18,14 +18,16 @@
 vet:
 	cd coord && $(GO) vet ./...
 	cd router && $(GO) vet ./...
+	cd platform && $(GO) vet ./...
 
 # staticcheck is pinned as a tool of the router module.
 lint:
-	cd router && $(GO) tool staticcheck ./... bramleyquay.example/coord/...
+	cd router && $(GO) tool staticcheck ./... bramleyquay.example/coord/... bramleyquay.example/platform/...
 
 test: fmt-check vet lint
 	cd coord && $(GO) test -timeout 8m ./...
 	cd router && $(GO) test -timeout 8m ./...
+	cd platform && $(GO) test -timeout 8m ./...
 
 # Starts a small cluster, breaks it under load and prints what callers saw.
 demo: build
--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -157,6 +157,7 @@
 	if h.IsZero() {
 		return
 	}
+	delete(l.ended, h) // its process sees it alive
 	l.released[h] = r.Released
 	v := l.service(now, r.Member.Service)
 	if r.Rates != nil {
--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -14,6 +14,16 @@
 	return &Budget{share: share, burst: burst, tokens: burst}
 }
 
+// NewEmptyBudget is NewBudget with nothing saved up. It suits a budget that is
+// shared with other processes: restarts must not refill it.
+func NewEmptyBudget(share, burst float64) *Budget { return &Budget{share: share, burst: burst} }
+
+// SetBurst changes how many extra requests may be saved up.
+func (b *Budget) SetBurst(burst float64) {
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Request counts one request of a caller.
 func (b *Budget) Request() {
 	b.requests++
--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -13,6 +13,7 @@
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/router/logging"
 	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/raftwire"
 	"bramleyquay.example/router/store"
 	"bramleyquay.example/router/timesource"
 )
@@ -29,7 +30,7 @@
 	raft       *raft.Node
 	state      *control.State
 	controller *control.Controller
-	outbox     *outbox
+	outbox     *raftwire.Outbox
 	wakers     *wakers
 
 	formation  formation
@@ -76,7 +77,7 @@
 		waiting:    map[uint64]waiter{},
 		stopped:    make(chan struct{}),
 	}
-	n.outbox = newOutbox(client, n.address, log)
+	n.outbox = raftwire.NewOutbox(client, n.address, log)
 	if err := n.open(); err != nil {
 		return nil, err
 	}
@@ -150,7 +151,7 @@
 
 func (n *Node) stop() {
 	n.stopOnce.Do(func() { close(n.stopped) })
-	n.outbox.close()
+	n.outbox.Close()
 }
 
 // do runs f on the replica's goroutine and waits for it.
--- a/router/controlnode/process.go
+++ b/router/controlnode/process.go
@@ -16,7 +16,7 @@
 		if err := n.persist(r); err != nil {
 			return err
 		}
-		n.outbox.send(r.Messages)
+		n.outbox.Send(r.Messages)
 		if err := n.install(r.Snapshot); err != nil {
 			return err
 		}
--- /dev/null
+++ b/router/fleetagent/target.go
@@ -0,0 +1,212 @@
+package fleetagent
+
+import (
+	"time"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/hold"
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/timesource"
+)
+
+// Report is what a target says of itself in one announcement.
+type Report struct {
+	ID string
+	// Life is the start of the target in Unix milliseconds.
+	Life             int64
+	Service, Address string
+	Slots            int
+	// Sequence rises with each announcement of one life.
+	Sequence uint64
+	Draining bool
+	// ColdFor is the time for which the target remains cold.
+	ColdFor time.Duration
+	Rows    hold.Announcement
+}
+
+// Verdict says what an announcement was taken for.
+type Verdict string
+
+const (
+	// Taken announcements are in force.
+	Taken Verdict = "taken"
+	// Stale announcements were sent by an earlier life or before a later
+	// announcement that has arrived already.
+	Stale Verdict = "stale"
+	// Foreign announcements are not of the target beside this process.
+	Foreign Verdict = "foreign"
+)
+
+// target is what the process knows of the target beside it. Times are those
+// of timesource.Boot.
+type target struct {
+	id       string
+	life     int64
+	slots    int
+	sequence uint64
+	draining bool
+	// left is set once the target has said that it ends.
+	left      bool
+	announced time.Duration
+	coldUntil time.Duration
+	// refused is set while connections have been refused since the last
+	// announcement.
+	refused bool
+	// unsure is set while the target may have become cold unnoticed.
+	unsure bool
+}
+
+const (
+	// silentIntervals is the number of announcement intervals without one
+	// after which a target is listed as gone. Announcements may be seconds
+	// late, so that silence alone says little.
+	silentIntervals = 6
+	// endedIntervals is the same for a target that also refuses connections:
+	// then it has certainly ended.
+	endedIntervals = 1.5
+)
+
+func (t *target) condition(now, interval time.Duration) fleet.Condition {
+	switch {
+	case t.draining || t.left:
+		return fleet.Draining
+	case t.refused, t.unsure, now-t.announced > silentIntervals*interval:
+		return fleet.Gone
+	}
+	return fleet.Ready
+}
+
+// Announce takes an announcement and returns the grant to answer it with.
+func (a *Agent) Announce(r Report) (hold.Grant, Verdict) {
+	now := timesource.Boot()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := &a.target
+	switch {
+	case r.ID == "" || r.Service != a.cfg.Service || r.Address != a.cfg.Address:
+		a.log.Warn().Str("target", r.ID).Str("service", r.Service).Str("address", r.Address).Msg("foreign announcement ignored")
+		return hold.Grant{}, Foreign
+	case r.Life < t.life, r.ID == t.id && r.Life == t.life && r.Sequence <= t.sequence:
+		a.log.Info().Str("target", r.ID).Int64("life", r.Life).Uint64("sequence", r.Sequence).Uint64("newest", t.sequence).
+			Int64("newestLife", t.life).Msg("late announcement ignored")
+		return hold.Grant{}, Stale
+	}
+	before := a.member(now.Mono)
+	if r.ID != t.id || r.Life != t.life {
+		a.newLife(now, r)
+	}
+	cold := r.ColdFor > 0 && t.coldUntil <= now.Mono
+	t.sequence, t.slots, t.announced = r.Sequence, r.Slots, now.Mono
+	t.draining = t.draining || r.Draining
+	t.coldUntil = now.Mono + r.ColdFor
+	t.refused, t.unsure = false, false
+	if cold {
+		a.log.Info().Str("target", t.id).Dur("for", r.ColdFor).Uint64("sequence", r.Sequence).Msg("target is cold")
+	}
+	released := len(a.ledger.Released())
+	g := a.ledger.Announce(now, r.Rows)
+	if after := a.member(now.Mono); after != before || len(a.ledger.Released()) != released {
+		if after != before {
+			a.log.Info().Str("target", t.id).Int64("life", t.life).Str("condition", string(after.Condition)).
+				Str("before", string(before.Condition)).Uint64("sequence", t.sequence).Msg("target changed")
+		}
+		a.Wake()
+	}
+	a.notify()
+	return g, Taken
+}
+
+// newLife begins the account of another start of the target.
+func (a *Agent) newLife(now clock.Reading, r Report) {
+	if a.ledger != nil {
+		a.end(a.ledger.Holder(), "another start announced itself")
+	}
+	a.target = target{id: r.ID, life: r.Life}
+	a.ledger = hold.New(a.cfg.Hold, ranges.Holder{Target: r.ID, Life: r.Life, Process: a.cfg.Process})
+	a.ledger.SetRows(a.view.Load().Spaces[a.cfg.Service].Rows)
+	a.log.Info().Str("target", r.ID).Int64("life", r.Life).Int("slots", r.Slots).Dur("at", now.Mono).Msg("target joined")
+}
+
+func (a *Agent) end(h ranges.Holder, why string) {
+	a.ended = append(a.ended, h)
+	if len(a.ended) > maxEnded {
+		a.ended = a.ended[1:]
+	}
+	a.log.Info().Str("target", h.Target).Int64("life", h.Life).Str("why", why).Msg("target ended")
+}
+
+// Left records that the target has said that it ends; it serves on for a
+// while.
+func (a *Agent) Left(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.target.id != id {
+		return
+	}
+	a.target.left = true
+	a.log.Info().Str("target", id).Msg("target leaves")
+	a.Wake()
+	a.notify()
+}
+
+// Refused records that the target refused a connection.
+func (a *Agent) Refused() {
+	now := timesource.Boot().Mono
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := &a.target
+	if t.id == "" {
+		return
+	}
+	if !t.refused {
+		t.refused = true
+		a.log.Warn().Str("target", t.id).Dur("silence", now-t.announced).Msg("target refuses connections")
+		a.Wake()
+		a.notify()
+	}
+	if float64(now-t.announced) > endedIntervals*float64(a.cfg.AnnounceInterval) {
+		a.end(a.ledger.Holder(), "it refuses connections and is silent")
+		a.target, a.ledger = target{life: t.life}, nil
+		a.Wake()
+	}
+}
+
+// Target describes the target as far as the gate needs it.
+type Target struct {
+	ID    string
+	Slots int
+	// Accepts says that it may get new requests.
+	Accepts bool
+	// ColdUntil is the end of its cold time on the clock of timesource.Boot.
+	ColdUntil time.Duration
+	// Next is when it will announce itself again, on the same clock.
+	Next time.Duration
+}
+
+// Target returns the target beside the process; false without one.
+func (a *Agent) Target() (Target, bool) {
+	now := timesource.Boot().Mono
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := &a.target
+	if t.id == "" {
+		return Target{}, false
+	}
+	return Target{
+		ID: t.id, Slots: t.slots, ColdUntil: t.coldUntil, Next: t.announced + a.cfg.AnnounceInterval,
+		Accepts: t.condition(now, a.cfg.AnnounceInterval) == fleet.Ready,
+	}, true
+}
+
+// Holds reports whether the target may begin a request on a key now, and
+// whether the table gives it the key.
+func (a *Agent) Holds(key uint16) (holds, owns bool) {
+	now := timesource.Boot()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ledger == nil {
+		return false, false
+	}
+	return a.ledger.Holds(now, key), a.ledger.Owns(key)
+}
--- /dev/null
+++ b/router/fleetdaemon/daemon.go
@@ -0,0 +1,252 @@
+package fleetdaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/hold"
+	"bramleyquay.example/router/edge"
+	"bramleyquay.example/router/fleetagent"
+	"bramleyquay.example/router/fleetnode"
+	"bramleyquay.example/router/leaderclient"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/relay"
+	"bramleyquay.example/router/targetclient"
+)
+
+// Daemon is one process.
+type Daemon struct {
+	cfg      Config
+	log      logging.Logger
+	client   *peer.Client
+	leaders  *leaderclient.Client
+	server   *peer.Server
+	listener *peer.Listener
+	agent    *fleetagent.Agent
+	node     *fleetnode.Node
+	callers  *edge.Server
+	gates    *edge.Server
+	stopping atomic.Bool
+}
+
+// memoryShare is the part of the memory limit at which the collector works
+// harder; the rest is for stacks and unread bytes in sockets.
+const memoryShare = 0.7
+
+// New opens the listeners and the data folder.
+func New(cfg Config, logs *log.Logger) (*Daemon, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	if cfg.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
+	}
+	d := &Daemon{cfg: cfg, log: logging.Part(logs, "daemon"), server: peer.NewServer()}
+	d.client = peer.NewClient(&peer.Dialer{Secret: cfg.Secret}, func(method string) {
+		if method == fleetnode.MethodWake && d.agent != nil {
+			d.agent.Wake()
+		}
+	})
+	d.leaders = leaderclient.New(d.client, cfg.Seeds)
+	if cfg.Beside != nil {
+		if err := d.openBeside(logs); err != nil {
+			return nil, err
+		}
+	}
+	if cfg.Control != nil {
+		if err := d.openControl(logs); err != nil {
+			return nil, err
+		}
+	}
+	l, err := peer.Listen(cfg.Peer, cfg.Secret, nil, logging.Part(logs, "peer"), func(c net.Conn) {
+		d.server.ServeConn(context.Background(), c)
+	})
+	d.listener = l
+	return d, err
+}
+
+func (d *Daemon) openBeside(logs *log.Logger) error {
+	b := d.cfg.Beside
+	d.agent = fleetagent.New(fleetagent.Config{
+		Process: d.cfg.Peer, DataCentre: b.DataCentre, Service: b.Service, Address: b.Target,
+		AnnounceInterval: d.cfg.Lease.AnnounceInterval, Hold: hold.DefaultConfig(d.cfg.Lease.MaxHold),
+	}, d.leaders, logging.Part(logs, "member"))
+	target := targetclient.New(targetclient.Config{
+		Address: b.Target, IDHeader: b.Names.RequestID, DialTimeout: targetDialTimeout, MaxIdle: targetIdle, MaxBody: maxBody,
+	})
+	gate := relay.NewGate(d.agent, b.Names, target, logging.Part(logs, "gate"))
+	ingress := relay.NewIngress(relay.IngressConfig{Names: b.Names, GateAddress: gateAddress(b.Gate), Budget: b.Budget},
+		d.agent, gate, logging.Part(logs, "ingress"))
+	edgeLog := logging.Part(logs, "edge")
+	d.callers = edge.New(ingress, d.callerLimits, edgeLog)
+	d.gates = edge.New(edge.HandlerFunc(gate.ServePeer), edge.DefaultLimits, edgeLog)
+	metrics.GetOrCreateGauge("bramleyquay_target_connections_opened", func() float64 { return float64(target.Opened()) })
+	if err := d.callers.Listen(b.Caller); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(d.gates.Listen(b.Gate))
+}
+
+const (
+	// targetDialTimeout bounds a connection to the target on the same machine.
+	targetDialTimeout = 500 * time.Millisecond
+	// targetIdle is the time for which an unused connection to the target is
+	// kept if the target names no other.
+	targetIdle = 4 * time.Second
+	// maxBody bounds an answer's body in bytes.
+	maxBody = 64 << 20
+)
+
+// gateAddress returns the addresses of the gates of other processes: their
+// host with this process's gate port.
+func gateAddress(own string) func(string) string {
+	_, port, _ := net.SplitHostPort(own) // checked when it was listened on
+	return func(process string) string {
+		host, _, err := net.SplitHostPort(process)
+		if err != nil {
+			return process
+		}
+		return net.JoinHostPort(host, port)
+	}
+}
+
+// callerLimits are the document's limits, or defaults before the first.
+func (d *Daemon) callerLimits() edge.Limits {
+	out := edge.DefaultLimits()
+	t := d.agent.View().Routes
+	if t == nil {
+		return out
+	}
+	l := t.Document().Limits
+	if l.HeaderBytes > 0 {
+		out.HeaderBytes = l.HeaderBytes
+	}
+	if l.BodyBytes > 0 {
+		out.BodyBytes = l.BodyBytes
+	}
+	if l.HeaderTimeout > 0 {
+		out.HeaderTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		out.IdleTimeout = l.IdleTimeout
+	}
+	return out
+}
+
+func (d *Daemon) openControl(logs *log.Logger) error {
+	c := d.cfg.Control
+	node, err := fleetnode.Open(fleetnode.Config{
+		Address: d.cfg.Peer, Cluster: d.cfg.Cluster, Folder: c.Folder, Founders: c.Founders,
+		Leader: fleet.DefaultConfig(d.cfg.Lease.Duration()), Group: fleet.DefaultGroupConfig(c.Losses),
+		SnapshotEntries: fleetnode.DefaultSnapshotEntries,
+	}, d.client, d.leaders, logging.Part(logs, "control"))
+	if err != nil {
+		return err
+	}
+	node.Register(d.server)
+	d.node = node
+	return nil
+}
+
+// Agent returns the agent of a process beside a target, else nil.
+func (d *Daemon) Agent() *fleetagent.Agent { return d.agent }
+
+// Leaders returns the client of the control group.
+func (d *Daemon) Leaders() *leaderclient.Client { return d.leaders }
+
+// Ready reports whether callers should use the process.
+func (d *Daemon) Ready() bool {
+	return !d.stopping.Load() && (d.agent == nil || d.agent.View().Routes != nil)
+}
+
+// Run serves until stop ends, then stops in an orderly way. It returns an
+// error if a part had to stop before.
+func (d *Daemon) Run(stop context.Context) error {
+	d.log.Info().Str("cluster", d.cfg.Cluster).Str("peer", d.cfg.Peer).Strs("seeds", d.cfg.Seeds).Bool("control", d.node != nil).
+		Bool("beside", d.agent != nil).Bool("trustNetwork", d.cfg.TrustNetwork).Dur("lease", d.cfg.Lease.Duration()).Msg("process starts")
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.listener.Serve(run)
+	if d.cfg.Metrics != "" {
+		go d.serveMetrics()
+	}
+	failed := make(chan error, 1)
+	nodeDone := make(chan struct{})
+	if d.node != nil {
+		go func() {
+			defer close(nodeDone)
+			if err := d.node.Run(run); err != nil {
+				failed <- err
+			}
+		}()
+	}
+	if d.agent != nil {
+		go d.agent.Run(run)
+		go d.callers.Run()
+		go d.gates.Run()
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	d.stop()
+	cancel()
+	if d.node != nil {
+		<-nodeDone
+	}
+	d.log.Info().Msg("process stops")
+	return nil
+}
+
+func (d *Daemon) serveMetrics() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, false) })
+	if err := http.ListenAndServe(d.cfg.Metrics, mux); err != nil {
+		d.log.Error().Str("address", d.cfg.Metrics).Err(err).Msg("metrics are not served")
+	}
+}
+
+const (
+	// stopLinger is the time for which a stopping process takes requests of
+	// callers who have not noticed yet.
+	stopLinger = 2200 * time.Millisecond
+	// stopReserve is the part of StopTimeout that is left for the end.
+	stopReserve = 900 * time.Millisecond
+	// stopPoll is the time between two looks at the requests in progress.
+	stopPoll = 50 * time.Millisecond
+)
+
+// stop ends the roles: callers are told, requests in progress end.
+func (d *Daemon) stop() {
+	d.stopping.Store(true)
+	d.log.Info().Dur("timeout", d.cfg.StopTimeout).Msg("stop requested")
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.StopTimeout-stopReserve)
+	defer cancel()
+	if d.node != nil {
+		if err := d.node.Transfer(ctx); err != nil {
+			d.log.Warn().Err(err).Msg("leadership was not transferred")
+		}
+	}
+	if d.agent == nil {
+		return
+	}
+	d.agent.Leave()
+	d.callers.Drain()
+	d.gates.Drain()
+	for ctx.Err() == nil && (time.Since(begun) < stopLinger || d.callers.Busy()+d.gates.Busy() > 0) {
+		time.Sleep(stopPoll)
+	}
+	d.callers.Close(ctx)
+	d.gates.Close(ctx)
+}
--- /dev/null
+++ b/router/fleetnode/process.go
@@ -0,0 +1,194 @@
+package fleetnode
+
+import (
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/timesource"
+)
+
+// process carries out the log's work until there is none left.
+func (n *Node) process() error {
+	for n.raft.HasReady() {
+		r := n.raft.Ready()
+		if r.Snapshot != nil {
+			if err := n.store.SaveSnapshot(*r.Snapshot); err != nil {
+				return err
+			}
+		}
+		if err := n.store.Save(r.Hard, r.Entries); err != nil {
+			return err
+		}
+		n.outbox.Send(r.Messages)
+		if err := n.install(r.Snapshot); err != nil {
+			return err
+		}
+		for _, e := range r.Committed {
+			n.applyEntry(e)
+		}
+		n.raft.Advance(r)
+		n.follow()
+	}
+	n.review()
+	n.wake()
+	return n.compact()
+}
+
+// install replaces the state by a snapshot from the leader.
+func (n *Node) install(s *raft.Snapshot) error {
+	if s == nil || len(s.Data) == 0 {
+		return nil
+	}
+	state, err := fleet.Restore(s.Data)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	n.state, n.compacted = state, s.Index
+	n.log.Info().Uint64("index", s.Index).Uint64("version", state.Version()).Msg("caught up by a snapshot")
+	return nil
+}
+
+// applyEntry applies one committed entry and answers who waits for it.
+func (n *Node) applyEntry(e raft.Entry) {
+	var p proposed
+	if e.Kind == raft.EntryCommand {
+		before := n.state.Revisions()
+		p.result, p.err = n.state.Apply(e.Index, e.Data)
+		if p.err != nil {
+			// Every replica skips the entry in the same way.
+			n.log.Error().Uint64("index", e.Index).Err(p.err).Msg("entry has no effect")
+		}
+		n.logApplied(e, before)
+	}
+	w, ok := n.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(n.waiting, e.Index)
+	if w.term != e.Term {
+		p = proposed{err: errLost}
+	}
+	w.result <- p
+}
+
+func (n *Node) logApplied(e raft.Entry, before fleet.Revisions) {
+	after := n.state.Revisions()
+	if after.Document != before.Document {
+		n.log.Info().Uint64("index", e.Index).Uint64("term", e.Term).Uint64("version", n.state.Version()).Msg("document in force")
+	}
+	if after.Drain != before.Drain {
+		n.log.Info().Uint64("index", e.Index).Strs("drained", n.state.Drained()).Msg("drained data centres changed")
+	}
+}
+
+// follow notes the begin and end of leadership.
+func (n *Node) follow() {
+	st := n.raft.Status()
+	leads := st.Role == raft.Leader && st.TermApplied
+	now := timesource.Boot()
+	switch {
+	case leads && !n.leader.Leading():
+		n.leader.Lead(now, st.Term)
+		n.group, n.planned = fleet.NewGroup(n.cfg.Group), map[string]flight{}
+		n.log.Info().Uint64("term", st.Term).Msg("leads; no loss is declared before one lease has passed")
+	case !leads && n.leader.Leading():
+		n.leader.Follow()
+		n.wakers.clear()
+		n.log.Info().Uint64("term", st.Term).Msg("no longer leads")
+	}
+	if st.Leader != n.lastLeader {
+		n.log.Info().Str("leader", string(st.Leader)).Str("before", string(n.lastLeader)).Uint64("term", st.Term).Msg("leader changed")
+		n.lastLeader = st.Leader
+	}
+}
+
+// review lets the leader look at leases and the group.
+func (n *Node) review() {
+	now := timesource.Boot()
+	if !n.serves() {
+		return
+	}
+	if now.MonoSince(n.lastReview) >= reviewInterval {
+		n.lastReview = now
+		for _, c := range n.leader.Tick(now, n.state) {
+			n.proposeRows(c)
+		}
+	}
+	if now.MonoSince(n.lastUpkeep) >= upkeepInterval {
+		n.lastUpkeep = now
+		n.upkeep()
+	}
+}
+
+// proposeRows proposes a change of a key space unless one is in flight.
+func (n *Node) proposeRows(c fleet.Command) {
+	now := timesource.Boot()
+	r := c.ReplaceRows
+	if f, ok := n.planned[r.Service]; ok && f.base == r.Base && now.MonoSince(f.at) < flightTimeout {
+		return
+	}
+	data, err := fleet.EncodeCommand(c)
+	if err == nil {
+		_, err = n.raft.Propose(data)
+	}
+	if err != nil {
+		n.log.Warn().Str("service", r.Service).Err(err).Msg("change of key rows was not proposed")
+		return
+	}
+	n.planned[r.Service] = flight{base: r.Base, at: now}
+	n.logRows(r)
+}
+
+// logRows writes a line for each row that changes.
+func (n *Node) logRows(r *fleet.ReplaceRows) {
+	changed := 0
+	last := ""
+	old := n.state.Space(r.Service).Rows
+	for _, row := range r.Rows {
+		was, _ := ranges.Find(old, row.From)
+		if was.Holder == row.Holder && was.Releasing == row.Releasing {
+			continue
+		}
+		changed++
+		if s := was.Holder.Target + " to " + row.Holder.Target; s != last && changed <= maxLoggedRows {
+			last = s
+			n.log.Info().Str("service", r.Service).Uint64("base", r.Base).Uint16("from", row.From).Uint16("to", row.To).
+				Str("holder", row.Holder.Target).Str("before", was.Holder.Target).Bool("releasing", row.Releasing).
+				Bool("handover", row.Handover != "").Msg("key rows change")
+		}
+	}
+	n.log.Info().Str("service", r.Service).Uint64("base", r.Base).Int("rows", changed).Msg("change of key rows proposed")
+}
+
+// maxLoggedRows bounds the lines about one change of a key space.
+const maxLoggedRows = 16
+
+// upkeep repairs the group by one change at a time.
+func (n *Node) upkeep() {
+	c, ok := n.group.Review(timesource.Boot(), n.raft.Status())
+	if !ok {
+		return
+	}
+	if _, err := n.raft.ProposeMembership(c); err != nil {
+		n.log.Debug().Stringer("kind", c.Kind).Str("replica", string(c.ID)).Err(err).Msg("change of the group refused")
+		return
+	}
+	n.log.Info().Stringer("kind", c.Kind).Str("replica", string(c.ID)).Msg("change of the group proposed")
+}
+
+// compact replaces the log by a snapshot once it has grown.
+func (n *Node) compact() error {
+	applied := n.raft.Status().Applied
+	if applied < n.compacted+n.cfg.SnapshotEntries {
+		return nil
+	}
+	data, err := n.state.Snapshot()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := n.raft.Compact(applied, data); err != nil {
+		return Error.Wrap(err)
+	}
+	n.compacted = applied
+	return n.store.SaveSnapshot(n.raft.Snapshot())
+}
--- /dev/null
+++ b/router/fleetnode/serve.go
@@ -0,0 +1,178 @@
+package fleetnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/raftwire"
+	"bramleyquay.example/router/timesource"
+)
+
+// The jsonrpc2 methods of a replica. All but raftwire.MethodStep are answered
+// by the leader only.
+const (
+	MethodJoin    = "fleet.join"
+	MethodRenew   = "fleet.renew"
+	MethodPropose = "fleet.propose"
+	MethodRead    = "fleet.read"
+	// MethodWake is the notification that tells a member to renew at once.
+	MethodWake = "fleet.wake"
+)
+
+// errLost means that another leader's entry took the proposal's place: the
+// command had no effect and may be sent again.
+var errLost = errors.New("the command was not committed; send it again")
+
+// Join asks to be added to the group.
+type Join struct {
+	ID      raft.ID `json:"id"`
+	Cluster string  `json:"cluster"`
+}
+
+// Read asks for the document; ChangeID may be empty.
+type Read struct {
+	ChangeID string `json:"changeId,omitempty"`
+}
+
+// ReadReply is the newest document.
+type ReadReply struct {
+	Version uint64 `json:"version"`
+	Text    []byte `json:"text,omitempty"`
+	// Accepted says that the change was accepted before.
+	Accepted bool `json:"accepted,omitempty"`
+}
+
+// Propose carries a command of an operator.
+type Propose struct {
+	ApplyDocument *fleet.ApplyDocument `json:"applyDocument,omitempty"`
+	SetDrain      *fleet.SetDrain      `json:"setDrain,omitempty"`
+}
+
+// Register adds the replica's methods to a server.
+func (n *Node) Register(s *peer.Server) {
+	s.Handle(raftwire.MethodStep, peer.Bind(n.step))
+	s.Handle(MethodJoin, peer.Bind(n.admit))
+	s.Handle(MethodPropose, peer.Bind(n.propose))
+	s.Handle(MethodRead, peer.Bind(n.read))
+	s.Handle(MethodRenew, n.renew)
+}
+
+// step takes a message of another replica.
+func (n *Node) step(_ context.Context, m raft.Message) (struct{}, error) {
+	select {
+	case n.events <- func() { n.receive(m) }:
+	default: // overloaded; the sender repeats
+	}
+	return struct{}{}, nil
+}
+
+func (n *Node) receive(m raft.Message) {
+	// A snapshot is stored before it is installed: one that cannot be restored
+	// would stop this replica for good.
+	if s := m.Snapshot; s != nil && len(s.Data) > 0 {
+		if _, err := fleet.Restore(s.Data); err != nil {
+			n.log.Warn().Str("from", string(m.From)).Err(err).Msg("snapshot refused")
+			return
+		}
+	}
+	if err := n.raft.Step(m); err != nil {
+		n.log.Debug().Str("from", string(m.From)).Err(err).Msg("message refused")
+	}
+}
+
+// lead runs f if this replica may answer as leader.
+func (n *Node) lead(ctx context.Context, f func() error) error {
+	var refused error
+	err := n.do(ctx, func() {
+		if !n.serves() {
+			refused = n.notLeader()
+			return
+		}
+		refused = f()
+	})
+	return errors.Join(err, refused)
+}
+
+// admit adds a replica as learner.
+func (n *Node) admit(ctx context.Context, j Join) (struct{}, error) {
+	if j.Cluster != n.cfg.Cluster {
+		return struct{}{}, Error.New("this is cluster %q", n.cfg.Cluster)
+	}
+	return struct{}{}, n.lead(ctx, func() error {
+		if n.raft.Status().Membership.Contains(j.ID) {
+			return nil
+		}
+		_, err := n.raft.ProposeMembership(raft.MembershipChange{Kind: raft.AddLearner, ID: j.ID})
+		n.log.Info().Str("replica", string(j.ID)).AnErr("refused", err).Msg("replica asks to join")
+		return err
+	})
+}
+
+// propose commits an operator's command and returns its result. An error
+// other than *peer.NotLeaderError leaves open whether it takes effect; the
+// same command may be sent again.
+func (n *Node) propose(ctx context.Context, p Propose) (fleet.Result, error) {
+	data, err := fleet.EncodeCommand(fleet.Command{ApplyDocument: p.ApplyDocument, SetDrain: p.SetDrain})
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	result := make(chan proposed, 1)
+	err = n.lead(ctx, func() error {
+		at, err := n.raft.Propose(data)
+		if err != nil {
+			return err
+		}
+		n.waiting[at.Index] = waiter{term: at.Term, result: result}
+		return nil
+	})
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	select {
+	case p := <-result:
+		return p.result, p.err
+	case <-ctx.Done():
+		return fleet.Result{}, Error.Wrap(ctx.Err())
+	case <-n.stopped:
+		return fleet.Result{}, Error.New("the replica has stopped")
+	}
+}
+
+// read returns the newest document.
+func (n *Node) read(ctx context.Context, r Read) (ReadReply, error) {
+	var reply ReadReply
+	err := n.lead(ctx, func() error {
+		_, text := n.state.Document()
+		reply = ReadReply{Version: n.state.Version(), Text: text, Accepted: r.ChangeID != "" && n.state.Accepted(r.ChangeID)}
+		return nil
+	})
+	return reply, err
+}
+
+// renew answers a member's renewal.
+func (n *Node) renew(ctx context.Context, conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
+	var r fleet.Renewal
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	var reply fleet.Reply
+	err := n.lead(ctx, func() error {
+		reply = n.leader.Renew(timesource.Boot(), n.state, r)
+		m := n.raft.Status().Membership
+		for _, id := range m.Voters {
+			reply.Replicas = append(reply.Replicas, fleet.ReplicaAddress(id))
+		}
+		n.wakers.set(r.Member.Process, conn)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/router/logging/logging.go
+++ b/router/logging/logging.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"github.com/phuslu/log"
 )
@@ -39,3 +40,17 @@
 
 // Errorf logs a failure.
 func (l Logger) Errorf(format string, args ...any) { l.inner.Error().Msgf(l.prefix+format, args...) }
+
+// Debug begins a structured line.
+func (l Logger) Debug() *log.Entry { return l.inner.Debug().Str("part", l.name()) }
+
+// Info begins a structured line.
+func (l Logger) Info() *log.Entry { return l.inner.Info().Str("part", l.name()) }
+
+// Warn begins a structured line.
+func (l Logger) Warn() *log.Entry { return l.inner.Warn().Str("part", l.name()) }
+
+// Error begins a structured line.
+func (l Logger) Error() *log.Entry { return l.inner.Error().Str("part", l.name()) }
+
+func (l Logger) name() string { return strings.TrimSuffix(l.prefix, ": ") }
--- a/router/peer/dialer.go
+++ b/router/peer/dialer.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"time"
+
+	"bramleyquay.example/router/netopt"
 )
 
 // Dialer opens authenticated connections.
@@ -40,8 +42,8 @@
 
 func (d *Dialer) connect(ctx context.Context, addr string) (net.Conn, error) {
 	if d.TLS != nil {
-		return (&tls.Dialer{Config: d.TLS}).DialContext(ctx, "tcp", addr)
+		return (&tls.Dialer{Config: d.TLS, NetDialer: &net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}}).DialContext(ctx, "tcp", addr)
 	}
-	var dialer net.Dialer
+	dialer := net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
 	return dialer.DialContext(ctx, "tcp", addr)
 }
--- a/router/peer/listener.go
+++ b/router/peer/listener.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"bramleyquay.example/router/netopt"
 )
 
 // maxHandshakes bounds connections that have not proved the secret yet.
@@ -32,7 +34,8 @@
 // Listen opens the peer port. onRPC is called on a goroutine of its own for
 // each connection on ChannelRPC; HTTP gives the others.
 func Listen(addr string, secret []byte, tlsConfig *tls.Config, log Logger, onRPC func(net.Conn)) (*Listener, error) {
-	inner, err := net.Listen("tcp", addr)
+	lc := net.ListenConfig{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
+	inner, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/router/controlnode/outbox.go
+++ b/router/raftwire/outbox.go
@@ -1,4 +1,6 @@
-package controlnode
+// Package raftwire carries a replicated log's messages and time between
+// replicas and their processes.
+package raftwire
 
 import (
 	"context"
@@ -21,9 +23,9 @@
 	sendTimeout = time.Second
 )
 
-// outbox sends messages to other replicas, one goroutine each, so that a
+// Outbox sends messages to other replicas, one goroutine each, so that a
 // replica that does not read cannot delay the others.
-type outbox struct {
+type Outbox struct {
 	client  *peer.Client
 	address func(raft.ID) string
 	log     logging.Logger
@@ -39,11 +41,14 @@
 	msg  raft.Message
 }
 
-func newOutbox(client *peer.Client, address func(raft.ID) string, log logging.Logger) *outbox {
-	return &outbox{client: client, address: address, log: log, queues: map[raft.ID]chan addressed{}}
+// NewOutbox returns an outbox. address returns a replica's peer address, or an
+// empty text if it is not known.
+func NewOutbox(client *peer.Client, address func(raft.ID) string, log logging.Logger) *Outbox {
+	return &Outbox{client: client, address: address, log: log, queues: map[raft.ID]chan addressed{}}
 }
 
-func (o *outbox) send(messages []raft.Message) {
+// Send queues messages. What does not fit is dropped; the log sends it again.
+func (o *Outbox) Send(messages []raft.Message) {
 	for _, m := range messages {
 		addr := o.address(m.To)
 		if addr == "" {
@@ -57,7 +62,7 @@
 	}
 }
 
-func (o *outbox) queue(id raft.ID) chan addressed {
+func (o *Outbox) queue(id raft.ID) chan addressed {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q := o.queues[id]
@@ -71,7 +76,7 @@
 	return q
 }
 
-func (o *outbox) deliver(q chan addressed) {
+func (o *Outbox) deliver(q chan addressed) {
 	for m := range q {
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 		stuck := time.AfterFunc(sendTimeout, func() { o.client.Drop(m.addr) })
@@ -84,7 +89,8 @@
 	}
 }
 
-func (o *outbox) close() {
+// Close ends the delivery.
+func (o *Outbox) Close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
--- /dev/null
+++ b/router/relay/budgets.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"sync"
+
+	"bramleyquay.example/coord/retry"
+)
+
+// BudgetConfig bounds the repeats of all processes together within a window.
+type BudgetConfig struct {
+	// Ratio is the number of repeats per request, Slack a fixed number of them.
+	Ratio, Slack float64
+}
+
+const (
+	// ratioShare and slackShare are the parts of the bounds that are used.
+	// Calls of a repeated run count as repeats too and are not seen here, and
+	// processes do not know how many they are at each moment.
+	ratioShare, slackShare = 0.5, 0.5
+)
+
+// budgets holds one budget for each service.
+type budgets struct {
+	cfg BudgetConfig
+	mu  sync.Mutex
+	by  map[string]*retry.Budget
+}
+
+func newBudgets(cfg BudgetConfig) *budgets {
+	return &budgets{cfg: cfg, by: map[string]*retry.Budget{}}
+}
+
+// request counts a caller's request. The fixed part is divided among the
+// processes.
+func (b *budgets) request(service string, processes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	burst := slackShare * b.cfg.Slack / float64(max(processes, 1))
+	budget := b.by[service]
+	if budget == nil {
+		budget = retry.NewEmptyBudget(ratioShare*b.cfg.Ratio, burst)
+		b.by[service] = budget
+	}
+	budget.SetBurst(burst)
+	budget.Request()
+}
+
+// take uses the budget for one repeat, or returns false.
+func (b *budgets) take(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.by[service]
+	return budget != nil && budget.Take(retry.PaymentRepeat)
+}
--- /dev/null
+++ b/router/relay/ingress.go
@@ -0,0 +1,264 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/routes"
+	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/edge"
+	"bramleyquay.example/router/fleetagent"
+	"bramleyquay.example/router/logging"
+)
+
+const (
+	// defaultTimeout is the wait of a caller that names no deadline on a route
+	// without a timeout.
+	defaultTimeout = 30 * time.Second
+	// firstRetryAfter is the advice while the process knows no document or a
+	// key has no owner: an election or a move takes about as long.
+	firstRetryAfter = 300 * time.Millisecond
+	// maxOwnerWait bounds the wait for a key that is changing hands.
+	maxOwnerWait = 250 * time.Millisecond
+	// maxPicks bounds the gates that are asked for one request; a refusal by
+	// a gate costs a round trip and no work at a target.
+	maxPicks = 4
+)
+
+// Ingress takes requests of callers.
+type Ingress struct {
+	agent   *fleetagent.Agent
+	gate    *Gate
+	names   Names
+	peers   *peers
+	budgets *budgets
+	log     logging.Logger
+
+	mu       sync.Mutex
+	choosers map[string]*chooser
+}
+
+// IngressConfig describes an ingress.
+type IngressConfig struct {
+	Names Names
+	// GateAddress gives the address at which a process's gate takes requests
+	// of peers.
+	GateAddress func(process string) string
+	Budget      BudgetConfig
+}
+
+// NewIngress returns the ingress of a process. gate serves the target beside it.
+func NewIngress(cfg IngressConfig, agent *fleetagent.Agent, gate *Gate, log logging.Logger) *Ingress {
+	return &Ingress{
+		agent: agent, gate: gate, names: cfg.Names, log: log,
+		peers: newPeers(cfg.Names, cfg.GateAddress), budgets: newBudgets(cfg.Budget), choosers: map[string]*chooser{},
+	}
+}
+
+// try is the state of one request over its tries.
+type try struct {
+	job     *job
+	route   *routes.Route
+	view    *fleetagent.View
+	reached int
+	picks   int
+	// failed is the last answer of a target that reported a failure.
+	failed  *result
+	last    result
+	process string
+	// exclude lists the targets that were tried already.
+	exclude []table.MemberID
+}
+
+// Serve implements edge.Handler.
+func (in *Ingress) Serve(ctx context.Context, r *edge.Request) *edge.Response {
+	t, resp := in.prepare(r)
+	if resp == nil {
+		deadline, cancel := context.WithDeadline(ctx, t.job.deadline)
+		in.budgets.request(t.job.service, len(t.view.Members))
+		in.run(deadline, t)
+		cancel()
+		resp = in.answer(t, ctx.Err() != nil)
+	}
+	in.finish(r, t, resp)
+	return resp
+}
+
+// prepare routes a request. A response that is not nil is its answer.
+func (in *Ingress) prepare(r *edge.Request) (*try, *edge.Response) {
+	view := in.agent.View()
+	t := &try{view: view, job: &job{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), version: view.Version()}}
+	if view.Routes == nil {
+		t.last = refused("no document is known yet", firstRetryAfter)
+		return t, in.refusal(t)
+	}
+	t.route = view.Routes.Match(r.Host, r.Path)
+	if t.route == nil {
+		t.last.reason = "no route"
+		return t, edge.Text(http.StatusNotFound, "no route")
+	}
+	j := t.job
+	in.mu.Lock()
+	j.service = view.Routes.Next(t.route)
+	in.mu.Unlock()
+	j.route, j.rank = t.route.Name, t.route.Rank
+	j.header = forwarded(r.Header)
+	delete(j.header, headerHop)
+	if s := view.Routes.Service(j.service); s != nil && s.Sharded {
+		key, ok := parseKey(r.Header.Get(in.names.Key))
+		if !ok {
+			t.last.reason = "no valid key"
+			return t, edge.Text(http.StatusBadRequest, "the service is divided by key and the request has no valid key")
+		}
+		j.sharded, j.key = true, key
+	}
+	j.deadline = in.deadline(r, t.route)
+	j.objective = j.deadline
+	if o := r.Received.Add(t.route.Objective); t.route.Objective > 0 && o.Before(j.deadline) {
+		j.objective = o
+	}
+	return t, nil
+}
+
+// deadline is the earlier end of the caller's wait and the route's timeout.
+func (in *Ingress) deadline(r *edge.Request, route *routes.Route) time.Time {
+	wait := defaultTimeout
+	if route.Timeout > 0 {
+		wait = route.Timeout
+	}
+	if ms, err := strconv.ParseFloat(r.Header.Get(in.names.DeadlineMs), 64); err == nil && ms >= 0 {
+		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
+	}
+	return r.Received.Add(wait)
+}
+
+// run tries targets until one has answered, nothing more may be tried, or the
+// time is over.
+func (in *Ingress) run(ctx context.Context, t *try) {
+	var pick func(context.Context, *try) (string, bool)
+	if t.job.sharded {
+		pick = in.owner
+	} else {
+		pick = in.choose
+	}
+	for ctx.Err() == nil {
+		process, ok := pick(ctx, t)
+		if !ok {
+			return
+		}
+		t.process = process
+		start := time.Now()
+		t.last = in.send(ctx, process, t.job)
+		if !t.job.sharded {
+			in.ended(t, time.Since(start))
+		}
+		t.picks++
+		if t.last.reached {
+			t.reached++
+		}
+		if !in.again(t) {
+			return
+		}
+	}
+}
+
+func (in *Ingress) send(ctx context.Context, process string, j *job) result {
+	if process == in.agent.Process() {
+		return in.gate.do(ctx, j)
+	}
+	return in.peers.do(ctx, process, j)
+}
+
+// again decides whether another try is allowed and useful.
+func (in *Ingress) again(t *try) bool {
+	r := &t.last
+	if r.kind == notRun && !r.reached {
+		return t.picks < maxPicks
+	}
+	failed := r.kind == done && r.response.Status >= http.StatusInternalServerError
+	switch {
+	case r.kind == done && !failed:
+		return false
+	case failed:
+		kept := *r
+		t.failed = &kept
+	}
+	repeatable := r.kind == notRun || t.route.Kind == routes.Safe
+	// A sharded request would go to the same target again, which has just
+	// failed; that helps only if the answer was lost.
+	if t.job.sharded && failed {
+		return false
+	}
+	if !repeatable || t.reached >= max(t.route.Attempts, 1) || time.Until(t.job.deadline) < minRetryLeft {
+		return false
+	}
+	return in.budgets.take(t.job.service)
+}
+
+// minRetryLeft is the time below which no further target is tried: it is less
+// than any service time that matters.
+const minRetryLeft = 50 * time.Millisecond
+
+// answer turns the last outcome into the answer to the caller.
+func (in *Ingress) answer(t *try, left bool) *edge.Response {
+	r := &t.last
+	if r.kind != done && t.failed != nil {
+		r = t.failed
+	}
+	switch {
+	case r.kind == done:
+		h := forwarded(r.response.Header)
+		h.Del(in.names.Load)
+		return &edge.Response{Status: r.response.Status, Header: h, Body: r.response.Body}
+	case left:
+		return in.failure(t, http.StatusGatewayTimeout)
+	case t.reached == 0 || r.kind == notRun && t.route.Kind == routes.Unsafe && t.reached <= 1:
+		// Nothing ran: either no target was reached, or the only one that was
+		// has said so.
+		return in.refusal(t)
+	case !time.Now().Before(t.job.deadline):
+		return in.failure(t, http.StatusGatewayTimeout)
+	}
+	return in.failure(t, http.StatusBadGateway)
+}
+
+// refusal states that the request did not run, and when to come back.
+func (in *Ingress) refusal(t *try) *edge.Response {
+	resp := in.failure(t, http.StatusServiceUnavailable)
+	after := t.last.retryAfter
+	if after <= 0 {
+		after = firstRetryAfter
+	}
+	resp.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	return resp
+}
+
+func (in *Ingress) failure(t *try, status int) *edge.Response {
+	resp := edge.Text(status, t.last.reason)
+	if t.job.id != "" {
+		resp.Header.Set(in.names.RequestID, t.job.id)
+	}
+	return resp
+}
+
+func (in *Ingress) finish(r *edge.Request, t *try, resp *edge.Response) {
+	took := time.Since(r.Received)
+	j := t.job
+	e := in.log.Info()
+	if resp.Status >= http.StatusInternalServerError {
+		e = in.log.Warn()
+	}
+	e.Str("request", j.id).Str("host", r.Host).Str("path", r.Path).Str("route", j.route).Str("service", j.service)
+	if j.sharded {
+		row, _ := t.view.Owner(j.service, j.key)
+		e.Uint16("key", j.key).Str("owner", row.Holder.Target).Uint64("fence", row.Fence)
+	}
+	e.Int("status", resp.Status).Str("outcome", string(t.last.kind)).Str("reason", t.last.reason).Str("process", t.process).
+		Int("picks", t.picks).Int("reached", t.reached).Dur("took", took).Uint64("version", t.view.Version()).
+		Uint64("rows", t.view.Known.Rows).Uint64("directory", t.view.Known.Directory).Msg("request answered")
+	count("ingress", strconv.Itoa(resp.Status))
+	observe(j.service, resp.Status, took)
+}
--- /dev/null
+++ b/router/relay/metrics.go
@@ -0,0 +1,18 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// count counts one outcome of a role.
+func count(role, outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_requests_total{role=%q,outcome=%q}`, role, outcome)).Inc()
+}
+
+// observe records the latency of one answer to a caller.
+func observe(service string, status int, took time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`bramleyquay_request_seconds{service=%q,class="%dxx"}`, service, status/100)).Update(took.Seconds())
+}
