--- /dev/null
+++ b/router/edge/edge_test.go
@@ -0,0 +1,165 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/edge"
+	"bramleyquay.example/router/logging"
+)
+
+func start(t *testing.T, h edge.HandlerFunc) *edge.Server {
+	t.Helper()
+	s := edge.New(h, edge.DefaultLimits, logging.Part(logging.New(io.Discard, "error", false), "edge"))
+	if err := s.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	go s.Run()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		s.Close(ctx)
+	})
+	return s
+}
+
+func dial(t *testing.T, s *edge.Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// Guards against a pipelined request that is read only after the answer to
+// the one before, and against answers out of order.
+func TestRequestsRunSideBySideAndAnswerInOrder(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	s := start(t, func(_ context.Context, r *edge.Request) *edge.Response {
+		if r.Path == "/2" {
+			close(second)
+		} else {
+			<-second // the first ends only once the second runs
+		}
+		return edge.Text(200, r.Path)
+	})
+	c, br := dial(t, s)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	is.NoErr(err)
+	for _, want := range []string{"/1\n", "/2\n"} {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), want)
+	}
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	left := make(chan struct{})
+	entered := make(chan struct{})
+	s := start(t, func(ctx context.Context, _ *edge.Request) *edge.Response {
+		close(entered)
+		<-ctx.Done()
+		close(left)
+		return edge.Text(504, "left")
+	})
+	c, _ := dial(t, s)
+	_, _ = io.WriteString(c, get("/")) // the test fails below otherwise
+	<-entered
+	_ = c.Close()
+	<-left
+}
+
+// Guards against a stop that cuts a request in progress, and against a
+// connection that ends without telling its caller.
+func TestDrainEndsAfterLastAnswer(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	entered := make(chan struct{})
+	s := start(t, func(context.Context, *edge.Request) *edge.Response {
+		close(entered)
+		<-release
+		return edge.Text(200, "whole")
+	})
+	c, br := dial(t, s)
+	_, err := io.WriteString(c, get("/"))
+	is.NoErr(err)
+	<-entered
+	s.Drain()
+	close(release)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.True(resp.Close)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "whole\n")
+}
+
+// Guards against requests that are read but never answered when a drain
+// begins while several wait.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int32
+	release := make(chan struct{})
+	s := start(t, func(context.Context, *edge.Request) *edge.Response {
+		ran.Add(1)
+		<-release
+		return edge.Text(200, "x")
+	})
+	c, br := dial(t, s)
+	_, err := io.WriteString(c, strings.Repeat(get("/"), 5))
+	is.NoErr(err)
+	for ran.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Drain()
+	close(release)
+	for i := range 5 {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, resp.Body) // the next read fails otherwise
+		is.Equal(resp.Close, i == 4)
+	}
+}
+
+// Guards against input that ends the server or gets no answer.
+func TestBadInput(t *testing.T) {
+	s := start(t, func(context.Context, *edge.Request) *edge.Response { return edge.Text(200, "x") })
+	tests := map[string]struct {
+		input string
+		want  int
+	}{
+		"no request":   {"nonsense\r\n\r\n", 400},
+		"long header":  {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("a", 100<<10) + "\r\n\r\n", 431},
+		"long body":    {fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 1<<40), 413},
+		"two lengths":  {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		"chunked body": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, br := dial(t, s)
+			_, _ = io.WriteString(c, test.input) // a refusal may come before the end
+			resp, err := http.ReadResponse(br, nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, test.want)
+		})
+	}
+}
