--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -66,6 +66,7 @@
 	waiting []Request
 	times   map[string]time.Duration // mean service time by class
 	pace    pace
+	usage   usage
 }
 
 type started struct {
@@ -93,6 +94,7 @@
 
 // Offer asks for a slot. A request that neither starts nor is refused waits.
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
+	q.usage.pass(now.Mono, len(q.running), q.cfg.Slots)
 	q.waiting = append(q.waiting, r)
 	actions := q.fill(now)
 	at := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
@@ -126,9 +128,11 @@
 	if !ok {
 		return q.Cancel(now, id)
 	}
+	q.usage.pass(now.Mono, len(q.running), q.cfg.Slots)
 	delete(q.running, id)
 	if complete {
 		q.learn(s.class, now.Mono-s.at)
+		q.usage.ended(now.Mono - s.at)
 	}
 	return q.fill(now)
 }
@@ -147,6 +151,16 @@
 	return len(q.running), len(q.waiting), q.cfg.Slots
 }
 
+// Usage returns the recent share of the slots that were busy and the requests
+// per second that the target could serve; zero before the first answer.
+func (q *Queue) Usage(now clock.Reading) (busy, capacity float64) {
+	q.usage.pass(now.Mono, len(q.running), q.cfg.Slots)
+	if q.usage.mean > 0 {
+		capacity = float64(q.cfg.Slots) / q.usage.mean.Seconds()
+	}
+	return q.usage.busy, capacity
+}
+
 // Wait returns the time until a new request of no urgency would start.
 func (q *Queue) Wait(now clock.Reading) time.Duration {
 	return q.expectedWait(now, Request{Rank: maxRank, Objective: now.Mono + time.Hour})
--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -78,6 +78,7 @@
 	Member
 	seen     clock.Reading
 	capacity float64
+	busy     float64
 }
 
 // serviceView is what the leader knows of one service's load.
@@ -147,9 +148,7 @@
 		l.list()
 	}
 	m.seen = now
-	if r.Capacity > 0 {
-		m.capacity = r.Capacity
-	}
+	m.capacity, m.busy = r.Capacity, r.Busy
 	for _, h := range r.Ended {
 		l.ended[h] = true
 	}
@@ -323,9 +322,9 @@
 			slices.Contains(drained, m.DataCentre) || l.losing[h] || l.ended[h] {
 			continue
 		}
-		c := ranges.Candidate{Holder: h, Capacity: float64(max(m.Slots, 1))}
-		if r := l.members[m.Process]; r != nil && r.capacity > 0 {
-			c.Capacity = r.capacity
+		c := ranges.Candidate{Holder: h, Slots: m.Slots}
+		if r := l.members[m.Process]; r != nil {
+			c.Capacity, c.Busy = r.capacity, r.busy
 		}
 		out = append(out, c)
 	}
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -54,8 +54,10 @@
 	// Rates holds the request rates of the busy buckets, if they were measured
 	// since the last renewal.
 	Rates []BucketRate `json:"rates,omitempty"`
-	// Capacity is the rate that the target could serve, relative to others.
+	// Capacity is the rate that the target could serve, per second; zero if it
+	// was not measured. Busy is the share of its slots that is in use.
 	Capacity float64 `json:"capacity,omitempty"`
+	Busy     float64 `json:"busy,omitempty"`
 }
 
 // Released is one row that a target gave back.
--- a/coord/hold/ledger.go
+++ b/coord/hold/ledger.go
@@ -158,7 +158,8 @@
 }
 
 // Holds reports whether the target may begin a request on a key now: the last
-// grant names it, has not run out, and the key was not asked back since.
+// grant names it and has not run out. A key that is asked back is served until
+// an answer to an announcement leaves it out.
 func (l *Ledger) Holds(now clock.Reading, k uint16) bool {
 	if now.Mono >= l.until || now.Mono >= l.leaseEnd {
 		return false
@@ -168,7 +169,7 @@
 		return false
 	}
 	r, ok := ranges.Find(l.rows, k)
-	return ok && r.Holder == l.holder && r.Fence == g.Fence && !r.Releasing
+	return ok && r.Holder == l.holder && r.Fence == g.Fence
 }
 
 // Owns reports whether the table gives a key to the target, granted or not.
--- a/coord/hold/ledger_test.go
+++ b/coord/hold/ledger_test.go
@@ -48,10 +48,11 @@
 	asked := row(0, 99, 3)
 	asked.Releasing = true
 	l.SetRows([]ranges.Row{asked, {From: 100, To: ranges.LastKey}})
-	is.True(!l.Holds(clock.At(0), 50))
+	is.True(l.Holds(clock.At(0), 50)) // the target has not been told yet
 	g := l.Announce(clock.At(time.Second), hold.Announcement{Holds: []ranges.Row{row(0, 99, 3)}})
 	is.Equal(len(g.Rows), 0)
 	is.True(g.For > 0)
+	is.True(!l.Holds(clock.At(time.Second), 50))
 	is.Equal(len(l.Released()), 0)
 	l.Announce(clock.At(time.Second), hold.Announcement{Released: []ranges.Row{{From: 0, To: 99, Handover: "h"}}})
 	is.Equal(l.Released()[0].Handover, "h")
--- a/coord/placement/compare_test.go
+++ b/coord/placement/compare_test.go
@@ -82,12 +82,11 @@
 	p := New(Default())
 	setOwners(units, p.Assign(units, members, nil))
 	for _, c := range []struct {
-		name  string
-		gone  func(Member) bool
-		limit time.Duration
+		name string
+		gone func(Member) bool
 	}{
-		{"one member", func(m Member) bool { return m.ID == "m0007" }, 100 * time.Millisecond},
-		{"a data centre", func(m Member) bool { return m.DataCentre == "dc3" }, 500 * time.Millisecond},
+		{"one member", func(m Member) bool { return m.ID == "m0007" }},
+		{"a data centre", func(m Member) bool { return m.DataCentre == "dc3" }},
 	} {
 		lost := map[table.MemberID]bool{}
 		for _, m := range members {
@@ -95,11 +94,12 @@
 		}
 		rest := slices.DeleteFunc(slices.Clone(members), c.gone)
 		after := slices.Clone(units)
-		start := time.Now()
-		moved := reassign(p, after, rest, func(id table.MemberID) bool { return lost[id] })
-		cost := time.Since(start)
-		t.Logf("loss of %s of 3,300: %d units in %v, imbalance %.3f", c.name, len(moved), cost, Imbalance(rest, loads(after)))
-		is.True(cost < c.limit)
+		gone := func(id table.MemberID) bool { return lost[id] }
+		work := testing.AllocsPerRun(1, func() { reassign(p, slices.Clone(units), rest, gone) })
+		moved := reassign(p, after, rest, gone)
+		t.Logf("loss of %s of 3,300: %d units, %.0f allocations, imbalance %.3f", c.name, len(moved), work, Imbalance(rest, loads(after)))
+		// The work follows the members and the units that move, not all units.
+		is.True(work <= float64(2*(len(members)+len(moved))))
 		is.True(Imbalance(rest, loads(after)) <= bound(len(units), len(rest))+1e-9)
 	}
 }
--- a/coord/ranges/plan.go
+++ b/coord/ranges/plan.go
@@ -8,8 +8,36 @@
 // Candidate is a holder that takes part in the division of a key space.
 type Candidate struct {
 	Holder Holder
-	// Capacity is relative to the other candidates.
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Capacity is the rate that it could serve, per second; zero if unknown.
 	Capacity float64
+	// Busy is the share of its slots that is in use.
+	Busy float64
+}
+
+// capacities returns what each candidate can serve relative to the others.
+// Those that were not measured count like the mean of the others, by slots.
+func capacities(candidates []Candidate) []float64 {
+	rate, slots := 0.0, 0
+	for _, c := range candidates {
+		if c.Capacity > 0 {
+			rate += c.Capacity
+			slots += max(c.Slots, 1)
+		}
+	}
+	perSlot := 1.0
+	if slots > 0 {
+		perSlot = rate / float64(slots)
+	}
+	out := make([]float64, len(candidates))
+	for i, c := range candidates {
+		out[i] = c.Capacity
+		if c.Capacity <= 0 {
+			out[i] = perSlot * float64(max(c.Slots, 1))
+		}
+	}
+	return out
 }
 
 // Config tunes Plan.
@@ -21,6 +49,10 @@
 	// Imbalance is the load of a holder relative to its share from which rows
 	// move. A lower value balances better and moves more.
 	Imbalance float64
+	// Busy is the share of a holder's slots in use from which its load matters:
+	// a move costs the requests on its keys more than an imbalance among idle
+	// targets does.
+	Busy float64
 	// MaxMoves bounds the rows that move for balance at once. A moving row is
 	// not served until its next holder announces itself.
 	MaxMoves int
@@ -29,7 +61,7 @@
 // DefaultConfig suits key spaces of 3 to 40 holders: 128 rows among 3 holders
 // fit a grant of 4 KiB with their handover tokens.
 func DefaultConfig() Config {
-	return Config{Stripes: 8, MinStripes: 128, MaxStripes: 512, Imbalance: 1.25, MaxMoves: 3}
+	return Config{Stripes: 8, MinStripes: 128, MaxStripes: 512, Imbalance: 1.2, Busy: 0.6, MaxMoves: 3}
 }
 
 // Assign gives rows without a holder to the candidates that are furthest below
@@ -125,7 +157,9 @@
 	out, changed := slices.Clone(rows), false
 	for range cfg.MaxMoves {
 		from, to := b.heaviest(), b.lightest()
-		if b.have[from] < cfg.Imbalance*b.share[from] && b.have[to]*cfg.Imbalance > b.share[to] {
+		overloaded := candidates[from].Busy >= cfg.Busy && b.have[from] >= cfg.Imbalance*b.share[from]
+		empty := b.have[to] < emptyShare*b.share[to]
+		if !overloaded && !empty {
 			break
 		}
 		room := min(b.have[from]-b.share[from], b.share[to]-b.have[to])
@@ -146,6 +180,10 @@
 	return out, true
 }
 
+// emptyShare is the part of its share below which a holder counts as empty,
+// for instance a new one.
+const emptyShare = 0.2
+
 // minMove is the least share of the load that is worth a move.
 const minMove = 0.005
 
@@ -180,12 +218,13 @@
 func newBalance(rows []Row, candidates []Candidate, w *Load) *balance {
 	b := &balance{have: make([]float64, len(candidates)), share: make([]float64, len(candidates))}
 	sum := 0.0
-	for _, c := range candidates {
-		sum += c.Capacity
+	capacity := capacities(candidates)
+	for _, c := range capacity {
+		sum += c
 	}
 	at := map[Holder]int{}
 	for i, c := range candidates {
-		b.share[i] = c.Capacity / sum
+		b.share[i] = capacity[i] / sum
 		at[c.Holder] = i
 	}
 	for _, r := range rows {
--- a/coord/ranges/ranges_test.go
+++ b/coord/ranges/ranges_test.go
@@ -13,7 +13,7 @@
 func candidates(names ...string) []ranges.Candidate {
 	var out []ranges.Candidate
 	for _, n := range names {
-		out = append(out, ranges.Candidate{Holder: holder(n), Capacity: 1})
+		out = append(out, ranges.Candidate{Holder: holder(n), Slots: 4, Busy: 0.9})
 	}
 	return out
 }
@@ -112,6 +112,34 @@
 	is.True(n > 0)
 }
 
+// Guards against moves for balance among targets that have room: a moving key
+// is not served for a while.
+func TestIdleTargetsDoNotMove(t *testing.T) {
+	is := is.New(t)
+	cfg := ranges.DefaultConfig()
+	cands := candidates("a", "b", "c")
+	rows, _ := ranges.Assign(ranges.Whole(), cands, &ranges.Load{}, cfg)
+	for i := range cands {
+		cands[i].Busy = 0.3
+	}
+	_, changed := ranges.Rebalance(rows, cands, &ranges.Load{5: 1000, 6: 10}, cfg)
+	is.True(!changed)
+}
+
+// Guards against equal shares for targets of different speed.
+func TestSharesFollowCapacity(t *testing.T) {
+	is := is.New(t)
+	cfg := ranges.DefaultConfig()
+	cands := candidates("a", "b")
+	cands[0].Capacity, cands[1].Capacity = 30, 10
+	rows, _ := ranges.Assign(ranges.Whole(), cands, &ranges.Load{}, cfg)
+	n := map[string]int{}
+	for _, r := range rows {
+		n[r.Holder.Target]++
+	}
+	is.Equal(n["a"], 3*n["b"])
+}
+
 // Guards against a release that is counted for a later life of the row.
 func TestStaleRelease(t *testing.T) {
 	is := is.New(t)
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,14 +48,14 @@
 	wake    chan struct{}
 	rates   *meter
 
-	mu       sync.Mutex
-	target   target
-	ledger   *hold.Ledger
-	ended    []ranges.Holder
-	leaving  bool
-	touched  bool
-	capacity float64
-	changed  chan struct{}
+	mu      sync.Mutex
+	target  target
+	ledger  *hold.Ledger
+	ended   []ranges.Holder
+	leaving bool
+	touched bool
+	usage   func() (busy, capacity float64)
+	changed chan struct{}
 }
 
 // New returns an agent that knows nothing.
@@ -96,13 +97,9 @@
 	a.Wake()
 }
 
-// SetCapacity reports the rate that the target could serve, relative to the
-// other targets of its service.
-func (a *Agent) SetCapacity(c float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.capacity = c
-}
+// SetUsage sets the source of what renewals say of the target's load: the busy
+// share of its slots and the rate that it could serve. It is called before Run.
+func (a *Agent) SetUsage(f func() (busy, capacity float64)) { a.usage = f }
 
 // Count counts a request on a key of the target's service.
 func (a *Agent) Count(key uint16) { a.rates.count(key) }
@@ -167,7 +164,11 @@
 func (a *Agent) renewal(now time.Duration) fleet.Renewal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := fleet.Renewal{Member: a.member(now), Known: a.view.Load().Known, Ended: a.ended, Capacity: a.capacity}
+	r := fleet.Renewal{Member: a.member(now), Known: a.view.Load().Known, Ended: a.ended}
+	if a.usage != nil {
+		busy, capacity := a.usage()
+		r.Busy, r.Capacity = math.Round(100*busy)/100, math.Round(100*capacity)/100
+	}
 	if a.ledger != nil {
 		r.Released = a.ledger.Released()
 	}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -45,7 +45,9 @@
 
 // NewGate returns the gate to the target that client reaches.
 func NewGate(agent *fleetagent.Agent, names Names, client *targetclient.Client, log logging.Logger) *Gate {
-	return &Gate{agent: agent, names: names, client: client, room: newWaitingRoom(1), log: log}
+	g := &Gate{agent: agent, names: names, client: client, room: newWaitingRoom(1), log: log}
+	agent.SetUsage(g.room.usage)
+	return g
 }
 
 // do runs one request at the target. ctx ends when its caller leaves or its
@@ -103,7 +105,8 @@
 	switch {
 	case !ok || !t.Accepts || j.service != g.agent.Service():
 		return t, refused(reasonNoTarget, 0), false
-	case g.agent.View().IsDrained(g.agent.DataCentre()):
+	case !j.sharded && g.agent.View().IsDrained(g.agent.DataCentre()):
+		// Keys are served until the target has been told to give them back.
 		return t, refused(reasonDrained, 0), false
 	}
 	return t, result{}, true
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -176,7 +176,8 @@
 func (in *Ingress) again(t *try) bool {
 	r := &t.last
 	if r.kind == notRun && !r.reached {
-		return t.picks < maxPicks
+		// A gate that tells when its target will have the key is believed.
+		return t.picks < maxPicks && r.reason != reasonNotHeld
 	}
 	failed := r.kind == done && r.response.Status >= http.StatusInternalServerError
 	switch {
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -22,7 +22,7 @@
 		changed := in.agent.Changed()
 		t.view = in.agent.View()
 		row, ok := t.view.Owner(j.service, j.key)
-		if ok && !row.Releasing && !(t.picks > 0 && row.Holder.Process == t.process && !t.last.reached) && !in.peers.isAvoided(row.Holder.Process) {
+		if ok && !(t.picks > 0 && row.Holder.Process == t.process && !t.last.reached) && !in.peers.isAvoided(row.Holder.Process) {
 			return row.Holder.Process, true
 		}
 		wait := time.Until(until)
--- a/router/relay/waiting.go
+++ b/router/relay/waiting.go
@@ -106,3 +106,11 @@
 	running, waiting, limit := w.queue.Load()
 	return &choice.GateLoad{Running: running, Limit: limit, Queued: waiting}
 }
+
+// usage returns the busy share of the slots and the rate that the target could
+// serve, per second.
+func (w *waitingRoom) usage() (busy, capacity float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Usage(timesource.Now())
+}
