Queue what may meet its deadline while the target can catch up

Cause: a request was refused as soon as it was expected to miss its objective, although it would have been served late, and one that could still start at half its service time before the objective went before those that could meet it.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -28,7 +28,7 @@
 
 // DefaultConfig suits targets with some ten slots.
 func DefaultConfig(slots int) Config {
-	return Config{Slots: slots, Length: 8 * max(slots, 1), LateShare: 0, RankStep: 100 * time.Millisecond}
+	return Config{Slots: slots, Length: 8 * max(slots, 1), LateShare: 0.5, RankStep: 100 * time.Millisecond}
 }
 
 // Request asks for a slot. Times are on the monotonic clock.
@@ -95,6 +95,7 @@
 // Offer asks for a slot. A request that neither starts nor is refused waits.
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.pass(now.Mono, len(q.running), q.cfg.Slots)
+	q.usage.arrived(q.serviceTime(r.Class), q.cfg.Slots)
 	q.waiting = append(q.waiting, r)
 	actions := q.fill(now)
 	at := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
@@ -102,7 +103,7 @@
 		return actions
 	}
 	wait := q.expectedWait(now, r)
-	late := r.Objective + time.Duration(q.cfg.LateShare*float64(r.Deadline-r.Objective))
+	late := r.Objective + time.Duration(q.lateShare()*float64(r.Deadline-r.Objective))
 	switch {
 	case len(q.waiting) > q.cfg.Length:
 		return append(actions, q.refuse(at, ReasonFull, wait))
@@ -112,6 +113,16 @@
 	return actions
 }
 
+// lateShare is LateShare while the target can catch up, and falls to zero as
+// more work arrives than it can do: then every late answer makes another late.
+func (q *Queue) lateShare() float64 {
+	return q.cfg.LateShare * min(max((fullPressure-q.usage.pressure)/(fullPressure-easyPressure), 0), 1)
+}
+
+// easyPressure and fullPressure are the arriving work per slot between which
+// late answers are given up. Refused callers come back once, which counts.
+const easyPressure, fullPressure = 1.0, 1.4
+
 func (q *Queue) refuse(at int, reason string, after time.Duration) Action {
 	r := q.waiting[at]
 	q.waiting = slices.Delete(q.waiting, at, at+1)
@@ -211,7 +222,7 @@
 }
 
 func (q *Queue) missed(now clock.Reading, r *Request) int {
-	if now.Mono+q.serviceTime(r.Class)/2 > r.Objective {
+	if now.Mono+q.serviceTime(r.Class) > r.Objective {
 		return 1
 	}
 	return 0
--- a/coord/dispatch/usage.go
+++ b/coord/dispatch/usage.go
@@ -19,6 +19,8 @@
 	at   time.Duration
 	busy float64
 	mean time.Duration
+	// pressure is the recent work that arrived, relative to the slots.
+	pressure float64
 }
 
 // pass lets the time until now pass with a number of running requests.
@@ -27,6 +29,7 @@
 		return
 	}
 	keep := math.Exp(-float64(now-u.at) / float64(usagePeriod))
+	u.pressure *= keep
 	u.busy = u.busy*keep + (1-keep)*float64(running)/float64(max(slots, 1))
 	u.at = now
 }
@@ -37,3 +40,8 @@
 	}
 	u.mean += time.Duration(usageShare * float64(serviceTime-u.mean))
 }
+
+// arrived counts a request's expected service time.
+func (u *usage) arrived(work time.Duration, slots int) {
+	u.pressure += float64(work) / float64(usagePeriod) / float64(max(slots, 1))
+}
