Send differences of document, rows and directory; gate without a document refuses

A target that breaks off three answers in a row, is silent or cannot be reached is treated as cold or closed until it announces itself. Members follow documents, rows and the directory by differences, so that links of 2 Mbit/s carry storms of changes.

--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -65,7 +65,7 @@
 	since     clock.Reading
 	ticked    clock.Reading
 	members   map[string]*member // by process
-	directory uint64
+	directory directory
 	listed    []Member
 	granted   map[ranges.Holder]clock.Reading
 	ended     map[ranges.Holder]bool
@@ -111,21 +111,21 @@
 func (l *Leader) Renew(now clock.Reading, st *State, r Renewal) Reply {
 	l.note(now, r)
 	known := st.Revisions()
-	known.Directory, known.Term = l.directory, l.term
+	known.Directory, known.Term = l.directory.number, l.term
 	reply := Reply{Known: known, Settled: l.settled(now)}
-	if r.Known.Document != known.Document {
-		reply.Document, _ = st.Document()
-	}
+	reply.Patch, reply.Document = st.DocumentSince(r.Known.Document)
 	if r.Known.Drain != known.Drain || r.Known.Document == 0 {
 		drained := st.Drained()
 		reply.Drained = &drained
 	}
-	if r.Known.Rows != known.Rows {
-		reply.Spaces = st.s.Spaces
-	}
-	if r.Known.Term != l.term || r.Known.Directory != l.directory {
-		members := l.listed
-		reply.Members = &members
+	reply.Spaces = st.SpacesSince(r.Known.Rows)
+	if r.Known.Term != l.term {
+		reply.Members = &MembersUpdate{Whole: true, Members: l.listed}
+	} else if r.Known.Directory != known.Directory {
+		var ok bool
+		if reply.Members, ok = l.directory.since(r.Known.Directory); !ok {
+			reply.Members = &MembersUpdate{Whole: true, Members: l.listed}
+		}
 	}
 	if h := r.Member.Holder(); !h.IsZero() && !l.losing[h] && !l.ended[h] {
 		l.granted[h] = now
@@ -145,6 +145,7 @@
 	}
 	if m.Member != r.Member {
 		m.Member = r.Member
+		l.directory.add(r.Member, false)
 		l.list()
 	}
 	m.seen = now
@@ -173,9 +174,8 @@
 	return v
 }
 
-// list renews the directory.
+// list renews the list of members.
 func (l *Leader) list() {
-	l.directory++
 	l.listed = make([]Member, 0, len(l.members))
 	for _, m := range l.members {
 		l.listed = append(l.listed, m.Member)
@@ -187,7 +187,7 @@
 func (l *Leader) Members() []Member { return l.listed }
 
 // Directory returns the number of the directory's last change.
-func (l *Leader) Directory() uint64 { return l.directory }
+func (l *Leader) Directory() uint64 { return l.directory.number }
 
 // Tick returns the commands that are due. It is called several times a second.
 func (l *Leader) Tick(now clock.Reading, st *State) []Command {
@@ -221,6 +221,7 @@
 	for process, m := range l.members {
 		if now.MonoSince(m.seen) > l.cfg.Silence {
 			delete(l.members, process)
+			l.directory.add(m.Member, true)
 			changed = true
 		}
 	}
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -79,10 +79,11 @@
 	// may hold the rows that the table gives it. Zero grants nothing.
 	Lease time.Duration `json:"lease,omitempty"`
 	// The parts that changed since the renewal's revisions.
-	Document *routes.Document `json:"document,omitempty"`
-	Drained  *[]string        `json:"drained,omitempty"`
-	Spaces   map[string]Space `json:"spaces,omitempty"`
-	Members  *[]Member        `json:"members,omitempty"`
+	Document *routes.Document       `json:"document,omitempty"`
+	Patch    *routes.Patch          `json:"patch,omitempty"`
+	Drained  *[]string              `json:"drained,omitempty"`
+	Spaces   map[string]SpaceUpdate `json:"spaces,omitempty"`
+	Members  *MembersUpdate         `json:"members,omitempty"`
 	// Settled says that the leader has heard from every process that is up, so
 	// that Members is complete.
 	Settled bool `json:"settled,omitempty"`
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -18,6 +18,7 @@
 	s stored
 	// accepted is derived from the stored changes.
 	accepted map[string]bool
+	past     history
 }
 
 // stored is the part of State that a snapshot holds.
@@ -61,6 +62,12 @@
 	for _, id := range st.s.Changes {
 		st.accepted[id] = true
 	}
+	if st.s.Document != nil {
+		st.past.addDocument(st.s.DocumentIndex, st.s.Document)
+	}
+	for service, space := range st.s.Spaces {
+		st.past.addSpace(service, space)
+	}
 	return st, nil
 }
 
@@ -100,6 +107,7 @@
 		return st.result(Refused)
 	}
 	st.s.Document, st.s.Text, st.s.DocumentIndex = c.Document, c.Text, index
+	st.past.addDocument(index, c.Document)
 	st.accepted[c.ChangeID] = true
 	st.s.Changes = append(st.s.Changes, c.ChangeID)
 	if len(st.s.Changes) > maxChanges {
@@ -136,6 +144,7 @@
 	}
 	st.s.Spaces = maps.Clone(st.s.Spaces)
 	st.s.Spaces[c.Service] = Space{Revision: index, Rows: rows}
+	st.past.addSpace(c.Service, st.s.Spaces[c.Service])
 	st.s.RowsIndex = index
 	return st.result(Accepted)
 }
--- /dev/null
+++ b/coord/fleet/updates_test.go
@@ -0,0 +1,73 @@
+package fleet_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/fleet"
+)
+
+// Guards against a process that follows differences and ends with another
+// table than the control group.
+func TestFollowerOfUpdates(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.join("a")
+	w.join("b")
+	known, space := uint64(0), fleet.Space{}
+	partial := 0
+	for step := range 60 {
+		w.run(300 * time.Millisecond)
+		switch step {
+		case 20:
+			w.join("c")
+		case 40:
+			delete(w.members, "b")
+		}
+		for p, r := range w.members {
+			r.Released = nil
+			for _, row := range w.state.Space("s").Rows {
+				if row.Releasing && row.Holder.Process == p {
+					r.Released = append(r.Released, fleet.Released{Row: row, Handover: "h"})
+				}
+			}
+			w.members[p] = r
+		}
+		if u, ok := w.state.SpacesSince(known)["s"]; ok {
+			next, ok := u.Apply(space)
+			is.True(ok)
+			if u.Base != 0 {
+				partial++
+			}
+			space, known = next, w.state.Revisions().Rows
+		}
+		is.True(slices.Equal(space.Rows, w.state.Space("s").Rows) || space.Revision == 0)
+	}
+	is.True(partial > 2)
+}
+
+// Guards against a process that keeps a member that left, or that never
+// learns of one that joined between two renewals.
+func TestDirectoryChanges(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.join("a")
+	w.run(3 * time.Second)
+	known := w.lead.Renew(clock.At(w.now), w.state, w.members["a"]).Known
+	w.join("b")
+	w.run(200 * time.Millisecond)
+	w.join("c")
+	delete(w.members, "b")
+	w.run(4 * time.Second)
+	r := w.members["a"]
+	r.Known = known
+	u := w.lead.Renew(clock.At(w.now), w.state, r).Members
+	is.True(!u.Whole)
+	is.Equal(u.Removed, []string{"b"})
+	is.Equal(len(u.Members), 1)
+	is.Equal(u.Members[0].Process, "c")
+}
--- a/coord/routes/routes_test.go
+++ b/coord/routes/routes_test.go
@@ -68,3 +68,21 @@
 		})
 	}
 }
+
+// Guards against a process whose document differs from the operator's after a
+// change came as a patch.
+func TestPatch(t *testing.T) {
+	is := is.New(t)
+	from, to := document(), document()
+	to.Version = 9
+	to.Routes = append(to.Routes[1:], routes.Route{Name: "new", Host: "b.example", Prefix: "/", Kind: routes.Safe,
+		Parts: []routes.Part{{Service: "one", Weight: 1}}})
+	to.Routes[0].Timeout = time.Minute
+	p := routes.Diff(from, to)
+	is.Equal(p.RemovedRoutes, []string{"all"})
+	got, ok := p.Apply(from)
+	is.True(ok)
+	is.Equal(got, to)
+	_, ok = p.Apply(to)
+	is.True(!ok)
+}
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -50,9 +50,11 @@
 	left      bool
 	announced time.Duration
 	coldUntil time.Duration
-	// refused is set while connections have been refused since the last
+	// unreachable is set if no connection could be opened since the last
 	// announcement.
-	refused bool
+	unreachable bool
+	// broken counts the requests in a row without a whole answer.
+	broken int
 	// unsure is set while the target may have become cold unnoticed.
 	unsure bool
 }
@@ -71,7 +73,7 @@
 	switch {
 	case t.draining || t.left:
 		return fleet.Draining
-	case t.refused, t.unsure, now-t.announced > silentIntervals*interval:
+	case t.unreachable, t.unsure, now-t.announced > silentIntervals*interval:
 		return fleet.Gone
 	}
 	return fleet.Ready
@@ -100,7 +102,7 @@
 	t.sequence, t.slots, t.announced = r.Sequence, r.Slots, now.Mono
 	t.draining = t.draining || r.Draining
 	t.coldUntil = now.Mono + r.ColdFor
-	t.refused, t.unsure = false, false
+	t.unreachable, t.unsure, t.broken = false, false, 0
 	if cold {
 		a.log.Info().Str("target", t.id).Dur("for", r.ColdFor).Uint64("sequence", r.Sequence).Msg("target is cold")
 	}
@@ -150,8 +152,10 @@
 	a.notify()
 }
 
-// Refused records that the target refused a connection.
-func (a *Agent) Refused() {
+// Unreachable records that no connection to the target could be opened. It
+// gets nothing until it announces itself: it may come back cold. refused says
+// that nobody listened at its address.
+func (a *Agent) Unreachable(refused bool) {
 	now := timesource.Boot().Mono
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -159,26 +163,58 @@
 	if t.id == "" {
 		return
 	}
-	if !t.refused {
-		t.refused = true
-		a.log.Warn().Str("target", t.id).Dur("silence", now-t.announced).Msg("target refuses connections")
+	if !t.unreachable {
+		t.unreachable = true
+		a.log.Warn().Str("target", t.id).Bool("refused", refused).Dur("silence", now-t.announced).Msg("target cannot be reached")
 		a.Wake()
 		a.notify()
 	}
-	if float64(now-t.announced) > endedIntervals*float64(a.cfg.AnnounceInterval) {
+	if refused && float64(now-t.announced) > endedIntervals*float64(a.cfg.AnnounceInterval) {
 		a.end(a.ledger.Holder(), "it refuses connections and is silent")
 		a.target, a.ledger = target{life: t.life}, nil
 		a.Wake()
 	}
 }
 
+// Broken records a request without a whole answer.
+func (a *Agent) Broken() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.target.broken++
+	if a.target.broken == doubtfulBroken {
+		a.log.Warn().Str("target", a.target.id).Int("requests", doubtfulBroken).Msg("target may have started again; it is treated as cold")
+	}
+}
+
+// Answered records a whole answer.
+func (a *Agent) Answered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.target.broken = 0
+}
+
+const (
+	// doubtfulBroken is the number of requests in a row without a whole answer
+	// after which the target may have started again, cold and unannounced.
+	// Single answers are lost for other reasons.
+	doubtfulBroken = 3
+	// doubtfulIntervals is the same in announcement intervals without one.
+	doubtfulIntervals = 2.5
+)
+
+// doubtful reports whether the target may be cold without having said so.
+func (t *target) doubtful(now, interval time.Duration) bool {
+	return t.broken >= doubtfulBroken || float64(now-t.announced) > doubtfulIntervals*float64(interval)
+}
+
 // Target describes the target as far as the gate needs it.
 type Target struct {
 	ID    string
 	Slots int
 	// Accepts says that it may get new requests.
 	Accepts bool
-	// ColdUntil is the end of its cold time on the clock of timesource.Boot.
+	// ColdUntil is the end of its cold time, known or suspected, on the clock of
+	// timesource.Boot.
 	ColdUntil time.Duration
 	// Next is when it will announce itself again, on the same clock.
 	Next time.Duration
@@ -193,8 +229,12 @@
 	if t.id == "" {
 		return Target{}, false
 	}
+	cold := t.coldUntil
+	if t.doubtful(now, a.cfg.AnnounceInterval) {
+		cold = max(cold, now+a.cfg.AnnounceInterval) // the next announcement tells
+	}
 	return Target{
-		ID: t.id, Slots: t.slots, ColdUntil: t.coldUntil, Next: t.announced + a.cfg.AnnounceInterval,
+		ID: t.id, Slots: t.slots, ColdUntil: cold, Next: t.announced + a.cfg.AnnounceInterval,
 		Accepts: t.condition(now, a.cfg.AnnounceInterval) == fleet.Ready,
 	}, true
 }
--- /dev/null
+++ b/router/fleetdaemon/cluster_test.go
@@ -0,0 +1,266 @@
+package fleetdaemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/hold"
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/coord/routes"
+	"bramleyquay.example/router/fleetagent"
+	"bramleyquay.example/router/fleetdaemon"
+	"bramleyquay.example/router/fleetnode"
+	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/relay"
+)
+
+// bound is the longest wait for a condition in these tests; it only ends a
+// test that has failed.
+const bound = 60 * time.Second
+
+var names = relay.Names{RequestID: "X-Id", DeadlineMs: "X-Deadline-Ms", Key: "X-Key", Target: "X-Target",
+	Caller: "X-Caller", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load"}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// process is one running daemon.
+type process struct {
+	*fleetdaemon.Daemon
+	cfg  fleetdaemon.Config
+	stop context.CancelFunc
+	done chan error
+}
+
+func start(t *testing.T, cfg fleetdaemon.Config) *process {
+	t.Helper()
+	d, err := fleetdaemon.New(cfg, logging.New(io.Discard, "error", false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{Daemon: d, cfg: cfg, stop: stop, done: make(chan error, 1)}
+	go func() { p.done <- d.Run(ctx) }()
+	t.Cleanup(stop)
+	return p
+}
+
+// await waits for a condition.
+func await(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(bound); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen", what)
+		}
+	}
+}
+
+// cluster is a control group of one and members with stand-in targets.
+type cluster struct {
+	t       *testing.T
+	control *process
+	lease   fleetdaemon.Lease
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, lease: fleetdaemon.Lease{AnnounceInterval: 100 * time.Millisecond, MaxHold: 10 * time.Second}}
+	peer := freeAddress(t)
+	c.control = start(t, fleetdaemon.Config{
+		Cluster: "test", Peer: peer, TrustNetwork: true, Seeds: []string{peer}, StopTimeout: time.Second, Lease: c.lease,
+		Control: &fleetdaemon.Control{Folder: t.TempDir(), Founders: []string{peer}},
+	})
+	return c
+}
+
+func (c *cluster) apply(d *routes.Document) fleet.Result {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	var current fleetnode.ReadReply
+	if err := c.control.Leaders().Call(ctx, fleetnode.MethodRead, fleetnode.Read{}, &current); err != nil {
+		c.t.Fatal(err)
+	}
+	var result fleet.Result
+	change := &fleet.ApplyDocument{ChangeID: strconv.FormatUint(d.Version, 10), Base: current.Version, Document: d}
+	if err := c.control.Leaders().Call(ctx, fleetnode.MethodPropose, fleetnode.Propose{ApplyDocument: change}, &result); err != nil {
+		c.t.Fatal(err)
+	}
+	return result
+}
+
+// target is a stand-in target beside a member. It holds keys by its grants.
+type target struct {
+	*process
+	name   string
+	server *httptest.Server
+	behave func(w http.ResponseWriter, r *http.Request) bool // true if it answered
+
+	mu       sync.Mutex
+	runs     map[string]int
+	holds    []ranges.Row
+	released []ranges.Row
+	sequence uint64
+	draining bool
+	silent   bool
+}
+
+func (c *cluster) member(name, service string) *target {
+	t := &target{name: name, runs: map[string]int{}}
+	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
+	c.t.Cleanup(t.server.Close)
+	gate := freeAddress(c.t)
+	host, port, _ := net.SplitHostPort(gate)
+	_ = host
+	// Members find each other's gate by its port, so each needs an address of
+	// its own: 127.0.0.N with one port for all.
+	memberCount.Lock()
+	memberCount.n++
+	ip := fmt.Sprintf("127.0.%d.%d", 1+memberCount.n/200, 1+memberCount.n%200)
+	if memberCount.gatePort == "" {
+		memberCount.gatePort = port
+	}
+	port = memberCount.gatePort
+	memberCount.Unlock()
+	t.process = start(c.t, fleetdaemon.Config{
+		Cluster: "test", Peer: net.JoinHostPort(ip, portOf(freeAddress(c.t))), TrustNetwork: true,
+		Seeds: []string{c.control.cfg.Peer}, StopTimeout: 8 * time.Second, Lease: c.lease,
+		Beside: &fleetdaemon.Beside{
+			DataCentre: "dc-" + name, Caller: freeAddress(c.t), Gate: net.JoinHostPort(ip, port),
+			Target: t.server.Listener.Addr().String(), Service: service, Names: names,
+			Budget: relay.BudgetConfig{Ratio: 1, Slack: 1000},
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	go t.announce(ctx, service, c.lease.AnnounceInterval)
+	return t
+}
+
+var memberCount struct {
+	sync.Mutex
+	n        int
+	gatePort string
+}
+
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
+}
+
+// announce reports to the member's agent as a target does.
+func (t *target) announce(ctx context.Context, service string, interval time.Duration) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		t.sequence++
+		r := fleetagent.Report{
+			ID: t.name, Life: 1, Service: service, Address: t.server.Listener.Addr().String(), Slots: 4,
+			Sequence: t.sequence, Draining: t.draining, Rows: hold.Announcement{Holds: t.holds, Released: t.released},
+		}
+		silent := t.silent
+		t.mu.Unlock()
+		if !silent {
+			grant, _ := t.Agent().Announce(r)
+			t.take(grant)
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// take puts a grant into force.
+func (t *target) take(g hold.Grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g.For <= 0 {
+		return
+	}
+	t.released = nil
+	for _, h := range t.holds {
+		if r, ok := ranges.Find(g.Rows, h.From); !ok || r.Fence != h.Fence {
+			t.released = append(t.released, ranges.Row{From: h.From, To: h.To, Handover: "token"})
+		}
+	}
+	t.holds = g.Rows
+}
+
+func (t *target) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Id")
+	t.mu.Lock()
+	held := true
+	if key, err := strconv.Atoi(r.Header.Get("X-Key")); err == nil {
+		_, held = ranges.Find(t.holds, uint16(key))
+	}
+	if held {
+		t.runs[id]++
+	}
+	t.mu.Unlock()
+	w.Header().Set("X-Id", id)
+	if !held {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if t.behave != nil && t.behave(w, r) {
+		return
+	}
+	w.Header().Set("X-Signed", t.name)
+	_, _ = fmt.Fprintf(w, "%s ran %s for %s", t.name, r.URL.Path, r.Header.Get("X-Caller"))
+}
+
+func (t *target) count(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
+// call sends a request of a caller to the member's process.
+func (t *target) call(method, path, id string, header map[string]string) (int, string, http.Header) {
+	req, _ := http.NewRequest(method, "http://"+t.cfg.Beside.Caller+path, nil)
+	req.Host = "h"
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Deadline-Ms", "5000")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return resp.StatusCode, string(body), resp.Header
+}
+
+func document(version uint64) *routes.Document {
+	part := func(service string) []routes.Part { return []routes.Part{{Service: service, Weight: 1}} }
+	return &routes.Document{
+		Version: version,
+		Routes: []routes.Route{
+			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: routes.Safe, Objective: 2 * time.Second, Timeout: 5 * time.Second, Attempts: 2, Parts: part("keyed")},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Safe, Objective: 2 * time.Second, Timeout: 5 * time.Second, Attempts: 2, Parts: part("plain")},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routes.Unsafe, Objective: 2 * time.Second, Timeout: 5 * time.Second, Attempts: 2, Parts: part("plain")},
+		},
+		Services: []routes.Service{{Name: "keyed", Sharded: true}, {Name: "plain"}},
+	}
+}
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -36,6 +36,9 @@
 	callers  *edge.Server
 	gates    *edge.Server
 	stopping atomic.Bool
+	// life ends with Run.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // memoryShare is the part of the memory limit at which the collector works
@@ -51,6 +54,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
 	}
 	d := &Daemon{cfg: cfg, log: logging.Part(logs, "daemon"), server: peer.NewServer()}
+	d.life, d.end = context.WithCancel(context.Background())
 	d.client = peer.NewClient(&peer.Dialer{Secret: cfg.Secret}, func(method string) {
 		if method == fleetnode.MethodWake && d.agent != nil {
 			d.agent.Wake()
@@ -68,7 +72,7 @@
 		}
 	}
 	l, err := peer.Listen(cfg.Peer, cfg.Secret, nil, logging.Part(logs, "peer"), func(c net.Conn) {
-		d.server.ServeConn(context.Background(), c)
+		d.server.ServeConn(d.life, c)
 	})
 	d.listener = l
 	return d, err
@@ -173,8 +177,9 @@
 func (d *Daemon) Run(stop context.Context) error {
 	d.log.Info().Str("cluster", d.cfg.Cluster).Str("peer", d.cfg.Peer).Strs("seeds", d.cfg.Seeds).Bool("control", d.node != nil).
 		Bool("beside", d.agent != nil).Bool("trustNetwork", d.cfg.TrustNetwork).Dur("lease", d.cfg.Lease.Duration()).Msg("process starts")
-	run, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	run := d.life
+	defer d.client.Close()
+	defer d.end()
 	go d.listener.Serve(run)
 	if d.cfg.Metrics != "" {
 		go d.serveMetrics()
@@ -200,7 +205,7 @@
 	case <-stop.Done():
 	}
 	d.stop()
-	cancel()
+	d.end()
 	if d.node != nil {
 		<-nodeDone
 	}
--- a/router/fleetnode/config.go
+++ b/router/fleetnode/config.go
@@ -53,6 +53,9 @@
 	joinInterval = 300 * time.Millisecond
 	// wakeInterval is the least time between two notifications of members.
 	wakeInterval = 20 * time.Millisecond
+	// directoryInterval is the same for changes of the directory alone, which
+	// come in series when many processes start.
+	directoryInterval = 80 * time.Millisecond
 	// DefaultSnapshotEntries keeps the log below a few megabytes.
 	DefaultSnapshotEntries = 500
 )
--- a/router/fleetnode/node.go
+++ b/router/fleetnode/node.go
@@ -45,6 +45,7 @@
 	planned map[string]flight
 	woken   clock.Reading
 	seen    fleet.Revisions
+	listed  uint64
 
 	stopOnce sync.Once
 	stopped  chan struct{}
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -21,6 +21,8 @@
 	MethodRenew   = "fleet.renew"
 	MethodPropose = "fleet.propose"
 	MethodRead    = "fleet.read"
+	// MethodStatus is answered by every replica.
+	MethodStatus = "fleet.status"
 	// MethodWake is the notification that tells a member to renew at once.
 	MethodWake = "fleet.wake"
 )
@@ -61,6 +63,47 @@
 	s.Handle(MethodPropose, peer.Bind(n.propose))
 	s.Handle(MethodRead, peer.Bind(n.read))
 	s.Handle(MethodRenew, n.renew)
+	s.Handle(MethodStatus, peer.Bind(n.status))
+}
+
+// Status is one replica's view of the group.
+type Status struct {
+	ID      raft.ID `json:"id"`
+	Role    string  `json:"role"`
+	Leader  raft.ID `json:"leader"`
+	Term    uint64  `json:"term"`
+	Applied uint64  `json:"applied"`
+	// Voters and Learners are the group; Active those that the leader hears,
+	// on the leader only.
+	Voters   []raft.ID `json:"voters"`
+	Learners []raft.ID `json:"learners,omitempty"`
+	Active   []raft.ID `json:"active,omitempty"`
+	Version  uint64    `json:"version"`
+	Drained  []string  `json:"drained,omitempty"`
+	// Members are those that the leader hears, on the leader only.
+	Members []fleet.Member `json:"members,omitempty"`
+}
+
+// status describes the replica.
+func (n *Node) status(ctx context.Context, _ struct{}) (Status, error) {
+	var out Status
+	err := n.do(ctx, func() {
+		st := n.raft.Status()
+		out = Status{
+			ID: st.ID, Role: st.Role.String(), Leader: st.Leader, Term: st.Term, Applied: st.Applied,
+			Voters: st.Membership.Voters, Learners: st.Membership.Learners,
+			Version: n.state.Version(), Drained: n.state.Drained(), Members: n.leader.Members(),
+		}
+		if st.Role == raft.Leader {
+			out.Active = []raft.ID{st.ID}
+		}
+		for id, p := range st.Progress {
+			if p.Active {
+				out.Active = append(out.Active, id)
+			}
+		}
+	})
+	return out, err
 }
 
 // step takes a message of another replica.
--- a/router/fleetnode/wakers.go
+++ b/router/fleetnode/wakers.go
@@ -60,8 +60,11 @@
 		return
 	}
 	revisions := n.state.Revisions()
-	revisions.Directory = n.leader.Directory()
-	if revisions != n.seen {
+	changed := revisions != n.seen
+	if directory := n.leader.Directory(); directory != n.listed && now.MonoSince(n.woken) >= directoryInterval {
+		n.listed, changed = directory, true
+	}
+	if changed {
 		n.seen, n.woken = revisions, now
 		n.wakers.wakeAll()
 	}
--- a/router/leaderclient/client.go
+++ b/router/leaderclient/client.go
@@ -94,6 +94,13 @@
 	return err
 }
 
+// Ask calls a method that every replica answers.
+func (c *Client) Ask(ctx context.Context, addr, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return c.caller.Call(ctx, addr, method, params, result)
+}
+
 // Target returns the address to call next.
 func (c *Client) Target() string {
 	addr, _ := c.target()
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -18,6 +18,8 @@
 // Reasons of refusals by the gate.
 const (
 	reasonNoTarget = "no target"
+	// Without the document the gate does not know what a cold target bears.
+	reasonUnknown  = "service not known yet"
 	reasonDrained  = "drained"
 	reasonNotOwner = "not owner"
 	reasonNotHeld  = "key not granted yet"
@@ -105,6 +107,8 @@
 	switch {
 	case !ok || !t.Accepts || j.service != g.agent.Service():
 		return t, refused(reasonNoTarget, 0), false
+	case g.service(j.service) == nil:
+		return t, refused(reasonUnknown, 0), false
 	case !j.sharded && g.agent.View().IsDrained(g.agent.DataCentre()):
 		// Keys are served until the target has been told to give them back.
 		return t, refused(reasonDrained, 0), false
@@ -157,12 +161,18 @@
 	var unsent *targetclient.NotSentError
 	switch {
 	case errors.As(err, &unsent):
-		if unsent.Refused {
-			g.agent.Refused()
+		if ctx.Err() == nil {
+			g.agent.Unreachable(unsent.Refused)
 		}
 		return refused(reasonDial+": "+unsent.Cause.Error(), 0)
 	case err != nil:
+		if !errors.Is(err, context.Canceled) {
+			g.agent.Broken()
+		}
 		return result{kind: unknown, reason: reasonBroken + ": " + err.Error(), reached: true}
+	}
+	g.agent.Answered()
+	switch {
 	case resp.Header.Get(g.names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		return result{kind: notRun, reason: reasonShed + " with " + strconv.Itoa(resp.Status), reached: true}
 	case resp.Status >= 200 && resp.Status < 300 && resp.Header.Get(g.names.Signature) == "":
