--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -41,6 +41,9 @@
 	Arrived time.Duration
 	// Objective is the end of full worth, Deadline that of the caller's wait.
 	Objective, Deadline time.Duration
+	// Eager requests start at once or are refused with the expected wait, so
+	// that their caller can ask another target.
+	Eager bool
 }
 
 // Action is a decision about one request.
@@ -54,6 +57,7 @@
 
 // Reasons of a refusal.
 const (
+	ReasonBusy     = "no free slot"
 	ReasonFull     = "queue full"
 	ReasonLate     = "cannot end in time"
 	ReasonDeadline = "deadline passed"
@@ -105,6 +109,8 @@
 	wait := q.expectedWait(now, r)
 	late := r.Objective + time.Duration(q.lateShare()*float64(r.Deadline-r.Objective))
 	switch {
+	case r.Eager:
+		return append(actions, q.refuse(at, ReasonBusy, wait))
 	case len(q.waiting) > q.cfg.Length:
 		return append(actions, q.refuse(at, ReasonFull, wait))
 	case now.Mono+wait+q.serviceTime(r.Class) > late:
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -108,3 +108,19 @@
 	is.True(starts <= 6)
 	is.True(starts >= 4)
 }
+
+// Guards against a request that waits although another target may be free,
+// and against one that overtakes those that wait already.
+func TestEagerRequest(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(1))
+	eager := request(1, "a", 0, 0, 500*ms, 2000*ms)
+	eager.Eager = true
+	is.True(q.Offer(clock.At(0), eager)[0].Start)
+	eager.ID = 2
+	a := q.Offer(clock.At(0), eager)
+	is.Equal(a[0].Reason, dispatch.ReasonBusy)
+	is.True(a[0].RetryAfter > 0)
+	_, waiting, _ := q.Load()
+	is.Equal(waiting, 0)
+}
--- a/router/bqctl/command.go
+++ b/router/bqctl/command.go
@@ -17,6 +17,8 @@
 	Watch  watchCommand  `cmd:"" help:"Show the state on one refreshing screen."`
 	Dump   dumpCommand   `cmd:"" help:"Print a member's own state as JSON."`
 
+	Explain explainCommand `cmd:"" help:"Find out from collected logs what became of a request."`
+
 	Drain  drainCommand  `cmd:"" help:"Take a target, an instance or a data centre out of service."`
 	Return returnCommand `cmd:"" help:"Return a target, an instance or a data centre to service."`
 	Move   moveCommand   `cmd:"" help:"Move a unit to a member."`
--- /dev/null
+++ b/router/explain/explain.go
@@ -0,0 +1,140 @@
+// Package explain finds out from collected logs what became of a request.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one structured log line.
+type Line struct {
+	Time    time.Time `json:"time"`
+	Level   string    `json:"level"`
+	Process string    `json:"process"`
+	Part    string    `json:"part"`
+	Message string    `json:"message"`
+	Request string    `json:"request"`
+	Outcome string    `json:"outcome"`
+	Status  int       `json:"status"`
+	Reason  string    `json:"reason"`
+	Target  string    `json:"target"`
+	Service string    `json:"service"`
+	// Text is the line as it was written.
+	Text string `json:"-"`
+}
+
+// Report is what the logs say of one request.
+type Report struct {
+	// Lines are about the request and its calls, in order of time.
+	Lines []Line
+	// Around are the changes that the processes on its way noted shortly
+	// before or while it ran.
+	Around []Line
+	// Cause is a sentence on how the request ended.
+	Cause string
+}
+
+const (
+	// lookBack is how long before a request a change may matter to it: a lease
+	// and an announcement interval.
+	lookBack = 6 * time.Second
+	// maxLine bounds one log line in bytes.
+	maxLine = 1 << 20
+)
+
+// Read reads the lines of one log. What is no structured line is left out. A
+// prefix before the first brace, such as a collector's time stamp, is allowed.
+func Read(r io.Reader) ([]Line, error) {
+	var out []Line
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, maxLine)
+	for scan.Scan() {
+		text := scan.Text()
+		at := strings.IndexByte(text, '{')
+		if at < 0 {
+			continue
+		}
+		var l Line
+		if json.Unmarshal([]byte(text[at:]), &l) != nil {
+			continue
+		}
+		l.Text = text[at:]
+		out = append(out, l)
+	}
+	return out, scan.Err()
+}
+
+// Request explains one request from the lines of all processes.
+func Request(id string, lines []Line) (Report, error) {
+	var r Report
+	processes := map[string]bool{}
+	for _, l := range lines {
+		if l.Request == id || strings.HasPrefix(l.Request, id+".") {
+			r.Lines = append(r.Lines, l)
+			processes[l.Process] = true
+		}
+	}
+	if len(r.Lines) == 0 {
+		return r, fmt.Errorf("no line names request %q", id)
+	}
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(r.Lines, byTime)
+	from, to := r.Lines[0].Time.Add(-lookBack), r.Lines[len(r.Lines)-1].Time
+	for _, l := range lines {
+		if l.Request == "" && processes[l.Process] && !l.Time.Before(from) && !l.Time.After(to) {
+			r.Around = append(r.Around, l)
+		}
+	}
+	slices.SortStableFunc(r.Around, byTime)
+	r.Cause = cause(id, r.Lines)
+	return r, nil
+}
+
+// cause says how the request ended and why.
+func cause(id string, lines []Line) string {
+	var answer, gate *Line
+	calls := 0
+	for i := range lines {
+		l := &lines[i]
+		switch {
+		case l.Request != id:
+			if l.Part == "ingress" && l.Status >= 500 {
+				calls++
+			}
+		case l.Part == "ingress" && l.Status > 0:
+			answer = l
+		case l.Part == "gate":
+			gate = l
+		}
+	}
+	if answer == nil {
+		return "the process where the request entered has written no answer: it ended before, or its log is missing"
+	}
+	var s strings.Builder
+	switch {
+	case answer.Status < 400:
+		fmt.Fprintf(&s, "answered %d", answer.Status)
+	case answer.Status < 500:
+		fmt.Fprintf(&s, "refused %d at the entry: %s", answer.Status, answer.Reason)
+	case answer.Outcome == "not-run":
+		fmt.Fprintf(&s, "refused %d, it did not run: %s", answer.Status, answer.Reason)
+	case answer.Outcome == "done":
+		fmt.Fprintf(&s, "the target itself answered %d", answer.Status)
+	default:
+		fmt.Fprintf(&s, "answered %d, it may have run: %s", answer.Status, answer.Reason)
+	}
+	if gate != nil {
+		fmt.Fprintf(&s, "; last at target %s, process %s", gate.Target, gate.Process)
+	} else if answer.Status >= 500 {
+		s.WriteString("; it reached no gate")
+	}
+	if calls > 0 {
+		fmt.Fprintf(&s, "; %d of its own calls failed", calls)
+	}
+	return s.String()
+}
--- /dev/null
+++ b/router/explain/explain_test.go
@@ -0,0 +1,39 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/explain"
+)
+
+const logs = `
+  3.1 host {"time":"2026-12-04T09:00:00.000Z","level":"warn","process":"p2","part":"member","target":"t2","message":"target cannot be reached"}
+{"time":"2026-12-04T09:00:01.000Z","level":"warn","process":"p2","part":"gate","request":"a1","target":"t2","outcome":"not-run","reason":"no target","message":"request left the gate"}
+{"time":"2026-12-04T09:00:01.100Z","level":"warn","process":"p1","part":"ingress","request":"a1","status":503,"outcome":"not-run","reason":"no target","message":"request answered"}
+{"time":"2026-12-04T09:00:01.050Z","level":"warn","process":"p3","part":"ingress","request":"a1.c","status":504,"outcome":"unknown","reason":"x","message":"request answered"}
+{"time":"2026-12-04T08:00:01.050Z","level":"warn","process":"p1","part":"member","message":"control lost"}
+not a line
+{"time":"2026-12-04T09:00:02.000Z","level":"warn","process":"p1","part":"ingress","request":"b1","status":502,"outcome":"unknown","reason":"answer broke off","message":"request answered"}
+`
+
+// Guards against an explanation that leaves out the change that caused a
+// failure, or that names one that came long before.
+func TestRequest(t *testing.T) {
+	is := is.New(t)
+	lines, err := explain.Read(strings.NewReader(logs))
+	is.NoErr(err)
+	is.Equal(len(lines), 6)
+	r, err := explain.Request("a1", lines)
+	is.NoErr(err)
+	is.Equal(len(r.Lines), 3)
+	is.Equal(len(r.Around), 1)
+	is.Equal(r.Cause, "refused 503, it did not run: no target; last at target t2, process p2; 1 of its own calls failed")
+	r, err = explain.Request("b1", lines)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(r.Cause, "answered 502, it may have run: answer broke off"))
+	_, err = explain.Request("none", lines)
+	is.True(err != nil)
+}
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -50,6 +50,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
+	logs.Context = log.NewContext(logs.Context).Str("process", cfg.Peer).Value()
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
 	}
--- a/router/fleetdaemon/relay_test.go
+++ b/router/fleetdaemon/relay_test.go
@@ -176,7 +176,7 @@
 	req, err := http.NewRequest("GET", "http://"+p.cfg.Beside.Gate+"/safe/a", nil)
 	is.NoErr(err)
 	req.Header.Set("X-Id", "early")
-	req.Header.Set("Bq-Hop", "plain;safe;0;;plain;2000;5000;1")
+	req.Header.Set("Bq-Hop", "plain;safe;0;;plain;2000;5000;1;false")
 	resp, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -78,9 +78,13 @@
 	}
 	// The queue runs on the monotonic clock; the cold time on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.Boot().Mono
+	entered := time.Now()
 	id, a := g.room.enter(ctx, j, coldness{slots: t.Slots, until: until, rate: rate})
+	waited := time.Since(entered)
 	if !a.Start {
-		return refused(a.Reason, a.RetryAfter)
+		r := refused(a.Reason, a.RetryAfter)
+		r.waited = waited
+		return r
 	}
 	// The world may have changed while the request waited.
 	t, r, ok = g.admits(j)
@@ -96,7 +100,9 @@
 		g.room.leave(id, false)
 		return r
 	}
+	begun := time.Now()
 	r = g.send(ctx, j, t)
+	r.waited, r.ran = waited, time.Since(begun)
 	g.room.leave(id, r.kind == done)
 	return r
 }
@@ -213,7 +219,7 @@
 	t, _ := g.agent.Target()
 	e.Str("request", j.id).Str("service", j.service).Str("route", j.route).Str("target", t.ID).Str("outcome", string(r.kind)).
 		Int("status", status).Str("reason", r.reason).Bool("reached", r.reached).Dur("retryAfter", r.retryAfter).
-		Dur("since", time.Since(j.request.Received)).Dur("left", time.Until(j.deadline)).
+		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(j.request.Received)).Dur("left", time.Until(j.deadline)).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
 		Uint64("version", j.version).Msg("request left the gate")
 	count("gate", string(r.kind))
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -25,7 +25,7 @@
 	maxOwnerWait = 250 * time.Millisecond
 	// maxPicks bounds the gates that are asked for one request; a refusal by
 	// a gate costs a round trip and no work at a target.
-	maxPicks = 4
+	maxPicks = maxEager + 2
 )
 
 // Ingress takes requests of callers.
@@ -71,6 +71,8 @@
 	process string
 	// exclude lists the targets that were tried already.
 	exclude []table.MemberID
+	// busy are those that had no free slot.
+	busy []busyTarget
 }
 
 // Serve implements edge.Handler.
@@ -196,7 +198,11 @@
 	if !repeatable || t.reached >= max(t.route.Attempts, 1) || time.Until(t.job.deadline) < minRetryLeft {
 		return false
 	}
-	return in.budgets.take(t.job.service)
+	allowed := in.budgets.take(t.job.service)
+	in.log.Info().Str("request", t.job.id).Str("service", t.job.service).Str("at", t.process).Str("outcome", string(r.kind)).
+		Str("reason", r.reason).Int("reached", t.reached).Bool("allowed", allowed).Msg("repeat decided by the budget")
+	count("repeat", strconv.FormatBool(allowed))
+	return allowed
 }
 
 // minRetryLeft is the time below which no further target is tried: it is less
@@ -257,7 +263,7 @@
 		row, _ := t.view.Owner(j.service, j.key)
 		e.Uint16("key", j.key).Str("owner", row.Holder.Target).Uint64("fence", row.Fence)
 	}
-	e.Int("status", resp.Status).Str("outcome", string(t.last.kind)).Str("reason", t.last.reason).Str("process", t.process).
+	e.Int("status", resp.Status).Str("outcome", string(t.last.kind)).Str("reason", t.last.reason).Str("at", t.process).
 		Int("picks", t.picks).Int("reached", t.reached).Dur("took", took).Uint64("version", t.view.Version()).
 		Uint64("rows", t.view.Known.Rows).Uint64("directory", t.view.Known.Directory).Msg("request answered")
 	count("ingress", strconv.Itoa(resp.Status))
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,8 @@
 	// objective and deadline are the ends of full worth and of the wait.
 	objective, deadline time.Time
 	version             uint64
+	// eager requests are refused if they cannot start at once.
+	eager bool
 }
 
 // kind is what is known of a request's fate at a target.
@@ -51,6 +54,8 @@
 	// reached says that the target was handed the request.
 	reached bool
 	load    *choice.GateLoad
+	// waited and ran are the times in the gate's queue and at the target.
+	waited, ran time.Duration
 }
 
 func refused(reason string, after time.Duration) result {
@@ -68,10 +73,11 @@
 		strconv.FormatInt(j.objective.Sub(now).Milliseconds(), 10),
 		strconv.FormatInt(j.deadline.Sub(now).Milliseconds(), 10),
 		strconv.FormatUint(j.version, 10),
+		strconv.FormatBool(j.eager),
 	}, ";")
 }
 
-const jobFields = 8
+const jobFields = 9
 
 // decodeJob reads the routing decision of a peer.
 func decodeJob(text string, r *edge.Request, id string) (*job, bool) {
@@ -83,13 +89,14 @@
 	objective, err2 := strconv.ParseInt(f[5], 10, 64)
 	deadline, err3 := strconv.ParseInt(f[6], 10, 64)
 	version, err4 := strconv.ParseUint(f[7], 10, 64)
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+	eager, err5 := strconv.ParseBool(f[8])
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return nil, false
 	}
 	j := &job{
 		request: r, header: forwarded(r.Header), id: id, service: f[0], route: f[1], rank: rank, caller: f[4],
 		objective: r.Received.Add(time.Duration(objective) * time.Millisecond),
-		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version,
+		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version, eager: eager,
 	}
 	delete(j.header, headerHop)
 	if f[3] != "" {
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/table"
 	"bramleyquay.example/router/fleetagent"
@@ -50,29 +52,71 @@
 	view  *fleetagent.View
 }
 
-// choose returns the process beside the target that is expected to answer
-// first.
+// choose returns the process beside the next target to ask. At first targets
+// are asked for a free slot in turn; if none has one, the request waits at the
+// one that expects to start it first.
 func (in *Ingress) choose(_ context.Context, t *try) (string, bool) {
 	t.view = in.agent.View()
+	t.note()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c := in.chooser(t.job.service, t.view)
 	now := timesource.Now()
-	for {
-		id, ok := c.inner.Pick(now, t.exclude...)
-		if !ok {
-			if t.picks == 0 {
-				t.last = refused("no target of the service is ready", firstRetryAfter)
+	if len(t.exclude) < maxEager {
+		for _, id := range c.inner.Order(now, t.exclude...) {
+			t.exclude = append(t.exclude, id)
+			if !in.peers.isAvoided(string(id)) {
+				t.job.eager = true
+				c.inner.Started(now, id)
+				return string(id), true
+			}
+			if len(t.exclude) >= maxEager {
+				break
 			}
-			return "", false
 		}
-		t.exclude = append(t.exclude, id)
-		if in.peers.isAvoided(string(id)) {
-			continue
+	}
+	if process, ok := t.shortest(); ok {
+		t.job.eager = false
+		c.inner.Started(now, table.MemberID(process))
+		return process, true
+	}
+	if t.picks == 0 {
+		t.last = refused("no target of the service is ready", firstRetryAfter)
+	}
+	return "", false
+}
+
+// maxEager bounds the targets that are asked for a free slot. Each costs a
+// round trip; with more targets one of the first is likely to have one.
+const maxEager = 4
+
+// note remembers the wait that a busy target expects.
+func (t *try) note() {
+	if t.picks > 0 && t.job.eager && t.last.kind == notRun && t.last.reason == dispatch.ReasonBusy {
+		t.busy = append(t.busy, busyTarget{process: t.process, wait: t.last.retryAfter})
+	}
+}
+
+// shortest takes the busy target with the shortest wait.
+func (t *try) shortest() (string, bool) {
+	if len(t.busy) == 0 {
+		return "", false
+	}
+	best := 0
+	for i, b := range t.busy {
+		if b.wait < t.busy[best].wait {
+			best = i
 		}
-		c.inner.Started(now, id)
-		return string(id), true
 	}
+	process := t.busy[best].process
+	t.busy = slices.Delete(t.busy, best, best+1)
+	return process, true
+}
+
+// busyTarget is a target without a free slot.
+type busyTarget struct {
+	process string
+	wait    time.Duration
 }
 
 // ended tells the chooser how a try ended.
--- a/router/relay/waiting.go
+++ b/router/relay/waiting.go
@@ -40,6 +40,7 @@
 	w.carryOut(w.queue.Offer(now, dispatch.Request{
 		ID: id, Class: j.route, Rank: j.rank, Arrived: timesource.Reading(j.request.Received).Mono,
 		Objective: timesource.Reading(j.objective).Mono, Deadline: timesource.Reading(j.deadline).Mono,
+		Eager: j.eager,
 	}))
 	w.tick()
 	w.mu.Unlock()
