--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -79,8 +79,10 @@
 	// may hold the rows that the table gives it. Zero grants nothing.
 	Lease time.Duration `json:"lease,omitempty"`
 	// The parts that changed since the renewal's revisions.
-	Document *routes.Document       `json:"document,omitempty"`
-	Patch    *routes.Patch          `json:"patch,omitempty"`
+	// Document and Patch travel in Packed.
+	Document *routes.Document       `json:"-"`
+	Patch    *routes.Patch          `json:"-"`
+	Packed   []byte                 `json:"packed,omitempty"`
 	Drained  *[]string              `json:"drained,omitempty"`
 	Spaces   map[string]SpaceUpdate `json:"spaces,omitempty"`
 	Members  *MembersUpdate         `json:"members,omitempty"`
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -133,6 +133,10 @@
 		a.lost(addr, err)
 		return
 	}
+	if err := fleetnode.Unpack(&reply); err != nil {
+		a.log.Error().Str("address", addr).Err(err).Msg("renewal's answer cannot be read")
+		return
+	}
 	a.leaders.SetReplicas(reply.Replicas)
 	a.apply(r, reply)
 	a.mu.Lock()
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -165,6 +165,9 @@
 // Agent returns the agent of a process beside a target, else nil.
 func (d *Daemon) Agent() *fleetagent.Agent { return d.agent }
 
+// Replica returns the process's control replica, else nil.
+func (d *Daemon) Replica() *fleetnode.Node { return d.node }
+
 // Leaders returns the client of the control group.
 func (d *Daemon) Leaders() *leaderclient.Client { return d.leaders }
 
--- a/router/fleetnode/node.go
+++ b/router/fleetnode/node.go
@@ -33,6 +33,7 @@
 	group  *fleet.Group
 	outbox *raftwire.Outbox
 	wakers *wakers
+	packer packer
 
 	lastTick   clock.Reading
 	lastReview clock.Reading
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -37,9 +37,11 @@
 	Cluster string  `json:"cluster"`
 }
 
-// Read asks for the document; ChangeID may be empty.
+// Read asks for the newest document. The text is left out if the asker has
+// the version already.
 type Read struct {
 	ChangeID string `json:"changeId,omitempty"`
+	Have     uint64 `json:"have,omitempty"`
 }
 
 // ReadReply is the newest document.
@@ -192,12 +194,37 @@
 	var reply ReadReply
 	err := n.lead(ctx, func() error {
 		_, text := n.state.Document()
+		if r.Have != 0 && r.Have == n.state.Version() {
+			text = nil
+		}
 		reply = ReadReply{Version: n.state.Version(), Text: text, Accepted: r.ChangeID != "" && n.state.Accepted(r.ChangeID)}
 		return nil
 	})
 	return reply, err
 }
 
+// Newest returns the newest document as the leader confirms it, and whether a
+// change was accepted before. The text comes from this replica if it is current.
+func (n *Node) Newest(ctx context.Context, changeID string) (ReadReply, error) {
+	r := Read{ChangeID: changeID}
+	var text []byte
+	err := n.do(ctx, func() {
+		r.Have = n.state.Version()
+		_, text = n.state.Document()
+	})
+	if err != nil {
+		return ReadReply{}, err
+	}
+	var reply ReadReply
+	if err := n.peers.Call(ctx, MethodRead, r, &reply); err != nil {
+		return ReadReply{}, err
+	}
+	if reply.Version == r.Have {
+		reply.Text = text
+	}
+	return reply, nil
+}
+
 // renew answers a member's renewal.
 func (n *Node) renew(ctx context.Context, conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
 	var r fleet.Renewal
@@ -207,6 +234,11 @@
 	var reply fleet.Reply
 	err := n.lead(ctx, func() error {
 		reply = n.leader.Renew(timesource.Boot(), n.state, r)
+		packed, err := n.packer.pack(r.Known.Document, &reply)
+		if err != nil {
+			return err
+		}
+		reply.Packed = packed
 		m := n.raft.Status().Membership
 		for _, id := range m.Voters {
 			reply.Replicas = append(reply.Replicas, fleet.ReplicaAddress(id))
--- a/router/fleetnode/upkeep.go
+++ b/router/fleetnode/upkeep.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			return
 		}
-		if addr := n.peers.Target(); alone && addr != "" && addr != n.cfg.Address {
+		if addr := n.peers.Target(); alone && addr != "" {
 			if err := n.peers.Try(ctx, addr, MethodJoin, Join{ID: id, Cluster: n.cfg.Cluster}, nil); err != nil {
 				n.log.Debug().Str("address", addr).Err(err).Msg("request to join failed")
 			}
