Estimate waits by the rate at which slots become free; refuse urgent ranks last

The expected wait counted the whole remaining work of the running requests instead of the time until the first of them ends, so that a short call seemed to miss its objective whenever all slots were busy. A request whose rank is above another one's at the same target now waits up to its deadline, and an answer where every try has shown that nothing ran is a refusal instead of a 502.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -28,7 +28,7 @@
 
 // DefaultConfig suits targets with some ten slots.
 func DefaultConfig(slots int) Config {
-	return Config{Slots: slots, Length: 8 * max(slots, 1), LateShare: 0.5, RankStep: 100 * time.Millisecond}
+	return Config{Slots: slots, Length: 8 * max(slots, 1), LateShare: 0.25, RankStep: 100 * time.Millisecond}
 }
 
 // Request asks for a slot. Times are on the monotonic clock.
@@ -71,6 +71,7 @@
 	times   map[string]time.Duration // mean service time by class
 	pace    pace
 	usage   usage
+	ranks   map[int]time.Duration // when a request of the rank was last offered
 }
 
 type started struct {
@@ -80,7 +81,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]started{}, times: map[string]time.Duration{}}
+	return &Queue{cfg: cfg, running: map[uint64]started{}, times: map[string]time.Duration{}, ranks: map[int]time.Duration{}}
 }
 
 // SetSlots changes the number of slots.
@@ -100,6 +101,7 @@
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.pass(now.Mono, len(q.running), q.cfg.Slots)
 	q.usage.arrived(q.serviceTime(r.Class), q.cfg.Slots)
+	q.ranks[r.Rank] = now.Mono
 	q.waiting = append(q.waiting, r)
 	actions := q.fill(now)
 	at := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
@@ -107,18 +109,47 @@
 		return actions
 	}
 	wait := q.expectedWait(now, r)
-	late := r.Objective + time.Duration(q.lateShare()*float64(r.Deadline-r.Objective))
+	share, caution := q.lateShare(), q.caution()
+	if q.urgent(now, r.Rank) {
+		share, caution = 1, 1
+	}
+	late := r.Objective + time.Duration(share*float64(r.Deadline-r.Objective))
 	switch {
 	case r.Eager:
 		return append(actions, q.refuse(at, ReasonBusy, wait))
 	case len(q.waiting) > q.cfg.Length:
 		return append(actions, q.refuse(at, ReasonFull, wait))
-	case now.Mono+wait+q.serviceTime(r.Class) > late:
+	case now.Mono+time.Duration(caution*float64(wait))+q.serviceTime(r.Class) > late:
 		return append(actions, q.refuse(at, ReasonLate, now.Mono+wait+q.serviceTime(r.Class)-late))
 	}
 	return actions
 }
 
+// urgent reports whether less urgent requests use the target as well. Urgent
+// ones go before them, so that overload is theirs only if they cause it alone,
+// and refusing one, such as a call of another request, loses more.
+func (q *Queue) urgent(now clock.Reading, rank int) bool {
+	for other, at := range q.ranks {
+		if other > rank && now.Mono-at < rankMemory {
+			return true
+		}
+	}
+	return false
+}
+
+// rankMemory is the time for which a rank counts as present.
+const rankMemory = 2 * time.Second
+
+// caution lengthens the expected wait under overload, when the queue stays at
+// its bound: service times are skewed, and a wait that is right on average is
+// too short for half of the requests.
+func (q *Queue) caution() float64 {
+	return 1 + overloadCaution*min(max((q.usage.pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
+}
+
+// overloadCaution is the part of the expected wait that is added.
+const overloadCaution = 1.0
+
 // lateShare is LateShare while the target can catch up, and falls to zero as
 // more work arrives than it can do: then every late answer makes another late.
 func (q *Queue) lateShare() float64 {
@@ -127,7 +158,7 @@
 
 // easyPressure and fullPressure are the arriving work per slot between which
 // late answers are given up. Refused callers come back once, which counts.
-const easyPressure, fullPressure = 1.0, 1.4
+const easyPressure, fullPressure = 0.95, 1.4
 
 func (q *Queue) refuse(at int, reason string, after time.Duration) Action {
 	r := q.waiting[at]
@@ -238,15 +269,10 @@
 	return r.Objective + time.Duration(r.Rank)*q.cfg.RankStep
 }
 
-// expectedWait estimates when a request would start from the work before it.
+// expectedWait estimates when a request would start. Slots become free at the
+// rate at which the running requests end, and those ahead take them first.
 func (q *Queue) expectedWait(now clock.Reading, r Request) time.Duration {
 	var work time.Duration
-	for _, s := range q.running {
-		mean := q.serviceTime(s.class)
-		// Service times are skewed: a run that is past its mean needs a
-		// part of it still.
-		work += max(mean-(now.Mono-s.at), mean/4)
-	}
 	ahead := 0
 	for i := range q.waiting {
 		w := &q.waiting[i]
@@ -255,10 +281,13 @@
 			ahead++
 		}
 	}
-	slots := max(q.cfg.Slots, 1)
 	wait := time.Duration(0)
-	if len(q.running)+ahead >= slots {
-		wait = work / time.Duration(slots)
+	if running := len(q.running); running > 0 && running+ahead >= q.cfg.Slots {
+		var mean time.Duration
+		for _, s := range q.running {
+			mean += q.serviceTime(s.class)
+		}
+		wait = (mean/time.Duration(running) + work) / time.Duration(running)
 	}
 	return max(wait, q.pace.wait(now.Mono, ahead))
 }
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -124,3 +124,45 @@
 	_, waiting, _ := q.Load()
 	is.Equal(waiting, 0)
 }
+
+// Guards against a short urgent call that is refused while long requests of a
+// lower rank overload the target: its refusal fails the request that made it.
+func TestUrgentCallUnderOverload(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(2))
+	var id uint64
+	refused := 0
+	running := map[uint64]time.Duration{}
+	take := func(now time.Duration, actions []dispatch.Action, urgent bool) {
+		for _, a := range actions {
+			switch {
+			case a.Start && urgent && a.ID == id:
+				running[a.ID] = now + 40*ms
+			case a.Start:
+				running[a.ID] = now + 400*ms
+			case urgent && a.ID == id:
+				refused++
+			}
+		}
+	}
+	calls := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
+		for r, end := range running {
+			if now >= end {
+				delete(running, r)
+				take(now, q.Done(clock.At(now), r, true), false)
+			}
+		}
+		if now%(100*ms) == 0 { // twice what the target can do
+			id++
+			take(now, q.Offer(clock.At(now), request(id, "long", 2, now, 1200*ms, 2500*ms)), false)
+		}
+		if now%(500*ms) == 0 {
+			id++
+			calls++
+			take(now, q.Offer(clock.At(now), request(id, "call", 1, now, 150*ms, 500*ms)), true)
+		}
+	}
+	is.Equal(calls, 20)
+	is.True(refused <= 1)
+}
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -65,6 +65,8 @@
 	view    *fleetagent.View
 	reached int
 	picks   int
+	// mayHaveRun is set once a try has not shown that nothing ran.
+	mayHaveRun bool
 	// failed is the last answer of a target that reported a failure.
 	failed  *result
 	last    result
@@ -161,6 +163,7 @@
 		if t.last.reached {
 			t.reached++
 		}
+		t.mayHaveRun = t.mayHaveRun || t.last.kind != notRun
 		if !in.again(t) {
 			return
 		}
@@ -222,9 +225,7 @@
 		return &edge.Response{Status: r.response.Status, Header: h, Body: r.response.Body}
 	case left:
 		return in.failure(t, http.StatusGatewayTimeout)
-	case t.reached == 0 || r.kind == notRun && t.route.Kind == routes.Unsafe && t.reached <= 1:
-		// Nothing ran: either no target was reached, or the only one that was
-		// has said so.
+	case !t.mayHaveRun:
 		return in.refusal(t)
 	case !time.Now().Before(t.job.deadline):
 		return in.failure(t, http.StatusGatewayTimeout)
