Let a later start beside a process succeed the earlier holder at once

Cause: after the loss of power of all machines, keys waited for the end of leases of targets that had ended: the restarted processes do not know them.

--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -267,7 +267,7 @@
 // lost reports whether a holder certainly holds nothing: it has ended, or its
 // lease has run out.
 func (l *Leader) lost(now clock.Reading, h ranges.Holder) bool {
-	if l.ended[h] || l.losing[h] {
+	if l.ended[h] || l.losing[h] || l.succeeded(h) {
 		return true
 	}
 	last, ok := l.granted[h]
@@ -277,6 +277,14 @@
 	return now.MonoSince(last) > l.cfg.Lease+l.cfg.Margin
 }
 
+// succeeded reports whether a later start of a target stands in the place of a
+// holder: one target runs beside each process. It spares the wait for a lease
+// where the process itself was restarted and does not know the earlier one.
+func (l *Leader) succeeded(h ranges.Holder) bool {
+	m := l.members[h.Process]
+	return m != nil && m.Target != "" && m.Life > h.Life
+}
+
 // tidy allows leases again to holders whose rows the table shows free.
 func (l *Leader) tidy(st *State) {
 	if len(l.losing) == 0 {
--- a/coord/fleet/leader_test.go
+++ b/coord/fleet/leader_test.go
@@ -211,3 +211,28 @@
 	is.True(restored.Accepted("a"))
 	is.Equal(restored.Space("s").Revision, w.state.Space("s").Revision)
 }
+
+// Guards against keys that wait for a lease after all machines were without
+// power: the restarted processes do not know the earlier targets.
+func TestLaterStartSucceedsHolder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.join("a")
+	w.join("b")
+	w.run(4 * time.Second)
+	w.lead.Follow()
+	w.lead.Lead(clock.At(w.now), 2)
+	for _, p := range []string{"a", "b"} {
+		r := w.members[p]
+		r.Member.Life = 2
+		w.members[p] = r
+	}
+	w.run(300 * time.Millisecond)
+	for _, p := range []string{"a", "b"} {
+		n, _ := w.held(p)
+		is.True(n > 0)
+	}
+	for _, row := range w.state.Space("s").Rows {
+		is.Equal(row.Holder.Life, int64(2))
+	}
+}
