--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/routes"
 	"bramleyquay.example/router/edge"
 	"bramleyquay.example/router/fleetagent"
@@ -31,6 +33,15 @@
 	reasonForeign  = "answer without signature"
 )
 
+// moved reports whether a refusal leaves open that another process has the key
+// of the request by now. The owner's other refusals are final.
+func (r *result) moved() bool {
+	return r.reason != reasonNotHeld && r.reason != reasonLeft && !slices.Contains(queueReasons, r.reason)
+}
+
+// queueReasons are the refusals of a gate that may run the request.
+var queueReasons = []string{dispatch.ReasonBusy, dispatch.ReasonFull, dispatch.ReasonLate, dispatch.ReasonDeadline}
+
 // maxGrantWait is the longest wait at the gate for a key that the table gives
 // to the target and that the target does not hold yet. A longer one is better
 // spent by the caller, who is told when to come back.
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -181,8 +181,7 @@
 func (in *Ingress) again(t *try) bool {
 	r := &t.last
 	if r.kind == notRun && !r.reached {
-		// A gate that tells when its target will have the key is believed.
-		return t.picks < maxPicks && r.reason != reasonNotHeld
+		return t.picks < maxPicks && (!t.job.sharded || r.moved())
 	}
 	failed := r.kind == done && r.response.Status >= http.StatusInternalServerError
 	switch {
@@ -212,6 +211,10 @@
 // than any service time that matters.
 const minRetryLeft = 50 * time.Millisecond
 
+// deadlineSlack covers the rounding of the time that is left on its way to the
+// gate: an end that comes so shortly before the deadline is the deadline's.
+const deadlineSlack = 5 * time.Millisecond
+
 // answer turns the last outcome into the answer to the caller.
 func (in *Ingress) answer(t *try, left bool) *edge.Response {
 	r := &t.last
@@ -227,7 +230,7 @@
 		return in.failure(t, http.StatusGatewayTimeout)
 	case !t.mayHaveRun:
 		return in.refusal(t)
-	case !time.Now().Before(t.job.deadline):
+	case time.Until(t.job.deadline) < deadlineSlack:
 		return in.failure(t, http.StatusGatewayTimeout)
 	}
 	return in.failure(t, http.StatusBadGateway)
