Share the event queue and the notification of members between replicas

Both kinds of control replica had the same code to run functions on their own goroutine and to notify members. It stands in raftwire once; behaviour is the same.

--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -4,13 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/raft"
 	"bramleyquay.example/coord/shard"
+	"bramleyquay.example/coord/table"
 	"bramleyquay.example/router/logging"
 	"bramleyquay.example/router/peer"
 	"bramleyquay.example/router/raftwire"
@@ -23,7 +23,7 @@
 	cfg    Config
 	client *peer.Client
 	log    logging.Logger
-	events chan func()
+	events *raftwire.Events
 	failed chan error
 
 	store      *store.Store
@@ -31,7 +31,7 @@
 	state      *control.State
 	controller *control.Controller
 	outbox     *raftwire.Outbox
-	wakers     *wakers
+	wakers     *raftwire.Wakers[table.MemberID]
 
 	formation  formation
 	opened     raft.Stored
@@ -45,9 +45,6 @@
 	// seen are the revisions that members were last woken for.
 	seen  revisions
 	woken clock.Reading
-
-	stopOnce sync.Once
-	stopped  chan struct{}
 }
 
 // revisions are the revisions that members follow.
@@ -69,13 +66,12 @@
 func Open(cfg Config, client *peer.Client, log logging.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, client: client, log: log,
-		events:     make(chan func(), 1024),
+		events:     raftwire.NewEvents(),
 		failed:     make(chan error, 1),
 		state:      control.NewState(),
 		controller: control.NewController(cfg.Controller, rand.New(rand.NewPCG(cfg.Seed, shard.Hash(cfg.ID)))),
-		wakers:     newWakers(),
+		wakers:     raftwire.NewWakers[table.MemberID](MethodWake),
 		waiting:    map[uint64]waiter{},
-		stopped:    make(chan struct{}),
 	}
 	n.outbox = raftwire.NewOutbox(client, n.address, log)
 	if err := n.open(); err != nil {
@@ -134,7 +130,7 @@
 		case err := <-n.failed:
 			return err
 		case <-ticker.C:
-		case event = <-n.events:
+		case event = <-n.events.C():
 		}
 		// Time passes before the event is handled: after a pause of the process
 		// a leader must notice that its time is over before it answers.
@@ -150,28 +146,13 @@
 }
 
 func (n *Node) stop() {
-	n.stopOnce.Do(func() { close(n.stopped) })
+	n.events.Stop()
 	n.outbox.Close()
 }
 
 // do runs f on the replica's goroutine and waits for it.
 func (n *Node) do(ctx context.Context, f func()) error {
-	done := make(chan struct{})
-	select {
-	case n.events <- func() { f(); close(done) }:
-	case <-ctx.Done():
-		return Error.Wrap(ctx.Err())
-	case <-n.stopped:
-		return Error.New("the replica has stopped")
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return Error.Wrap(ctx.Err())
-	case <-n.stopped:
-		return Error.New("the replica has stopped")
-	}
+	return Error.Wrap(n.events.Do(ctx, f))
 }
 
 // passTime advances the log by the ticks that have passed.
--- a/router/controlnode/process.go
+++ b/router/controlnode/process.go
@@ -96,7 +96,7 @@
 	case !leads && n.leading:
 		n.leading = false
 		n.controller.Follow()
-		n.wakers.clear()
+		n.wakers.Clear()
 		n.log.Infof("no longer leads; term %d", st.Term)
 	}
 }
--- a/router/controlnode/propose.go
+++ b/router/controlnode/propose.go
@@ -6,6 +6,7 @@
 
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/raftwire"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -46,8 +47,8 @@
 		return p.result, p.err
 	case <-ctx.Done():
 		return control.Result{}, Error.Wrap(ctx.Err())
-	case <-n.stopped:
-		return control.Result{}, Error.New("the replica has stopped")
+	case <-n.events.Stopped():
+		return control.Result{}, Error.Wrap(raftwire.ErrStopped)
 	}
 }
 
--- a/router/controlnode/serve.go
+++ b/router/controlnode/serve.go
@@ -23,10 +23,7 @@
 
 // step takes a message of another replica.
 func (n *Node) step(_ context.Context, m raft.Message) (struct{}, error) {
-	select {
-	case n.events <- func() { n.receive(m) }:
-	default: // overloaded; the sender repeats
-	}
+	n.events.Post(func() { n.receive(m) }) // if it is full, the sender repeats
 	return struct{}{}, nil
 }
 
@@ -63,7 +60,7 @@
 		var commands []control.Command
 		reply, commands = n.controller.Renew(timesource.Now(), n.state, r)
 		n.proposeAll(commands)
-		n.wakers.set(r.ID, conn)
+		n.wakers.Set(r.ID, conn)
 	})
 	if err != nil {
 		return nil, err
--- a/router/fleetnode/node.go
+++ b/router/fleetnode/node.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"bramleyquay.example/coord/clock"
@@ -24,7 +23,7 @@
 	cfg    Config
 	peers  *leaderclient.Client
 	log    logging.Logger
-	events chan func()
+	events *raftwire.Events
 
 	store  *store.Store
 	raft   *raft.Node
@@ -32,7 +31,7 @@
 	leader *fleet.Leader
 	group  *fleet.Group
 	outbox *raftwire.Outbox
-	wakers *wakers
+	wakers *raftwire.Wakers[string]
 	packer packer
 
 	lastTick   clock.Reading
@@ -47,9 +46,6 @@
 	woken   clock.Reading
 	seen    fleet.Revisions
 	listed  uint64
-
-	stopOnce sync.Once
-	stopped  chan struct{}
 }
 
 // flight is a proposal of the leader that was not applied yet.
@@ -78,12 +74,11 @@
 func Open(cfg Config, client *peer.Client, peers *leaderclient.Client, log logging.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, peers: peers, log: log,
-		events:  make(chan func(), 1024),
+		events:  raftwire.NewEvents(),
 		state:   fleet.NewState(),
 		leader:  fleet.NewLeader(cfg.Leader),
-		wakers:  newWakers(),
+		wakers:  raftwire.NewWakers[string](MethodWake),
 		waiting: map[uint64]waiter{},
-		stopped: make(chan struct{}),
 	}
 	n.outbox = raftwire.NewOutbox(client, func(id raft.ID) string {
 		if a := fleet.ReplicaAddress(id); a != cfg.Address {
@@ -185,7 +180,7 @@
 		case <-ctx.Done():
 			return n.store.Close()
 		case <-ticker.C:
-		case event = <-n.events:
+		case event = <-n.events.C():
 		}
 		// Time passes before the event is handled: after a pause of the process
 		// a leader must notice that its time is over before it answers.
@@ -201,28 +196,13 @@
 }
 
 func (n *Node) stop() {
-	n.stopOnce.Do(func() { close(n.stopped) })
+	n.events.Stop()
 	n.outbox.Close()
 }
 
 // do runs f on the replica's goroutine and waits for it.
 func (n *Node) do(ctx context.Context, f func()) error {
-	done := make(chan struct{})
-	select {
-	case n.events <- func() { f(); close(done) }:
-	case <-ctx.Done():
-		return Error.Wrap(ctx.Err())
-	case <-n.stopped:
-		return Error.New("the replica has stopped")
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return Error.Wrap(ctx.Err())
-	case <-n.stopped:
-		return Error.New("the replica has stopped")
-	}
+	return Error.Wrap(n.events.Do(ctx, f))
 }
 
 // passTime advances the log by the ticks that have passed.
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -93,7 +93,7 @@
 		n.log.Info().Uint64("term", st.Term).Msg("leads; no loss is declared before one lease has passed")
 	case !leads && n.leader.Leading():
 		n.leader.Follow()
-		n.wakers.clear()
+		n.wakers.Clear()
 		n.log.Info().Uint64("term", st.Term).Msg("no longer leads")
 	}
 	if st.Leader != n.lastLeader {
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -110,10 +110,7 @@
 
 // step takes a message of another replica.
 func (n *Node) step(_ context.Context, m raft.Message) (struct{}, error) {
-	select {
-	case n.events <- func() { n.receive(m) }:
-	default: // overloaded; the sender repeats
-	}
+	n.events.Post(func() { n.receive(m) }) // if it is full, the sender repeats
 	return struct{}{}, nil
 }
 
@@ -184,8 +181,8 @@
 		return p.result, p.err
 	case <-ctx.Done():
 		return fleet.Result{}, Error.Wrap(ctx.Err())
-	case <-n.stopped:
-		return fleet.Result{}, Error.New("the replica has stopped")
+	case <-n.events.Stopped():
+		return fleet.Result{}, Error.Wrap(raftwire.ErrStopped)
 	}
 }
 
@@ -243,7 +240,7 @@
 		for _, id := range m.Voters {
 			reply.Replicas = append(reply.Replicas, fleet.ReplicaAddress(id))
 		}
-		n.wakers.set(r.Member.Process, conn)
+		n.wakers.Set(r.Member.Process, conn)
 		return nil
 	})
 	if err != nil {
--- /dev/null
+++ b/router/raftwire/events.go
@@ -0,0 +1,65 @@
+package raftwire
+
+import (
+	"context"
+	"errors"
+	"sync"
+)
+
+// ErrStopped means that the goroutine of the events has ended.
+var ErrStopped = errors.New("the replica has stopped")
+
+// maxEvents bounds the functions that wait for a replica's goroutine.
+const maxEvents = 1024
+
+// Events runs functions on the goroutine that owns a replica's state.
+type Events struct {
+	c       chan func()
+	stopped chan struct{}
+	once    sync.Once
+}
+
+// NewEvents returns an empty queue.
+func NewEvents() *Events {
+	return &Events{c: make(chan func(), maxEvents), stopped: make(chan struct{})}
+}
+
+// C delivers the functions to the goroutine that runs them.
+func (e *Events) C() <-chan func() { return e.c }
+
+// Stopped is closed by Stop.
+func (e *Events) Stopped() <-chan struct{} { return e.stopped }
+
+// Stop ends the waits of all callers.
+func (e *Events) Stop() { e.once.Do(func() { close(e.stopped) }) }
+
+// Post queues f, or returns false if the queue is full.
+func (e *Events) Post(f func()) bool {
+	select {
+	case e.c <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Do runs f on the owner's goroutine and waits for it. After an error f may
+// run later.
+func (e *Events) Do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case e.c <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.stopped:
+		return ErrStopped
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.stopped:
+		return ErrStopped
+	}
+}
