Serve much shorter requests first among equal ranks

A request that is at least as urgent and has at most half of the objective now goes first and is refused last. TestUrgentCallUnderOverload fails at equal ranks without it.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -71,7 +71,7 @@
 	times   map[string]time.Duration // mean service time by class
 	pace    pace
 	usage   usage
-	ranks   map[int]time.Duration // when a request of the rank was last offered
+	kinds   map[string]kind // by class
 }
 
 type started struct {
@@ -81,7 +81,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]started{}, times: map[string]time.Duration{}, ranks: map[int]time.Duration{}}
+	return &Queue{cfg: cfg, running: map[uint64]started{}, times: map[string]time.Duration{}, kinds: map[string]kind{}}
 }
 
 // SetSlots changes the number of slots.
@@ -101,7 +101,7 @@
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.pass(now.Mono, len(q.running), q.cfg.Slots)
 	q.usage.arrived(q.serviceTime(r.Class), q.cfg.Slots)
-	q.ranks[r.Rank] = now.Mono
+	q.kinds[r.Class] = kind{rank: r.Rank, objective: r.length(), offered: now.Mono}
 	q.waiting = append(q.waiting, r)
 	actions := q.fill(now)
 	at := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
@@ -110,7 +110,7 @@
 	}
 	wait := q.expectedWait(now, r)
 	share, caution := q.lateShare(), q.caution()
-	if q.urgent(now, r.Rank) {
+	if q.urgent(now, &r) {
 		share, caution = 1, 1
 	}
 	late := r.Objective + time.Duration(share*float64(r.Deadline-r.Objective))
@@ -125,20 +125,42 @@
 	return actions
 }
 
-// urgent reports whether less urgent requests use the target as well. Urgent
-// ones go before them, so that overload is theirs only if they cause it alone,
-// and refusing one, such as a call of another request, loses more.
-func (q *Queue) urgent(now clock.Reading, rank int) bool {
-	for other, at := range q.ranks {
-		if other > rank && now.Mono-at < rankMemory {
+// kind is what the queue knows of a class of requests.
+type kind struct {
+	rank      int
+	objective time.Duration
+	offered   time.Duration
+}
+
+// length is the time from the arrival to the objective.
+func (r *Request) length() time.Duration { return r.Objective - r.Arrived }
+
+// tightShare is the ratio of objectives from which a request is much shorter
+// than another one, such as a call beside the requests of callers.
+const tightShare = 2
+
+// tighter reports whether a goes before b whatever their objectives' ends: it
+// is at least as urgent and much shorter, so that b hardly waits longer.
+func tighter(rank int, objective time.Duration, otherRank int, otherObjective time.Duration) bool {
+	return rank <= otherRank && tightShare*objective <= otherObjective
+}
+
+// urgent reports whether less urgent or much longer requests use the target as
+// well. Urgent ones go before them, so that overload is theirs only if they
+// cause it alone, and refusing one, such as a call of another request, loses
+// more.
+func (q *Queue) urgent(now clock.Reading, r *Request) bool {
+	for _, k := range q.kinds {
+		less := k.rank > r.Rank || tighter(r.Rank, r.length(), k.rank, k.objective)
+		if less && now.Mono-k.offered < kindMemory {
 			return true
 		}
 	}
 	return false
 }
 
-// rankMemory is the time for which a rank counts as present.
-const rankMemory = 2 * time.Second
+// kindMemory is the time for which a class counts as present.
+const kindMemory = 2 * time.Second
 
 // caution lengthens the expected wait under overload, when the queue stays at
 // its bound: service times are skewed, and a wait that is right on average is
@@ -249,9 +271,16 @@
 	return best
 }
 
-// compare orders requests that can still meet their objective before those
-// that cannot, then by objective with a head start for urgent ranks.
+// compare orders much shorter requests before others, then those that can
+// still meet their objective before those that cannot, then by objective with
+// a head start for urgent ranks.
 func (q *Queue) compare(now clock.Reading, a, b *Request) int {
+	switch {
+	case tighter(a.Rank, a.length(), b.Rank, b.length()):
+		return -1
+	case tighter(b.Rank, b.length(), a.Rank, a.length()):
+		return 1
+	}
 	if c := cmp.Compare(q.missed(now, a), q.missed(now, b)); c != 0 {
 		return c
 	}
--- a/coord/dispatch/queue_test.go
+++ b/coord/dispatch/queue_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -126,21 +127,28 @@
 }
 
 // Guards against a short urgent call that is refused while long requests of a
-// lower rank overload the target: its refusal fails the request that made it.
+// lower or equal rank overload the target: its refusal fails the request that made it.
 func TestUrgentCallUnderOverload(t *testing.T) {
+	for _, rank := range []int{1, 2} { // of the long requests; calls have 1
+		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) { testCallUnderOverload(t, rank) })
+	}
+}
+
+func testCallUnderOverload(t *testing.T, rank int) {
 	is := is.New(t)
 	q := dispatch.New(dispatch.DefaultConfig(2))
 	var id uint64
 	refused := 0
 	running := map[uint64]time.Duration{}
-	take := func(now time.Duration, actions []dispatch.Action, urgent bool) {
+	isCall := map[uint64]bool{}
+	take := func(now time.Duration, actions []dispatch.Action) {
 		for _, a := range actions {
 			switch {
-			case a.Start && urgent && a.ID == id:
+			case a.Start && isCall[a.ID]:
 				running[a.ID] = now + 40*ms
 			case a.Start:
 				running[a.ID] = now + 400*ms
-			case urgent && a.ID == id:
+			case isCall[a.ID]:
 				refused++
 			}
 		}
@@ -150,17 +158,18 @@
 		for r, end := range running {
 			if now >= end {
 				delete(running, r)
-				take(now, q.Done(clock.At(now), r, true), false)
+				take(now, q.Done(clock.At(now), r, true))
 			}
 		}
 		if now%(100*ms) == 0 { // twice what the target can do
 			id++
-			take(now, q.Offer(clock.At(now), request(id, "long", 2, now, 1200*ms, 2500*ms)), false)
+			take(now, q.Offer(clock.At(now), request(id, "long", rank, now, 600*ms, 1200*ms)))
 		}
 		if now%(500*ms) == 0 {
 			id++
 			calls++
-			take(now, q.Offer(clock.At(now), request(id, "call", 1, now, 150*ms, 500*ms)), true)
+			isCall[id] = true
+			take(now, q.Offer(clock.At(now), request(id, "call", 1, now, 150*ms, 500*ms)))
 		}
 	}
 	is.Equal(calls, 20)
