--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -5,7 +5,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -125,63 +124,6 @@
 	return actions
 }
 
-// kind is what the queue knows of a class of requests.
-type kind struct {
-	rank      int
-	objective time.Duration
-	offered   time.Duration
-}
-
-// length is the time from the arrival to the objective.
-func (r *Request) length() time.Duration { return r.Objective - r.Arrived }
-
-// tightShare is the ratio of objectives from which a request is much shorter
-// than another one, such as a call beside the requests of callers.
-const tightShare = 2
-
-// tighter reports whether a goes before b whatever their objectives' ends: it
-// is at least as urgent and much shorter, so that b hardly waits longer.
-func tighter(rank int, objective time.Duration, otherRank int, otherObjective time.Duration) bool {
-	return rank <= otherRank && tightShare*objective <= otherObjective
-}
-
-// urgent reports whether less urgent or much longer requests use the target as
-// well. Urgent ones go before them, so that overload is theirs only if they
-// cause it alone, and refusing one, such as a call of another request, loses
-// more.
-func (q *Queue) urgent(now clock.Reading, r *Request) bool {
-	for _, k := range q.kinds {
-		less := k.rank > r.Rank || tighter(r.Rank, r.length(), k.rank, k.objective)
-		if less && now.Mono-k.offered < kindMemory {
-			return true
-		}
-	}
-	return false
-}
-
-// kindMemory is the time for which a class counts as present.
-const kindMemory = 2 * time.Second
-
-// caution lengthens the expected wait under overload, when the queue stays at
-// its bound: service times are skewed, and a wait that is right on average is
-// too short for half of the requests.
-func (q *Queue) caution() float64 {
-	return 1 + overloadCaution*min(max((q.usage.pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
-}
-
-// overloadCaution is the part of the expected wait that is added.
-const overloadCaution = 1.0
-
-// lateShare is LateShare while the target can catch up, and falls to zero as
-// more work arrives than it can do: then every late answer makes another late.
-func (q *Queue) lateShare() float64 {
-	return q.cfg.LateShare * min(max((fullPressure-q.usage.pressure)/(fullPressure-easyPressure), 0), 1)
-}
-
-// easyPressure and fullPressure are the arriving work per slot between which
-// late answers are given up. Refused callers come back once, which counts.
-const easyPressure, fullPressure = 0.95, 1.4
-
 func (q *Queue) refuse(at int, reason string, after time.Duration) Action {
 	r := q.waiting[at]
 	q.waiting = slices.Delete(q.waiting, at, at+1)
@@ -259,86 +201,3 @@
 	}
 	return out
 }
-
-// next returns the index of the request that starts next.
-func (q *Queue) next(now clock.Reading) int {
-	best := 0
-	for i := 1; i < len(q.waiting); i++ {
-		if q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
-			best = i
-		}
-	}
-	return best
-}
-
-// compare orders much shorter requests before others, then those that can
-// still meet their objective before those that cannot, then by objective with
-// a head start for urgent ranks.
-func (q *Queue) compare(now clock.Reading, a, b *Request) int {
-	switch {
-	case tighter(a.Rank, a.length(), b.Rank, b.length()):
-		return -1
-	case tighter(b.Rank, b.length(), a.Rank, a.length()):
-		return 1
-	}
-	if c := cmp.Compare(q.missed(now, a), q.missed(now, b)); c != 0 {
-		return c
-	}
-	return cmp.Compare(q.due(a), q.due(b))
-}
-
-func (q *Queue) missed(now clock.Reading, r *Request) int {
-	if now.Mono+q.serviceTime(r.Class) > r.Objective {
-		return 1
-	}
-	return 0
-}
-
-func (q *Queue) due(r *Request) time.Duration {
-	return r.Objective + time.Duration(r.Rank)*q.cfg.RankStep
-}
-
-// expectedWait estimates when a request would start. Slots become free at the
-// rate at which the running requests end, and those ahead take them first.
-func (q *Queue) expectedWait(now clock.Reading, r Request) time.Duration {
-	var work time.Duration
-	ahead := 0
-	for i := range q.waiting {
-		w := &q.waiting[i]
-		if w.ID != r.ID && q.compare(now, w, &r) <= 0 {
-			work += q.serviceTime(w.Class)
-			ahead++
-		}
-	}
-	wait := time.Duration(0)
-	if running := len(q.running); running > 0 && running+ahead >= q.cfg.Slots {
-		var mean time.Duration
-		for _, s := range q.running {
-			mean += q.serviceTime(s.class)
-		}
-		wait = (mean/time.Duration(running) + work) / time.Duration(running)
-	}
-	return max(wait, q.pace.wait(now.Mono, ahead))
-}
-
-const (
-	// firstServiceTime stands for a class without answers yet.
-	firstServiceTime = 100 * time.Millisecond
-	// learnShare is the weight of the newest service time.
-	learnShare = 0.1
-)
-
-func (q *Queue) serviceTime(class string) time.Duration {
-	if t, ok := q.times[class]; ok {
-		return t
-	}
-	return firstServiceTime
-}
-
-func (q *Queue) learn(class string, t time.Duration) {
-	old, ok := q.times[class]
-	if !ok {
-		old = t
-	}
-	q.times[class] = old + time.Duration(learnShare*float64(t-old))
-}
--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -125,8 +125,7 @@
 	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
 	c.t.Cleanup(t.server.Close)
 	gate := freeAddress(c.t)
-	host, port, _ := net.SplitHostPort(gate)
-	_ = host
+	port := portOf(gate)
 	// Members find each other's gate by its port, so each needs an address of
 	// its own: 127.0.0.N with one port for all.
 	memberCount.Lock()
--- a/router/fleetdaemon/relay_test.go
+++ b/router/fleetdaemon/relay_test.go
@@ -108,7 +108,6 @@
 // Guards against keys that are lost with their target, or that two targets
 // serve at once.
 func TestKeysOfLostTargetMove(t *testing.T) {
-	is := is.New(t)
 	keyed, plain, _ := serving(t)
 	keyed[0].mu.Lock()
 	keyed[0].silent = true
@@ -123,7 +122,6 @@
 		}
 		return true
 	})
-	is.True(true)
 }
 
 // Guards against a planned stop that cuts a request in progress.
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -230,7 +230,8 @@
 	t, _ := g.agent.Target()
 	e.Str("request", j.id).Str("service", j.service).Str("route", j.route).Int("rank", j.rank).Str("target", t.ID).Str("outcome", string(r.kind)).
 		Int("status", status).Str("reason", r.reason).Bool("reached", r.reached).Dur("retryAfter", r.retryAfter).
-		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(j.request.Received)).Dur("left", time.Until(j.deadline)).Dur("objective", time.Until(j.objective)).Bool("eager", j.eager).
+		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(j.request.Received)).
+		Dur("left", time.Until(j.deadline)).Dur("objective", time.Until(j.objective)).Bool("eager", j.eager).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
 		Uint64("version", j.version).Msg("request left the gate")
 	count("gate", string(r.kind))
--- a/router/relay/job.go
+++ b/router/relay/job.go
@@ -120,11 +120,15 @@
 		reached = "1"
 	}
 	return strings.Join([]string{
-		string(r.kind), r.reason, strconv.FormatInt(r.retryAfter.Milliseconds(), 10), reached,
+		string(r.kind), plain.Replace(r.reason), strconv.FormatInt(r.retryAfter.Milliseconds(), 10), reached,
 		strconv.Itoa(load.Running), strconv.Itoa(load.Limit), strconv.Itoa(load.Queued),
 	}, ";")
 }
 
+// plain keeps what another side sent, as part of an error's text, from ending a
+// field or a header.
+var plain = strings.NewReplacer(";", ",", "\r", " ", "\n", " ")
+
 const resultFields = 7
 
 func decodeResult(text string) (result, bool) {
