Let an operator's move be planned again under its change id

A move that was refused as stale did nothing and is no longer recorded as the change's answer. Ruled out: a change id that is drawn twice. TestMoveIsPlannedAgain fails without the change.

--- a/coord/control/apply.go
+++ b/coord/control/apply.go
@@ -19,12 +19,19 @@
 	res := s.dispatch(e, c)
 	e.commit()
 	res = s.stamp(res)
-	if origin.ChangeID != "" {
+	if origin.ChangeID != "" && !c.replanned(res) {
 		s.changes.add(changeRecord{ID: origin.ChangeID, Digest: digest, Result: res})
 	}
 	return res
 }
 
+// replanned reports whether the leader sends the change again with what it
+// knows now: the owner's epoch, which is no part of the operator's change, had
+// risen. Nothing happened, so that the refusal is not the change's answer.
+func (c Command) replanned(res Result) bool {
+	return c.BeginMove != nil && res.Refusal == RefusedStale
+}
+
 func (s *State) stamp(r Result) Result {
 	r.ConfigRevision = s.documents.last().Revision
 	r.TableRevision = s.tbl.Revision()
