--- a/coord/hold/ledger.go
+++ b/coord/hold/ledger.go
@@ -117,6 +117,11 @@
 	g := Grant{For: d}
 	for _, r := range l.rows {
 		if r.Holder == l.holder && !r.Releasing {
+			if slices.ContainsFunc(a.Holds, func(h ranges.Row) bool { return h.Fence == r.Fence && h.From <= r.From && r.To <= h.To }) {
+				// The target has taken the row. Tokens would fill the answer, of
+				// which targets take 4 KiB.
+				r.Handover = ""
+			}
 			g.Rows = append(g.Rows, r)
 		}
 	}
--- a/coord/hold/ledger_test.go
+++ b/coord/hold/ledger_test.go
@@ -73,3 +73,16 @@
 	l.Announce(clock.At(0), hold.Announcement{})
 	is.Equal(len(l.Released()), 1)
 }
+
+// Guards against grants that outgrow what a target takes: a row that it holds
+// needs no handover token any more.
+func TestTokenIsGivenUntilTaken(t *testing.T) {
+	is := is.New(t)
+	r := row(0, 99, 3)
+	r.Handover = "token"
+	l := hold.New(hold.DefaultConfig(10*time.Second), self)
+	l.SetRows([]ranges.Row{r, {From: 100, To: ranges.LastKey}})
+	l.SetLease(clock.At(0), 4*time.Second)
+	is.Equal(l.Announce(clock.At(0), hold.Announcement{}).Rows[0].Handover, "token")
+	is.Equal(l.Announce(clock.At(0), hold.Announcement{Holds: []ranges.Row{row(0, 99, 3)}}).Rows[0].Handover, "")
+}
