--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -173,14 +173,6 @@
 	return q.usage.busy, capacity
 }
 
-// Wait returns the time until a new request of no urgency would start.
-func (q *Queue) Wait(now clock.Reading) time.Duration {
-	return q.expectedWait(now, Request{Rank: maxRank, Objective: now.Mono + time.Hour})
-}
-
-// maxRank is a rank below that of any route.
-const maxRank = 1 << 10
-
 // fill starts what fits and refuses what can no longer meet its deadline.
 func (q *Queue) fill(now clock.Reading) []Action {
 	var out []Action
--- a/router/logging/bounded.go
+++ b/router/logging/bounded.go
@@ -41,9 +41,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines that were lost so far.
-func (b *Bounded) Dropped() uint64 { return b.dropped.Load() }
-
 // Flush waits until the lines that were written before are out, at most for
 // the given time.
 func (b *Bounded) Flush(limit time.Duration) {
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -28,7 +28,6 @@
 	reasonLeft     = "caller left"
 	reasonShed     = "target refused"
 	reasonDial     = "no connection"
-	reasonTimeout  = "time is over"
 	reasonBroken   = "answer broke off"
 	reasonForeign  = "answer without signature"
 )
