Bound the rows of one target and the bytes of a grant

Cause: rows were split but never merged, and a grant was as long as its rows and tokens. Targets take answers of 4 KiB; a longer one is ignored and the target loses its keys. 128 rows with tokens, as after a drain that leaves one target, take 5.4 KB.

Ruled out: merging rows of one holder under a new fence, since a target may take the keys for new ones and warm up again.

Conclusion: splits are undone or refused at the bound, free neighbours are merged if the holders that are left could not name all rows.

--- a/coord/hold/ledger.go
+++ b/coord/hold/ledger.go
@@ -21,12 +21,17 @@
 	ClockShare float64
 	// MinHold is the shortest grant that is worth giving.
 	MinHold time.Duration
+	// MaxBytes is the room for rows in the answer to an announcement. A row
+	// takes RowBytes and its handover token. Rows that the target has not taken
+	// wait for a later answer if there is no room.
+	MaxBytes, RowBytes int
 }
 
 // DefaultConfig returns the settings for targets whose clocks run at most 2%
-// slow.
+// slow and that take answers of 4 KiB, head included. A row of three numbers
+// has at most 26 bytes while fences are below ten million.
 func DefaultConfig(maxHold time.Duration) Config {
-	return Config{MaxHold: maxHold, ClockShare: 0.02, MinHold: 100 * time.Millisecond}
+	return Config{MaxHold: maxHold, ClockShare: 0.02, MinHold: 100 * time.Millisecond, MaxBytes: 3800, RowBytes: 26}
 }
 
 // Announcement is what a target says of its rows. The fences of Released are
@@ -43,6 +48,8 @@
 	Rows []ranges.Row
 	// For counts from the sending of the announcement. Zero renews nothing.
 	For time.Duration
+	// Deferred is the number of rows that wait for a later grant.
+	Deferred int
 }
 
 // Ledger is the account of one target. It is not safe for concurrent use.
@@ -115,18 +122,39 @@
 		return Grant{}
 	}
 	g := Grant{For: d}
+	g.Rows, g.Deferred = l.fit(a)
+	l.granted, l.until = g.Rows, now.Mono+d
+	return g
+}
+
+// fit returns the rows for the next grant, in order: all that the target has
+// taken, and as many of the others as there is room for.
+func (l *Ledger) fit(a Announcement) (rows []ranges.Row, deferred int) {
+	taken := func(r ranges.Row) bool {
+		return slices.ContainsFunc(a.Holds, func(h ranges.Row) bool { return h.Fence == r.Fence && h.From <= r.From && r.To <= h.To })
+	}
+	room := l.cfg.MaxBytes
 	for _, r := range l.rows {
-		if r.Holder == l.holder && !r.Releasing {
-			if slices.ContainsFunc(a.Holds, func(h ranges.Row) bool { return h.Fence == r.Fence && h.From <= r.From && r.To <= h.To }) {
-				// The target has taken the row. Tokens would fill the answer, of
-				// which targets take 4 KiB.
-				r.Handover = ""
-			}
-			g.Rows = append(g.Rows, r)
+		if r.Holder == l.holder && !r.Releasing && taken(r) {
+			room -= l.cfg.RowBytes
 		}
 	}
-	l.granted, l.until = g.Rows, now.Mono+d
-	return g
+	for _, r := range l.rows {
+		if r.Holder != l.holder || r.Releasing {
+			continue
+		}
+		if taken(r) {
+			// The token is needed once.
+			r.Handover = ""
+		} else if need := l.cfg.RowBytes + len(r.Handover); need <= room {
+			room -= need
+		} else {
+			deferred++
+			continue
+		}
+		rows = append(rows, r)
+	}
+	return rows, deferred
 }
 
 func (l *Ledger) noteReleased(a Announcement) {
--- a/coord/hold/ledger_test.go
+++ b/coord/hold/ledger_test.go
@@ -1,6 +1,8 @@
 package hold_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +88,34 @@
 	is.Equal(l.Announce(clock.At(0), hold.Announcement{}).Rows[0].Handover, "token")
 	is.Equal(l.Announce(clock.At(0), hold.Announcement{Holds: []ranges.Row{row(0, 99, 3)}}).Rows[0].Handover, "")
 }
+
+// Guards against a grant beyond the size that targets take: they ignore it and
+// lose their rows. All rows of a small key space go to one target with tokens.
+func TestLargeHandoverComesInParts(t *testing.T) {
+	is := is.New(t)
+	l := hold.New(hold.DefaultConfig(10*time.Second), self)
+	var rows []ranges.Row
+	for i := range 128 {
+		r := row(uint16(i*512), uint16(i*512+511), uint64(i+1))
+		r.Handover = "0123456789abcdef"
+		rows = append(rows, r)
+	}
+	l.SetRows(rows)
+	l.SetLease(clock.At(0), 4*time.Second)
+	var held []ranges.Row
+	for range 4 {
+		g := l.Announce(clock.At(0), hold.Announcement{Holds: held})
+		size := 0
+		for _, r := range g.Rows {
+			size += len(fmt.Sprintf(`[%d,%d,%d,"%s"],`, r.From, r.To, r.Fence, r.Handover))
+		}
+		is.True(size < 3900)
+		for _, h := range held {
+			is.True(slices.ContainsFunc(g.Rows, func(r ranges.Row) bool { return r.From == h.From }))
+		}
+		is.Equal(len(g.Rows)+g.Deferred, 128)
+		held = g.Rows
+	}
+	is.Equal(len(held), 128)
+	is.True(l.Holds(clock.At(0), 40000))
+}
--- a/coord/ranges/plan.go
+++ b/coord/ranges/plan.go
@@ -56,12 +56,16 @@
 	// MaxMoves bounds the rows that move for balance at once. A moving row is
 	// not served until its next holder announces itself.
 	MaxMoves int
+	// MaxRows bounds the rows of one holder: one grant names them all. Rows
+	// beyond it stay without a holder.
+	MaxRows int
 }
 
-// DefaultConfig suits key spaces of 3 to 40 holders: 128 rows among 3 holders
-// fit a grant of 4 KiB with their handover tokens.
+// DefaultConfig suits key spaces of 1 to 40 holders. A grant of 4 KiB has room
+// for 140 rows of 26 bytes, so that one holder can have all rows of a small
+// key space.
 func DefaultConfig() Config {
-	return Config{Stripes: 8, MinStripes: 128, MaxStripes: 512, Imbalance: 1.2, Busy: 0.6, MaxMoves: 3}
+	return Config{Stripes: 8, MinStripes: 128, MaxStripes: 512, Imbalance: 1.2, Busy: 0.6, MaxMoves: 3, MaxRows: 140}
 }
 
 // Assign gives rows without a holder to the candidates that are furthest below
@@ -71,6 +75,9 @@
 		return rows, false
 	}
 	rows = stripe(slices.Clone(rows), len(candidates), cfg)
+	if len(rows) > cfg.MaxRows*len(candidates) {
+		rows = joinFree(rows)
+	}
 	w := load.weights()
 	b := newBalance(rows, candidates, w)
 	var free []int
@@ -81,12 +88,17 @@
 	}
 	// Heavy rows first: light ones fill the gaps that they leave.
 	slices.SortStableFunc(free, func(i, j int) int { return cmp.Compare(w.of(rows[j]), w.of(rows[i])) })
+	changed := false
 	for _, i := range free {
-		to := b.lightest()
+		to := b.lightest(cfg.MaxRows)
+		if to < 0 {
+			break
+		}
 		rows[i].Holder, rows[i].Fence, rows[i].Releasing = candidates[to].Holder, 0, false
-		b.have[to] += w.of(rows[i])
+		b.add(to, w.of(rows[i]))
+		changed = true
 	}
-	return rows, true
+	return rows, changed
 }
 
 // stripe cuts a key space that nobody ever held.
@@ -146,6 +158,12 @@
 	return rows, false
 }
 
+// maySplit reports whether a key space may get another row. Few holders must be
+// able to hold all rows, since the others may be lost.
+func (cfg Config) maySplit(rows, holders int) bool {
+	return rows < max(cfg.MaxRows, cfg.Stripes*holders*5/4)
+}
+
 // Rebalance asks the most loaded holders to give back what others have room
 // for. It does nothing while earlier moves are under way.
 func Rebalance(rows []Row, candidates []Candidate, load *Load, cfg Config) ([]Row, bool) {
@@ -155,15 +173,21 @@
 	w := load.weights()
 	b := newBalance(rows, candidates, w)
 	out, changed := slices.Clone(rows), false
+	if !cfg.maySplit(len(out)+cfg.MaxMoves, len(candidates)) {
+		out = joinHeld(out)
+	}
 	for range cfg.MaxMoves {
-		from, to := b.heaviest(), b.lightest()
+		from, to := b.heaviest(), b.lightest(cfg.MaxRows)
+		if to < 0 {
+			break
+		}
 		overloaded := candidates[from].Busy >= cfg.Busy && b.have[from] >= cfg.Imbalance*b.share[from]
 		empty := b.have[to] < emptyShare*b.share[to]
 		if !overloaded && !empty {
 			break
 		}
 		room := min(b.have[from]-b.share[from], b.share[to]-b.have[to])
-		i, cut, moved := pick(out, candidates[from].Holder, room, w)
+		i, cut, moved := pick(out, candidates[from].Holder, room, w, cfg.maySplit(len(out), len(candidates)))
 		if i < 0 {
 			break
 		}
@@ -172,7 +196,7 @@
 		}
 		out[i].Releasing, changed = true, true
 		b.have[from] -= moved
-		b.have[to] += moved
+		b.add(to, moved)
 	}
 	if !changed {
 		return rows, false
@@ -188,8 +212,8 @@
 const minMove = 0.005
 
 // pick returns the row of a holder whose load, or the load of its first part
-// up to cut, is nearest to room without exceeding it.
-func pick(rows []Row, h Holder, room float64, w *Load) (index int, cut uint16, moved float64) {
+// up to cut if the row may be split, is nearest to room without exceeding it.
+func pick(rows []Row, h Holder, room float64, w *Load, split bool) (index int, cut uint16, moved float64) {
 	index = -1
 	for i, r := range rows {
 		if r.Holder != h || r.Releasing {
@@ -201,9 +225,10 @@
 			if sum > room {
 				break
 			}
-			if sum > moved && sum >= minMove {
+			whole := b == Bucket(r.To)
+			if sum > moved && sum >= minMove && (split || whole) {
 				index, moved, cut = i, sum, 0
-				if b < Bucket(r.To) {
+				if !whole {
 					cut = uint16((b + 1) * bucketKeys)
 				}
 			}
@@ -211,46 +236,3 @@
 	}
 	return index, cut, moved
 }
-
-// balance compares what candidates hold with their shares.
-type balance struct{ have, share []float64 }
-
-func newBalance(rows []Row, candidates []Candidate, w *Load) *balance {
-	b := &balance{have: make([]float64, len(candidates)), share: make([]float64, len(candidates))}
-	sum := 0.0
-	capacity := capacities(candidates)
-	for _, c := range capacity {
-		sum += c
-	}
-	at := map[Holder]int{}
-	for i, c := range candidates {
-		b.share[i] = capacity[i] / sum
-		at[c.Holder] = i
-	}
-	for _, r := range rows {
-		if i, ok := at[r.Holder]; ok && !r.Releasing {
-			b.have[i] += w.of(r)
-		}
-	}
-	return b
-}
-
-func (b *balance) lightest() int {
-	best := 0
-	for i := range b.have {
-		if b.have[i]/b.share[i] < b.have[best]/b.share[best] {
-			best = i
-		}
-	}
-	return best
-}
-
-func (b *balance) heaviest() int {
-	best := 0
-	for i := range b.have {
-		if b.have[i]/b.share[i] > b.have[best]/b.share[best] {
-			best = i
-		}
-	}
-	return best
-}
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -108,6 +108,9 @@
 	}
 	released := len(a.ledger.Released())
 	g := a.ledger.Announce(now, r.Rows)
+	if g.Deferred > 0 {
+		a.log.Warn().Str("target", t.id).Int("rows", len(g.Rows)).Int("deferred", g.Deferred).Msg("grant has no room for all rows")
+	}
 	if after := a.member(now.Mono); after != before || len(a.ledger.Released()) != released {
 		if after != before {
 			a.log.Info().Str("target", t.id).Int64("life", t.life).Str("condition", string(after.Condition)).
