Add settings, a command and operator verbs for routing by document

The processes that route by document could only be started by a program that embeds them. Now 'bramleyquay fleet run FILE' reads checked settings (JSON with comments), targets announce themselves over HTTP on a listener of the process, and 'bqctl fleet' has the verbs status, document, apply, drain and return over the peer listeners.

strictjson reads fractions. A process may listen on another address than the one that others dial.

--- a/router/bqctl/command.go
+++ b/router/bqctl/command.go
@@ -27,4 +27,6 @@
 
 	Automation automationCommand `cmd:"" help:"Turn automatic actions on or off; decide on pending ones."`
 	Control    controlCommand    `cmd:"" help:"Add, promote or remove control replicas."`
+
+	Fleet fleetCommand `cmd:"" help:"Operate a cluster that routes by document and grants ranges of keys."`
 }
--- a/router/bqctl/document.go
+++ b/router/bqctl/document.go
@@ -22,18 +22,30 @@
 	return s.printJSON(map[string]any{"findings": findings, "exitCode": ExitDone})
 }
 
-// readDocument reads a file and prints its findings. It fails if the document
-// must not be applied.
-func (s *session) readDocument(file string) (string, []settings.Finding, error) {
+// maxDocumentBytes bounds a document from the standard input.
+const maxDocumentBytes = 4 << 20
+
+// readText reads a file, or the standard input if it is named -.
+func (s *session) readText(file string) ([]byte, error) {
 	var text []byte
 	var err error
 	if file == "-" {
-		text, err = io.ReadAll(io.LimitReader(s.env.Stdin, 4<<20))
+		text, err = io.ReadAll(io.LimitReader(s.env.Stdin, maxDocumentBytes))
 	} else {
 		text, err = os.ReadFile(file)
 	}
 	if err != nil {
-		return "", nil, invalid("cannot read the document: " + err.Error())
+		return nil, invalid("cannot read the document: " + err.Error())
+	}
+	return text, nil
+}
+
+// readDocument reads a file and prints its findings. It fails if the document
+// must not be applied.
+func (s *session) readDocument(file string) (string, []settings.Finding, error) {
+	text, err := s.readText(file)
+	if err != nil {
+		return "", nil, err
 	}
 	_, findings := document.Parse(file, text)
 	for _, f := range findings {
--- /dev/null
+++ b/router/bqctl/fleet_test.go
@@ -0,0 +1,83 @@
+package bqctl
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/fleetdaemon"
+	"bramleyquay.example/router/logging"
+)
+
+// fleetReplica starts a control group of one.
+func fleetReplica(t *testing.T, secret string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close() // the port is taken again at once
+	d, err := fleetdaemon.New(fleetdaemon.Config{
+		Cluster: "test", Peer: address, Secret: []byte(secret), Seeds: []string{address}, StopTimeout: time.Second,
+		Lease:   fleetdaemon.Lease{AnnounceInterval: time.Second, MaxHold: 10 * time.Second},
+		Control: &fleetdaemon.Control{Folder: t.TempDir(), Founders: []string{address}},
+	}, logging.New(io.Discard, "error", false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = d.Run(ctx) }() // ends with the test
+	return address
+}
+
+// Guards against verbs that do not reach the control group, against documents
+// with findings that are sent, and against a change on an old version.
+func TestFleetVerbs(t *testing.T) {
+	is := is.New(t)
+	const secret = "0123456789abcdef"
+	folder := t.TempDir()
+	secretFile := filepath.Join(folder, "secret")
+	is.NoErr(os.WriteFile(secretFile, []byte(secret), 0o600))
+	replica := fleetReplica(t, secret)
+	run := func(args ...string) (int, string) {
+		var out bytes.Buffer
+		args = append([]string{"--secret-file", secretFile, "fleet", "--replica", replica}, args...)
+		code := Run(context.Background(), args, Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" }})
+		return code, out.String()
+	}
+	code, out := run("apply", "../../examples/ranges/routes.hujson")
+	is.Equal(code, ExitDone)
+	is.True(strings.Contains(out, "version 1 is in force"))
+	code, out = run("document")
+	is.Equal(code, ExitDone)
+	is.True(strings.Contains(out, "seats.example"))
+	code, out = run("status")
+	is.Equal(code, ExitDone)
+	is.True(strings.Contains(out, "document version 1"))
+	is.True(strings.Contains(out, "voter"))
+
+	code, _ = run("apply", "--base=7", "../../examples/ranges/routes.hujson")
+	is.Equal(code, ExitConflict)
+	code, out = run("apply", "../../examples/ranges/routes.hujson")
+	is.Equal(code, ExitInvalid) // the version must rise
+	is.True(strings.Contains(out, "above 1"))
+	wrong := filepath.Join(folder, "wrong")
+	is.NoErr(os.WriteFile(wrong, []byte(`{"version": 2, "rules": []}`), 0o600))
+	code, out = run("apply", wrong)
+	is.Equal(code, ExitInvalid)
+	is.True(strings.Contains(out, "rules"))
+	code, _ = run("drain", "nowhere")
+	is.Equal(code, ExitInvalid)
+	code, _ = run("return", "nowhere")
+	is.Equal(code, ExitDone)
+}
--- a/router/daemon/main.go
+++ b/router/daemon/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"bramleyquay.example/router/fleetcmd"
 	"bramleyquay.example/router/logging"
 	"bramleyquay.example/router/settings"
 )
@@ -26,6 +27,7 @@
 type commands struct {
 	Run     runCommand       `cmd:"" default:"withargs" help:"Run the process until SIGTERM; a second SIGTERM ends it at once."`
 	Check   checkCommand     `cmd:"" help:"Check a settings file and report every finding."`
+	Fleet   fleetCommand     `cmd:"" help:"The same for processes that route by document and grant ranges of keys."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
@@ -37,6 +39,16 @@
 	File string `arg:"" help:"Settings file, JSON with comments."`
 }
 
+type fleetCommand struct {
+	Run   fleetRunCommand `cmd:"" default:"withargs" help:"Run the process until SIGTERM. It logs to the standard output."`
+	Check checkCommand    `cmd:"" help:"Check a settings file and report every finding."`
+}
+
+type fleetRunCommand struct {
+	File  string `arg:"" help:"Settings file, JSON with comments."`
+	Found bool   `help:"Found the control group with the other seeds; for the very first start of the cluster."`
+}
+
 // Main runs the daemon's command line and returns its exit code.
 func Main(args []string, out, errs io.Writer) int {
 	var cmds commands
@@ -57,8 +69,13 @@
 		_, _ = fmt.Fprintln(errs, "bramleyquay:", err) // the exit code tells as well
 		return exitInvalid
 	}
-	if ctx.Command() == "check <file>" {
+	switch ctx.Command() {
+	case "check <file>":
 		return check(cmds.Check.File, out, errs)
+	case "fleet run <file>":
+		return fleetcmd.Run(cmds.Fleet.Run.File, cmds.Fleet.Run.Found, out, errs)
+	case "fleet check <file>":
+		return fleetcmd.Check(cmds.Fleet.Check.File, out, errs)
 	}
 	return run(cmds.Run.File, errs)
 }
--- a/router/fleetdaemon/config.go
+++ b/router/fleetdaemon/config.go
@@ -23,6 +23,9 @@
 	Cluster string
 	// Peer is the address for other processes; its port is the same everywhere.
 	Peer string
+	// ListenPeer is listened on in place of Peer if it is set, for a process
+	// behind a forwarder.
+	ListenPeer string
 	// TrustNetwork accepts peers without a shared secret. It is for networks
 	// that nobody else reaches. Without it Secret is needed.
 	TrustNetwork bool
@@ -72,8 +75,13 @@
 type Beside struct {
 	DataCentre string
 	// Caller is the address for callers, Gate the one for peers' requests; the
-	// port of Gate is the same everywhere.
+	// port at which others reach the gate is the same everywhere.
 	Caller, Gate string
+	// GatePort is that port if it is not the one of Gate; zero else.
+	GatePort int
+	// Announce is the address for announcements of the target over HTTP. Empty
+	// leaves them to the program that embeds the daemon.
+	Announce string
 	// Target and Service are the target's address and service.
 	Target, Service string
 	Names           relay.Names
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -1,10 +1,12 @@
 package fleetdaemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +75,7 @@
 			return nil, err
 		}
 	}
-	l, err := peer.Listen(cfg.Peer, cfg.Secret, nil, logging.Part(logs, "peer"), func(c net.Conn) {
+	l, err := peer.Listen(cmp.Or(cfg.ListenPeer, cfg.Peer), cfg.Secret, nil, logging.Part(logs, "peer"), func(c net.Conn) {
 		d.server.ServeConn(d.life, c)
 	})
 	d.listener = l
@@ -90,7 +92,7 @@
 		Address: b.Target, IDHeader: b.Names.RequestID, DialTimeout: targetDialTimeout, MaxIdle: targetIdle, MaxBody: maxBody,
 	})
 	gate := relay.NewGate(d.agent, b.Names, target, logging.Part(logs, "gate"))
-	ingress := relay.NewIngress(relay.IngressConfig{Names: b.Names, GateAddress: gateAddress(b.Gate), Budget: b.Budget},
+	ingress := relay.NewIngress(relay.IngressConfig{Names: b.Names, GateAddress: gateAddress(b.Gate, b.GatePort), Budget: b.Budget},
 		d.agent, gate, logging.Part(logs, "ingress"))
 	edgeLog := logging.Part(logs, "edge")
 	d.callers = edge.New(ingress, d.callerLimits, edgeLog)
@@ -99,6 +101,11 @@
 	if err := d.callers.Listen(b.Caller); err != nil {
 		return Error.Wrap(err)
 	}
+	if b.Announce != "" {
+		if err := d.listenAnnounce(b.Announce); err != nil {
+			return err
+		}
+	}
 	return Error.Wrap(d.gates.Listen(b.Gate))
 }
 
@@ -113,9 +120,12 @@
 )
 
 // gateAddress returns the addresses of the gates of other processes: their
-// host with this process's gate port.
-func gateAddress(own string) func(string) string {
+// host with the common gate port, by default this process's.
+func gateAddress(own string, common int) func(string) string {
 	_, port, _ := net.SplitHostPort(own) // checked when it was listened on
+	if common != 0 {
+		port = strconv.Itoa(common)
+	}
 	return func(process string) string {
 		host, _, err := net.SplitHostPort(process)
 		if err != nil {
--- /dev/null
+++ b/router/fleetsettings/config.go
@@ -0,0 +1,30 @@
+package fleetsettings
+
+import (
+	"time"
+
+	"bramleyquay.example/router/fleetdaemon"
+	"bramleyquay.example/router/relay"
+)
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Config returns the configuration of the process.
+func (s *Settings) Config() fleetdaemon.Config {
+	cfg := fleetdaemon.Config{
+		Cluster: s.Cluster, Peer: s.Peer, ListenPeer: s.Listen.Peer, TrustNetwork: s.TrustNetwork, Secret: s.Secret.Bytes(), Seeds: s.Seeds,
+		Metrics: s.Listen.Metrics, StopTimeout: ms(s.ShutdownTimeoutMs), MemoryBytes: s.MemoryMB << 20,
+		Lease: fleetdaemon.Lease{AnnounceInterval: ms(s.Lease.AnnounceIntervalMs), MaxHold: ms(s.Lease.MaxHoldMs)},
+	}
+	if s.IsBeside() {
+		cfg.Beside = &fleetdaemon.Beside{
+			DataCentre: s.Target.DataCentre, Caller: s.Listen.Caller, Gate: s.Listen.Gate, GatePort: s.Listen.GatePort,
+			Announce: s.Listen.Target, Target: s.Target.Address, Service: s.Target.Service,
+			Names: relay.DefaultNames, Budget: relay.BudgetConfig{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
+		}
+	}
+	if s.IsReplica() {
+		cfg.Control = &fleetdaemon.Control{Folder: s.Control.DataFolder, Losses: s.Control.Losses}
+	}
+	return cfg
+}
--- /dev/null
+++ b/router/fleetsettings/settings_test.go
@@ -0,0 +1,83 @@
+package fleetsettings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/fleetsettings"
+)
+
+func folder(t *testing.T) string {
+	f := t.TempDir()
+	if err := os.Mkdir(filepath.Join(f, "data"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(f, "secret"), []byte("0123456789abcdef\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// Guards against examples that operators copy and that are refused.
+func TestExamplesHaveNoFindings(t *testing.T) {
+	is := is.New(t)
+	f := folder(t)
+	for _, name := range []string{"member", "replica"} {
+		text, err := os.ReadFile("../../examples/ranges/" + name + ".hujson")
+		is.NoErr(err)
+		copied := filepath.Join(f, name)
+		is.NoErr(os.WriteFile(copied, text, 0o600))
+		s, findings, err := fleetsettings.Load(copied)
+		is.NoErr(err)
+		is.Equal(len(findings), 0)
+		cfg := s.Config()
+		is.Equal(string(cfg.Secret), "0123456789abcdef")
+		is.Equal(cfg.Lease.MaxHold, 10*time.Second)
+		is.Equal(cfg.Beside != nil, name == "member")
+		is.Equal(cfg.Control != nil, name == "replica")
+	}
+}
+
+// Guards against settings with which a process starts and then cannot work, and
+// against a check that ends with the first fault.
+func TestFindings(t *testing.T) {
+	for want, text := range map[string]string{
+		"cluster":                  `"cluster": ""`,
+		"secretFile":               `"secretFile": ""`,
+		"peer":                     `"peer": "host:1"`,
+		"seeds":                    `"seeds": []`,
+		"listen.gate":              `"listen": {"caller": "127.0.0.1:1", "target": "127.0.0.1:2"}`,
+		"control.losses":           `"control": {"dataFolder": "data", "losses": -1}`,
+		"control.dataFolder":       `"control": {"dataFolder": "nowhere"}`,
+		"lease.maxHoldMs":          `"lease": {"announceIntervalMs": 5000, "maxHoldMs": 1000}`,
+		"logLevel":                 `"logLevel": "loud"`,
+		"lease.announceIntervalMs": `"lease": {"announceIntervalMs": 0}`,
+		"listen.gatePort":          `"listen": {"caller": "127.0.0.1:1", "target": "127.0.0.1:2", "gate": "127.0.0.1:3", "gatePort": 70000}`,
+	} {
+		is := is.New(t)
+		file := filepath.Join(folder(t), "settings")
+		base := map[string]string{
+			"cluster": `"cluster": "c"`, "secretFile": `"secretFile": "secret"`, "peer": `"peer": "127.0.0.1:9"`,
+			"seeds":  `"seeds": ["127.0.0.2:9"]`,
+			"target": `"target": {"dataCentre": "a", "service": "s", "address": "127.0.0.1:5"}`,
+			"listen": `"listen": {"caller": "127.0.0.1:1", "target": "127.0.0.1:2", "gate": "127.0.0.1:3"}`,
+		}
+		key, _, _ := strings.Cut(strings.TrimPrefix(text, `"`), `"`)
+		base[key] = text
+		var parts []string
+		for _, p := range base {
+			parts = append(parts, p)
+		}
+		is.NoErr(os.WriteFile(file, []byte("{"+strings.Join(parts, ",\n")+"}"), 0o600))
+		_, findings, err := fleetsettings.Load(file)
+		is.NoErr(err)
+		if len(findings) != 1 || findings[0].Path != want {
+			t.Errorf("%s: findings %v", text, findings)
+		}
+	}
+}
--- a/router/harness/forwarder.go
+++ b/router/harness/forwarder.go
@@ -7,22 +7,27 @@
 	"time"
 )
 
-// Forwarder passes TCP connections on to another address and can lose what it
-// is given, in one direction or both, without closing anything: like a network
-// that has been cut.
+// Forwarder passes TCP connections on to another address. It can lose what it
+// is given, in one direction or both, without closing anything, like a network
+// that has been cut, delay it, and reset connections.
 type Forwarder struct {
 	listener net.Listener
 	to       string
 	// there and back say that bytes of that direction are lost.
 	there, back atomic.Bool
+	// delay is added to each read, in nanoseconds.
+	delay atomic.Int64
 
 	mu    sync.Mutex
 	conns []net.Conn
 }
 
 // NewForwarder listens on a free port and forwards to an address.
-func NewForwarder(to string) (*Forwarder, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewForwarder(to string) (*Forwarder, error) { return NewForwarderAt("127.0.0.1:0", to) }
+
+// NewForwarderAt listens on an address and forwards to another one.
+func NewForwarderAt(listen, to string) (*Forwarder, error) {
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
@@ -59,6 +64,7 @@
 		buffer := make([]byte, 32<<10)
 		for {
 			n, err := src.Read(buffer)
+			time.Sleep(time.Duration(f.delay.Load()))
 			if n > 0 && !lost.Load() {
 				if _, werr := dst.Write(buffer[:n]); werr != nil {
 					err = werr
@@ -82,8 +88,25 @@
 	f.back.Store(back)
 }
 
-// Heal ends a cut.
+// Delay adds a time to each piece that is forwarded from now on.
+func (f *Forwarder) Delay(d time.Duration) { f.delay.Store(int64(d)) }
+
+// Reset resets all connections.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // without it, Close would be orderly
+		}
+		_ = c.Close() // it was reset
+	}
+	f.conns = nil
+}
+
+// Heal ends a cut and a delay.
 func (f *Forwarder) Heal() {
+	f.Delay(0)
 	f.mu.Lock()
 	for _, c := range f.conns {
 		_ = c.Close() // it has lost bytes
--- a/router/relay/names.go
+++ b/router/relay/names.go
@@ -31,6 +31,12 @@
 	Load string
 }
 
+// DefaultNames are the headers of the product's own targets and callers.
+var DefaultNames = Names{
+	RequestID: "Bq-Request-Id", DeadlineMs: "Bq-Timeout-Ms", Key: "Bq-Key", Target: "Bq-Target", Caller: "Bq-Caller",
+	NotRun: "Bq-Not-Run", Signature: "Bq-Signature", Load: "Bq-Load",
+}
+
 // headerHop carries the routing decision from the ingress to the gate, and the
 // outcome back.
 const headerHop = "Bq-Hop"
--- a/router/strictjson/decode_test.go
+++ b/router/strictjson/decode_test.go
@@ -78,3 +78,18 @@
 	_, found := Decode([]byte("{"+strings.Repeat(`"x":1,`, 100_000)+"}"), &out)
 	is.Equal(len(found), maxFindings)
 }
+
+// Guards against fractions that are refused, rounded or read from text.
+func TestDecodeFractions(t *testing.T) {
+	is := is.New(t)
+	var out struct {
+		Ratio float64 `json:"ratio"`
+	}
+	_, found := Decode([]byte(`{"ratio": 0.25}`), &out)
+	is.Equal(len(found), 0)
+	is.Equal(out.Ratio, 0.25)
+	for _, text := range []string{`{"ratio": "0.25"}`, `{"ratio": 1e999}`} {
+		_, found = Decode([]byte(text), &out)
+		is.Equal(len(found), 1)
+	}
+}
--- a/router/strictjson/decoder.go
+++ b/router/strictjson/decoder.go
@@ -110,6 +110,10 @@
 }
 
 func (d *decoder) number(path string, v *hujson.Value, out reflect.Value) {
+	if out.CanFloat() {
+		d.fraction(path, v, out)
+		return
+	}
 	want := "a whole number"
 	if strings.HasSuffix(path, "Ms") {
 		want = "a whole number of milliseconds"
@@ -130,6 +134,20 @@
 	d.report(path, "number is out of range: expected "+rangeOf(out))
 }
 
+func (d *decoder) fraction(path string, v *hujson.Value, out reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		d.mismatch(path, "a number", v)
+		return
+	}
+	n, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil || out.OverflowFloat(n) {
+		d.report(path, "number is out of range")
+		return
+	}
+	out.SetFloat(n)
+}
+
 // wholeNumber reads integers in any notation, such as 1e3. It refuses values
 // that a float64 cannot hold exactly.
 func wholeNumber(literal string, n float64) (int64, bool) {
