Free the keys of a target that died or is cut off from its process

Cause: rows that are asked back were released by announcements of the target only. A target that is silent while its process lives, and so renews the lease, kept its rows for ever: it refuses one connection, counts as gone, its rows are asked back, and nobody connects to it again. Found by 'make demo': not all keys were served 20 s after a target was killed.

Ruled out: the loss of the replica beside it; the new leader asked for the rows 50 ms after it was elected.

Now the ledger knows when every grant has certainly run out, the target's slow clock and grants of an earlier life of the process included. From then on rows count as released without a token, and a silent target of a service with keys as gone. Tests fail before: TestSilentTargetLosesItsRows, TestKeysOfSilentTargetMove (60 s).

--- a/coord/hold/ledger.go
+++ b/coord/hold/ledger.go
@@ -60,8 +60,10 @@
 	leaseEnd time.Duration
 	granted  []ranges.Row
 	until    time.Duration
-	released map[key]fleet.Released
-	unlisted map[key]int
+	// heldUntil is the time from which the target certainly holds nothing.
+	heldUntil time.Duration
+	released  map[key]fleet.Released
+	unlisted  map[key]int
 }
 
 // key names one row at one fence.
@@ -77,9 +79,41 @@
 // have been sent before the answer that left the row out.
 const quietAnnouncements = 2
 
-// New returns the ledger of a holder.
-func New(cfg Config, h ranges.Holder) *Ledger {
-	return &Ledger{cfg: cfg, holder: h, released: map[key]fleet.Released{}, unlisted: map[key]int{}}
+// New returns the ledger of a holder that announces itself now. An earlier
+// life of the process may have granted rows to it just before.
+func New(cfg Config, h ranges.Holder, now clock.Reading) *Ledger {
+	l := &Ledger{cfg: cfg, holder: h, released: map[key]fleet.Released{}, unlisted: map[key]int{}}
+	l.mayHold(now, cfg.MaxHold)
+	return l
+}
+
+// mayHold notes a grant. The target's clock may be slow.
+func (l *Ledger) mayHold(now clock.Reading, d time.Duration) {
+	l.heldUntil = max(l.heldUntil, now.Mono+time.Duration(float64(d)*(1+l.cfg.ClockShare)))
+}
+
+// HoldsNothing reports whether every grant has certainly run out. A target
+// that has ended, or is cut off from its process, cannot give rows back.
+func (l *Ledger) HoldsNothing(now clock.Reading) bool { return now.Mono >= l.heldUntil }
+
+// Keyed reports whether the target's service has a key space.
+func (l *Ledger) Keyed() bool { return len(l.rows) > 0 }
+
+// Expire counts the rows that are asked back as released, without a handover
+// token, if the target holds nothing any more. It returns their number.
+func (l *Ledger) Expire(now clock.Reading) int {
+	if !l.HoldsNothing(now) {
+		return 0
+	}
+	n := 0
+	for _, r := range l.rows {
+		if _, done := l.released[keyOf(r)]; done || r.Holder != l.holder || !r.Releasing {
+			continue
+		}
+		l.released[keyOf(r)] = fleet.Released{Row: r}
+		n++
+	}
+	return n
 }
 
 // Holder returns the target that the ledger is about.
@@ -124,6 +158,7 @@
 	g := Grant{For: d}
 	g.Rows, g.Deferred = l.fit(a)
 	l.granted, l.until = g.Rows, now.Mono+d
+	l.mayHold(now, d)
 	return g
 }
 
--- a/coord/hold/ledger_test.go
+++ b/coord/hold/ledger_test.go
@@ -20,7 +20,7 @@
 }
 
 func ledger() *hold.Ledger {
-	l := hold.New(hold.DefaultConfig(10*time.Second), self)
+	l := hold.New(hold.DefaultConfig(10*time.Second), self, clock.At(0))
 	l.SetRows([]ranges.Row{row(0, 99, 3), {From: 100, To: ranges.LastKey}})
 	return l
 }
@@ -82,7 +82,7 @@
 	is := is.New(t)
 	r := row(0, 99, 3)
 	r.Handover = "token"
-	l := hold.New(hold.DefaultConfig(10*time.Second), self)
+	l := hold.New(hold.DefaultConfig(10*time.Second), self, clock.At(0))
 	l.SetRows([]ranges.Row{r, {From: 100, To: ranges.LastKey}})
 	l.SetLease(clock.At(0), 4*time.Second)
 	is.Equal(l.Announce(clock.At(0), hold.Announcement{}).Rows[0].Handover, "token")
@@ -93,7 +93,7 @@
 // lose their rows. All rows of a small key space go to one target with tokens.
 func TestLargeHandoverComesInParts(t *testing.T) {
 	is := is.New(t)
-	l := hold.New(hold.DefaultConfig(10*time.Second), self)
+	l := hold.New(hold.DefaultConfig(10*time.Second), self, clock.At(0))
 	var rows []ranges.Row
 	for i := range 128 {
 		r := row(uint16(i*512), uint16(i*512+511), uint64(i+1))
@@ -119,3 +119,29 @@
 	is.Equal(len(held), 128)
 	is.True(l.Holds(clock.At(0), 40000))
 }
+
+// Guards against rows that stay with a target which has died or is cut off
+// from its process, and against their release while it may still hold them.
+func TestSilentTargetLosesItsRows(t *testing.T) {
+	is := is.New(t)
+	l := ledger()
+	asked := row(0, 99, 3)
+	asked.Releasing = true
+	l.SetLease(clock.At(0), 4*time.Second)
+	g := l.Announce(clock.At(0), hold.Announcement{})
+	is.Equal(len(g.Rows), 1)
+	l.SetRows([]ranges.Row{asked, {From: 100, To: ranges.LastKey}})
+	// A grant of an earlier life of the process may run for the longest hold.
+	is.Equal(l.Expire(clock.At(10*time.Second)), 0)
+	is.Equal(l.Expire(clock.At(11*time.Second)), 1)
+	is.Equal(l.Expire(clock.At(11*time.Second)), 0)
+	is.Equal(len(l.Released()), 1)
+
+	l = ledger()
+	l.SetLease(clock.At(20*time.Second), 4*time.Second)
+	g = l.Announce(clock.At(21*time.Second), hold.Announcement{})
+	l.SetRows([]ranges.Row{asked, {From: 100, To: ranges.LastKey}})
+	slow := time.Duration(float64(g.For) * 1.02) // by the target's clock
+	is.True(!l.HoldsNothing(clock.At(21*time.Second + slow - time.Millisecond)))
+	is.True(l.HoldsNothing(clock.At(24 * time.Second)))
+}
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -168,6 +168,7 @@
 func (a *Agent) renewal(now time.Duration) fleet.Renewal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expire(now)
 	r := fleet.Renewal{Member: a.member(now), Known: a.view.Load().Known, Ended: a.ended}
 	if a.usage != nil {
 		busy, capacity := a.usage()
@@ -184,7 +185,7 @@
 	m := fleet.Member{Process: a.cfg.Process, DataCentre: a.cfg.DataCentre, Leaving: a.leaving}
 	if t := &a.target; t.id != "" {
 		m.Target, m.Life, m.Service, m.Slots = t.id, t.life, a.cfg.Service, t.slots
-		m.Condition = t.condition(now, a.cfg.AnnounceInterval)
+		m.Condition = a.condition(now)
 	}
 	return m
 }
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -65,20 +65,41 @@
 	// late, so that silence alone says little.
 	silentIntervals = 6
 	// endedIntervals is the same for a target that also refuses connections:
-	// then it has certainly ended.
+	// then it has certainly ended. For one whose grants have run out it is the
+	// silence after which its keys go to others.
 	endedIntervals = 1.5
 )
 
-func (t *target) condition(now, interval time.Duration) fleet.Condition {
+func (t *target) silentFor(now time.Duration, intervals float64, interval time.Duration) bool {
+	return float64(now-t.announced) > intervals*float64(interval)
+}
+
+// condition returns the target's condition.
+func (a *Agent) condition(now time.Duration) fleet.Condition {
+	t, interval := &a.target, a.cfg.AnnounceInterval
 	switch {
 	case t.draining || t.left:
 		return fleet.Draining
-	case t.unreachable, t.unsure, now-t.announced > silentIntervals*interval:
+	case t.unreachable, t.unsure, t.silentFor(now, silentIntervals, interval):
+		return fleet.Gone
+	case a.ledger.Keyed() && a.ledger.HoldsNothing(clock.At(now)) && t.silentFor(now, endedIntervals, interval):
 		return fleet.Gone
 	}
 	return fleet.Ready
 }
 
+// expire gives back the rows of a target that has been silent until all its
+// grants had run out.
+func (a *Agent) expire(now time.Duration) {
+	if a.ledger == nil {
+		return
+	}
+	if n := a.ledger.Expire(clock.At(now)); n > 0 {
+		a.log.Warn().Str("target", a.target.id).Int("rows", n).Dur("silence", now-a.target.announced).
+			Msg("grants have run out; rows count as released")
+	}
+}
+
 // Announce takes an announcement and returns the grant to answer it with.
 func (a *Agent) Announce(r Report) (hold.Grant, Verdict) {
 	now := timesource.Boot()
@@ -128,7 +149,7 @@
 		a.end(a.ledger.Holder(), "another start announced itself")
 	}
 	a.target = target{id: r.ID, life: r.Life}
-	a.ledger = hold.New(a.cfg.Hold, ranges.Holder{Target: r.ID, Life: r.Life, Process: a.cfg.Process})
+	a.ledger = hold.New(a.cfg.Hold, ranges.Holder{Target: r.ID, Life: r.Life, Process: a.cfg.Process}, now)
 	a.ledger.SetRows(a.view.Load().Spaces[a.cfg.Service].Rows)
 	a.log.Info().Str("target", r.ID).Int64("life", r.Life).Int("slots", r.Slots).Dur("at", now.Mono).Msg("target joined")
 }
@@ -172,7 +193,7 @@
 		a.Wake()
 		a.notify()
 	}
-	if refused && float64(now-t.announced) > endedIntervals*float64(a.cfg.AnnounceInterval) {
+	if refused && t.silentFor(now, endedIntervals, a.cfg.AnnounceInterval) {
 		a.end(a.ledger.Holder(), "it refuses connections and is silent")
 		a.target, a.ledger = target{life: t.life}, nil
 		a.Wake()
@@ -238,7 +259,7 @@
 	}
 	return Target{
 		ID: t.id, Slots: t.slots, ColdUntil: cold, Next: t.announced + a.cfg.AnnounceInterval,
-		Accepts: t.condition(now, a.cfg.AnnounceInterval) == fleet.Ready,
+		Accepts: a.condition(now) == fleet.Ready,
 	}, true
 }
 
--- a/router/fleetdaemon/relay_test.go
+++ b/router/fleetdaemon/relay_test.go
@@ -125,6 +125,26 @@
 	})
 }
 
+// Guards against keys that stay with a target that falls silent while its
+// process lives: it cannot give them back, and nobody proves that it has ended.
+func TestKeysOfSilentTargetMove(t *testing.T) {
+	is := is.New(t)
+	keyed, plain, _ := serving(t)
+	keyed[0].mu.Lock()
+	keyed[0].silent = true
+	keyed[0].mu.Unlock()
+	await(t, "service of all keys by the other target", func() bool {
+		for key := 0; key < 65536; key += 997 {
+			status, body, _ := plain[0].call("GET", "/keyed/x", fmt.Sprint("silent", key), map[string]string{"X-Key": fmt.Sprint(key)})
+			if status != 200 || !strings.HasPrefix(body, "k2") {
+				return false
+			}
+		}
+		return true
+	})
+	is.True(!keyed[1].draining)
+}
+
 // Guards against a planned stop that cuts a request in progress.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	is := is.New(t)
