Add a fault soak of real processes

router/soak runs 'bramleyquay fleet' and stand-in targets as processes of their own, with a forwarder in front of each process, and plays faults that overlap: kills, SIGTERM in series, freezes, delays, resets, cuts one way, silence, a lost disk of a replica. It checks that unsafe requests run at most once, that the fences of a key only rise, that 'has not run' is true, that answers are whole and made by a target, that no accepted document is lost or read backwards, and that all keys are served within 20 s of the last fault. Clock steps are not injected: that needs rights that the tests do not have.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MODULES := coord router platform
 BIN := bin
 
-.PHONY: all build fmt-check vet lint test bench slopes faults demo clean
+.PHONY: all build fmt-check vet lint test soak bench slopes faults demo clean
 
 all: build
 
@@ -31,8 +31,17 @@
 
 # Starts a small cluster, breaks it under load and prints what callers saw.
 demo: build
-	cd router && $(GO) build -o ../$(BIN)/ ./examples/standin ./examples/demo
-	$(BIN)/demo --daemon=$(BIN)/bramleyquay --standin=$(BIN)/standin --examples=examples/muscat
+	cd router && $(GO) build -o ../$(BIN)/ ./examples/standin ./examples/rangetarget ./examples/demo
+	$(BIN)/demo --daemon=$(BIN)/bramleyquay --standin=$(BIN)/standin --range-target=$(BIN)/rangetarget --examples=examples/muscat
+
+# Plays faults that overlap on real processes, 18 s a seed: make soak SEED=100
+# SEEDS=50. The logs of seeds that fail stay in the folder KEEP.
+SEED ?= 1
+SEEDS ?= 50
+KEEP ?= /tmp/bramleyquay-soak
+soak:
+	mkdir -p $(KEEP)
+	cd router && $(GO) test -count=1 -timeout 2h ./soak -v -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.keep $(KEEP)
 
 # Measures the cost of the request path and of each decision.
 bench: build
--- /dev/null
+++ b/router/soak/check_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"bramleyquay.example/router/rangetarget"
+)
+
+// run is a request that a target began.
+type run struct {
+	rangetarget.Run
+	target string
+}
+
+// runs reads the run logs of all targets. The last line of a killed target may
+// be cut off.
+func (c *cluster) runs() []run {
+	var out []run
+	for _, m := range c.Members {
+		f, err := os.Open(m.RunLog)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		for lines := bufio.NewScanner(f); lines.Scan(); {
+			r := run{target: m.Name}
+			if json.Unmarshal(lines.Bytes(), &r.Run) == nil {
+				out = append(out, r)
+			}
+		}
+		_ = f.Close() // it was only read
+	}
+	return out
+}
+
+// checkRuns returns what broke a promise: unsafe requests that ran twice,
+// requests that ran though the caller was told that they had not, and keys
+// whose owner ran a request after a later owner had.
+func checkRuns(seen []answer, runs []run) []string {
+	var faults []string
+	count := map[string]int{}
+	for _, r := range runs {
+		count[r.ID]++
+	}
+	for _, a := range seen {
+		if text := a.fault(); text != "" {
+			faults = append(faults, text)
+		}
+		if a.unsafe && count[a.id] > 1 {
+			faults = append(faults, fmt.Sprintf("request %s ran %d times", a.id, count[a.id]))
+		}
+		if a.unsafe && a.notRun && count[a.id] > 0 {
+			faults = append(faults, fmt.Sprintf("request %s has run; the caller was told that it has not (status %d)", a.id, a.status))
+		}
+	}
+	return append(faults, checkOwners(runs)...)
+}
+
+// checkOwners follows the fences of each key through time.
+func checkOwners(runs []run) []string {
+	var faults []string
+	runs = slices.Clone(runs)
+	slices.SortFunc(runs, func(a, b run) int { return cmp.Compare(a.At, b.At) })
+	last := map[uint16]run{}
+	for _, r := range runs {
+		if r.Fence == 0 {
+			continue // its service has no keys
+		}
+		before := last[r.Key]
+		if r.Fence < before.Fence || r.Fence == before.Fence && r.target != before.target {
+			faults = append(faults, fmt.Sprintf("key %d: %s ran %s with fence %d after %s had run %s with fence %d",
+				r.Key, r.target, r.ID, r.Fence, before.target, before.ID, before.Fence))
+		}
+		last[r.Key] = r
+	}
+	return faults
+}
--- /dev/null
+++ b/router/soak/load_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleyquay.example/router/harness"
+	"bramleyquay.example/router/rangetarget"
+	"bramleyquay.example/router/relay"
+)
+
+const (
+	callers        = 12
+	callerPause    = 10 * time.Millisecond
+	requestTimeout = 3 * time.Second
+	probeKeys      = 24
+)
+
+// answer is what a caller saw of one request.
+type answer struct {
+	id     string
+	unsafe bool
+	status int // 0: no whole answer
+	notRun bool
+	body   string
+	signed string
+	err    error
+}
+
+// load is a set of callers that keep their connections until the process at
+// the other end is gone.
+type load struct {
+	c      *cluster
+	client *http.Client
+	mu     sync.Mutex
+	seen   []answer
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+func newLoad(c *cluster, seed uint64) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{c: c, cancel: cancel, client: newHTTPClient()}
+	for i := range callers {
+		l.wait.Go(func() { l.run(ctx, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	return l
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}, Timeout: requestTimeout + time.Second}
+}
+
+func (l *load) run(ctx context.Context, rng *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		member := l.c.Members[rng.IntN(len(l.c.Members))]
+		path := []string{"/view/x", "/buy/x", "/mail/x"}[rng.IntN(3)]
+		a := call(l.client, member, path, fmt.Sprintf("r%d-%d", rng.Uint32(), n), rng.IntN(1<<16))
+		l.mu.Lock()
+		l.seen = append(l.seen, a)
+		l.mu.Unlock()
+		time.Sleep(callerPause)
+	}
+}
+
+// stop ends the load and returns what the callers saw.
+func (l *load) stop() []answer {
+	l.cancel()
+	l.wait.Wait()
+	l.client.CloseIdleConnections()
+	return l.seen
+}
+
+// call sends one request. Unsafe ones have a body that net/http cannot send
+// twice by itself.
+func call(client *http.Client, member *harness.FleetNode, path, id string, key int) answer {
+	a := answer{id: id, unsafe: strings.HasPrefix(path, "/buy/")}
+	method, body := http.MethodGet, io.Reader(nil)
+	if a.unsafe {
+		method, body = http.MethodPost, io.MultiReader(strings.NewReader("pay"))
+	}
+	host := "seats.example"
+	if strings.HasPrefix(path, "/mail/") {
+		host = "mail.example"
+	}
+	r, err := http.NewRequest(method, "http://"+member.Address(harness.FleetCaller)+path, body)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	names := relay.DefaultNames
+	r.Host = host
+	r.Header.Set(names.RequestID, id)
+	r.Header.Set(names.DeadlineMs, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	r.Header.Set(names.Key, strconv.Itoa(key))
+	resp, err := client.Do(r)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }() // it was read to its end
+	text, err := io.ReadAll(resp.Body)
+	a.notRun = resp.Header.Get(names.NotRun) != ""
+	if err != nil {
+		a.err = err
+		return a
+	}
+	a.status, a.body, a.signed = resp.StatusCode, string(text), resp.Header.Get(names.Signature)
+	return a
+}
+
+// fault returns what is wrong with an answer by itself.
+func (a *answer) fault() string {
+	switch {
+	case a.status != http.StatusOK:
+		return ""
+	case a.body != rangetarget.Body(a.id):
+		return fmt.Sprintf("request %s: the answer's body has %d bytes and is not the target's", a.id, len(a.body))
+	case a.signed == "":
+		return fmt.Sprintf("request %s: the answer is no target's", a.id)
+	}
+	return ""
+}
+
+// probe asks every member for keys all over the key space and for the service
+// without keys.
+func (c *cluster) probe(ctx context.Context) error {
+	client := newHTTPClient()
+	defer client.CloseIdleConnections()
+	for _, m := range c.Members {
+		for i := range probeKeys {
+			key := i * (1 << 16) / probeKeys
+			path := "/view/probe"
+			if i == 0 {
+				path = "/mail/probe"
+			}
+			a := call(client, m, path, fmt.Sprintf("probe-%s-%d-%d", m.Name, i, time.Now().UnixNano()), key)
+			if a.status != http.StatusOK {
+				return fmt.Errorf("%s at %s, key %d: status %d, %v", path, m.Name, key, a.status, a.err)
+			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/router/soak/operator_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/router/routefile"
+)
+
+// document returns a routing document; the idle route tells versions apart.
+func document(version uint64) []byte {
+	return fmt.Appendf(nil, `{"version": %d,
+  "limits": {"headerBytes": 16384, "bodyBytes": 65536, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
+  "routes": [
+    {"name": "view", "host": "seats.example", "prefix": "/view/", "kind": "safe", "rank": 2, "objectiveMs": 500, "timeoutMs": 3000, "attempts": 2, "parts": [{"service": "seats", "weight": 1}]},
+    {"name": "buy", "host": "seats.example", "prefix": "/buy/", "kind": "unsafe", "rank": 1, "objectiveMs": 500, "timeoutMs": 3000, "attempts": 2, "parts": [{"service": "seats", "weight": 1}]},
+    {"name": "mail", "host": "mail.example", "prefix": "/mail/", "kind": "safe", "rank": 2, "objectiveMs": 500, "timeoutMs": 3000, "attempts": 2, "parts": [{"service": "mail", "weight": 1}]},
+    {"name": "idle", "host": "idle.example", "prefix": "/%d/", "kind": "safe", "attempts": 1, "parts": [{"service": "mail", "weight": 1}]}
+  ],
+  "services": [{"name": "seats", "sharded": true, "maxConnections": 100}, {"name": "mail", "maxConnections": 100}]}`, version, version)
+}
+
+// apply puts a document in force on a base.
+func (c *cluster) apply(ctx context.Context, text []byte, base uint64) (fleet.Result, error) {
+	d, findings := routefile.Parse(text)
+	if len(findings) > 0 {
+		c.t.Fatalf("the document has findings: %v", findings)
+	}
+	return c.client.Apply(ctx, d, text, base)
+}
+
+// operator changes the document again and again and checks that reads never
+// fall behind what was accepted.
+type operator struct {
+	c        *cluster
+	mu       sync.Mutex
+	accepted uint64
+	faults   []string
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+}
+
+const (
+	operatorPause   = 300 * time.Millisecond
+	operatorTimeout = 2 * time.Second
+)
+
+func newOperator(c *cluster, accepted uint64) *operator {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &operator{c: c, accepted: accepted, cancel: cancel}
+	o.wait.Go(func() { o.run(ctx) })
+	return o
+}
+
+func (o *operator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if version, ok := o.read(ctx); ok {
+			o.change(ctx, version)
+		}
+		select {
+		case <-time.After(operatorPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// read returns the newest version; reads that fail say nothing.
+func (o *operator) read(ctx context.Context) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	_, version, err := o.c.client.Document(ctx)
+	if err != nil {
+		return 0, false
+	}
+	if version < o.accepted {
+		o.faults = append(o.faults, fmt.Sprintf("version %d was read after version %d was accepted", version, o.accepted))
+	}
+	return version, true
+}
+
+func (o *operator) change(ctx context.Context, base uint64) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	result, err := o.c.apply(ctx, document(base+1), base)
+	if err != nil {
+		return // it is not known whether it is in force
+	}
+	if result.Outcome == fleet.Accepted {
+		o.accepted = max(o.accepted, base+1)
+	}
+}
+
+// stop ends the operator and returns the last version that was accepted and
+// what was wrong.
+func (o *operator) stop() (uint64, []string) {
+	o.cancel()
+	o.wait.Wait()
+	return o.accepted, o.faults
+}
--- /dev/null
+++ b/router/soak/soak_test.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"bramleyquay.example/router/daemon"
+	"bramleyquay.example/router/rangetarget"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "first seed")
+	seedCount = flag.Uint64("soak.seeds", 2, "number of seeds")
+	keep      = flag.String("soak.keep", "", "folder that keeps the logs of seeds that failed")
+)
+
+// TestMain lets the test binary act as the programs under test.
+func TestMain(m *testing.M) {
+	switch filepath.Base(os.Args[0]) {
+	case "bramleyquay":
+		os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+	case "rangetarget":
+		os.Exit(rangetarget.Main(os.Args[1:], os.Stderr))
+	}
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	programs = folder
+	code := m.Run()
+	_ = os.RemoveAll(folder) // only links are left
+	os.Exit(code)
+}
+
+var programs string
+
+// programFile returns a link to the test binary under a program's name.
+func programFile(name string) string {
+	file := filepath.Join(programs, name)
+	if _, err := os.Lstat(file); err == nil {
+		return file
+	}
+	self, err := os.Executable()
+	if err == nil {
+		err = os.Symlink(self, file)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return file
+}
+
+// regressions are seeds that failed once, with their cause.
+var regressions = map[uint64]string{}
+
+// Guards against what single faults in a script do not show: payments that run
+// twice, two owners of a key, answers that are cut or untrue, documents that
+// are lost, and keys that stay out of service, under faults that overlap.
+func TestSoak(t *testing.T) {
+	seeds := map[uint64]string{}
+	for seed, cause := range regressions {
+		seeds[seed] = cause
+	}
+	for i := range *seedCount {
+		seeds[*firstSeed+i] = ""
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	c := newCluster(t, seed)
+	defer c.end()
+	defer c.keepLogs(seed)
+	c.begin(document(1))
+	events := plan(c, rng)
+	t.Logf("faults: %v", events)
+	callers, op := newLoad(c, seed), newOperator(c, 1)
+	in := &injector{c: c, down: map[string]int{}, frozen: map[string]int{}}
+	in.play(events)
+	c.await("service of all keys after the faults", c.probe)
+	accepted, faults := op.stop()
+	seen := callers.stop()
+	c.await("the newest document", func(ctx context.Context) error {
+		_, version, err := c.client.Document(ctx)
+		if err == nil && version < accepted {
+			t.Errorf("version %d was accepted and %d is in force", accepted, version)
+		}
+		return err
+	})
+	served := 0
+	for _, a := range seen {
+		if a.status == 200 {
+			served++
+		}
+	}
+	t.Logf("%d of %d requests served, document version %d", served, len(seen), accepted)
+	for _, text := range append(append(faults, in.faults...), checkRuns(seen, c.runs())...) {
+		t.Error(text)
+	}
+}
+
+// keepLogs copies the run's folder if it failed.
+func (c *cluster) keepLogs(seed uint64) {
+	if !c.t.Failed() || *keep == "" {
+		return
+	}
+	to := filepath.Join(*keep, fmt.Sprint("seed-", seed))
+	if err := os.CopyFS(to, os.DirFS(c.Layout.Folder)); err != nil {
+		c.t.Logf("the logs were not kept: %v", err)
+		return
+	}
+	c.t.Logf("logs kept in %s", to)
+}
