--- a/router/examples/demo/demo.go
+++ b/router/examples/demo/demo.go
@@ -45,7 +45,10 @@
 	if err := d.play(ctx); err != nil {
 		return err
 	}
-	return d.report()
+	if err := d.report(); err != nil {
+		return err
+	}
+	return playRanges(ctx, o, folder)
 }
 
 func workFolder(o options) (string, func(), error) {
--- a/router/examples/demo/main.go
+++ b/router/examples/demo/main.go
@@ -14,14 +14,16 @@
 )
 
 // limit bounds the whole demo.
-const limit = 55 * time.Second
+const limit = 100 * time.Second
 
 type options struct {
-	Daemon   string `required:"" help:"The bramleyquay program."`
-	Standin  string `required:"" help:"The stand-in target program."`
-	Examples string `required:"" help:"Folder with document.hujson and process.hujson.tmpl."`
-	Folder   string `help:"Folder for settings, logs and data; a new temporary one by default."`
-	Keep     bool   `help:"Keep the folder."`
+	Daemon  string `required:"" help:"The bramleyquay program."`
+	Standin string `required:"" help:"The stand-in target program."`
+	// RangeTarget is the stand-in for targets that hold ranges of keys.
+	RangeTarget string `required:"" help:"The stand-in target program that holds ranges of keys."`
+	Examples    string `required:"" help:"Folder with document.hujson and process.hujson.tmpl; ranges lies beside it."`
+	Folder      string `help:"Folder for settings, logs and data; a new temporary one by default."`
+	Keep        bool   `help:"Keep the folder."`
 }
 
 func main() {
--- /dev/null
+++ b/router/examples/demo/ranges.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"bramleyquay.example/router/fleetclient"
+	"bramleyquay.example/router/harness"
+	"bramleyquay.example/router/relay"
+	"bramleyquay.example/router/routefile"
+)
+
+const (
+	// rangesNetwork holds the addresses of the cluster's processes.
+	rangesNetwork = "127.9.9"
+	// rangesKeys is the number of keys that are asked for, spread evenly.
+	rangesKeys = 64
+	// rangesBound is the longest wait for service of all keys: a lease of 3.6 s,
+	// the announcement of the next holder, and time for a busy machine.
+	rangesBound = 20 * time.Second
+)
+
+// playRanges shows a cluster that routes by document and grants ranges of keys:
+// it forms from its seeds, moves the keys of a lost target and replaces a
+// control replica that lost its disk.
+func playRanges(ctx context.Context, o options, folder string) error {
+	say("ranges of keys: starting 3 control replicas, 4 targets and the 4 processes beside them")
+	folder = filepath.Join(folder, "ranges")
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	f, err := harness.NewFleet(harness.FleetLayout{
+		Folder: folder, Daemon: o.Daemon, Standin: o.RangeTarget, Network: rangesNetwork, Replicas: 3, Losses: 1,
+		Members: []string{"seats", "seats", "seats", "mail"}, Keyed: []string{"seats"},
+		Interval: 300 * time.Millisecond, MaxHold: 4 * time.Second, StopTimeout: 6 * time.Second, ServiceTime: 2 * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	if err := f.Start(); err != nil {
+		return err
+	}
+	client := fleetclient.New(f.Seeds(), []byte(f.Secret))
+	defer client.Close()
+	if err := applyRoutes(ctx, client, filepath.Join(o.Examples, "..", "ranges", "routes.hujson")); err != nil {
+		return err
+	}
+	entry := f.Members[3]
+	if _, err := served(ctx, entry); err != nil {
+		return err
+	}
+	say("all keys are served; killing the target of %s and wiping the disk of %s", f.Members[0].Name, f.Replicas[0].Name)
+	f.Members[0].Target.Kill()
+	f.Replicas[0].Daemon.Kill()
+	if err := os.RemoveAll(f.Replicas[0].DataFolder); err != nil {
+		return err
+	}
+	if err := os.Mkdir(f.Replicas[0].DataFolder, 0o700); err != nil {
+		return err
+	}
+	if err := f.Replicas[0].Daemon.Start(); err != nil {
+		return err
+	}
+	took, err := served(ctx, entry)
+	if err != nil {
+		return err
+	}
+	say("all keys are served again after %s", took.Round(10*time.Millisecond))
+	return voters(ctx, client)
+}
+
+func applyRoutes(ctx context.Context, client *fleetclient.Client, file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	document, findings := routefile.Parse(text)
+	if len(findings) > 0 {
+		return fmt.Errorf("%s: %v", file, findings)
+	}
+	ctx, cancel := context.WithTimeout(ctx, rangesBound)
+	defer cancel()
+	result, err := client.Apply(ctx, document, text, 0)
+	if err == nil {
+		say("routing document: %s, version %d", result.Outcome, result.Version)
+	}
+	return err
+}
+
+// served waits until keys all over the key space are answered in a row, and
+// returns how long that took.
+func served(ctx context.Context, entry *harness.FleetNode) (time.Duration, error) {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, rangesBound)
+	defer cancel()
+	var err error
+	for good := 0; good < rangesKeys; good++ {
+		if ctx.Err() != nil {
+			return 0, fmt.Errorf("not all keys were served within %s: %w", rangesBound, err)
+		}
+		if err = askKey(ctx, entry, good*(1<<16)/rangesKeys); err != nil {
+			good = -1
+		}
+	}
+	return time.Since(begun), nil
+}
+
+func askKey(ctx context.Context, entry *harness.FleetNode, key int) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.Address(harness.FleetCaller)+"/view/x", nil)
+	if err != nil {
+		return err
+	}
+	names := relay.DefaultNames
+	r.Host = "seats.example"
+	r.Header.Set(names.RequestID, fmt.Sprintf("demo-%d-%d", key, time.Now().UnixNano()))
+	r.Header.Set(names.Key, strconv.Itoa(key))
+	r.Header.Set(names.DeadlineMs, "2000")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }() // only read
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("key %d: status %d", key, resp.StatusCode)
+	}
+	return nil
+}
+
+// voters waits until the group has three voters that the leader hears.
+func voters(ctx context.Context, client *fleetclient.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, rangesBound)
+	defer cancel()
+	for {
+		st, err := client.Status(ctx)
+		if err == nil && len(st.Voters) == 3 && len(st.Learners) == 0 && len(st.Active) >= 3 {
+			say("the control group has replaced the lost replica: voters %v", st.Voters)
+			return nil
+		}
+		if waitErr := wait(ctx, 100*time.Millisecond); waitErr != nil {
+			return fmt.Errorf("the control group did not replace the lost replica within %s: voters %v, %w", rangesBound, st.Voters, err)
+		}
+	}
+}
