--- /dev/null
+++ b/router/relay/log_bench_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleyquay.example/coord/choice"
+	"bramleyquay.example/router/edge"
+	"bramleyquay.example/router/fleetagent"
+	"bramleyquay.example/router/leaderclient"
+	"bramleyquay.example/router/logging"
+)
+
+// counter counts the bytes that are written to it.
+type counter struct{ n atomic.Int64 }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// BenchmarkRequestLines measures what the two lines of a served request cost,
+// the metrics included, for docs/OPERATIONS.md.
+func BenchmarkRequestLines(b *testing.B) {
+	out := &counter{}
+	logs := logging.New(out, "info", false)
+	agent := fleetagent.New(fleetagent.Config{Process: "10.1.0.35:7100", Service: "seats", AnnounceInterval: time.Second}, leaderclient.New(nil, nil), logging.Part(logs, "member"))
+	gate := &Gate{agent: agent, log: logging.Part(logs, "gate")}
+	in := &Ingress{agent: agent, log: logging.Part(logs, "ingress")}
+	now := time.Now()
+	r := &edge.Request{Method: "GET", Host: "seats.example", Path: "/view/12", Received: now}
+	j := &job{id: "9c41d07be2a35f68", service: "seats", route: "seats", sharded: true, key: 4711, request: r, deadline: now.Add(time.Second), objective: now.Add(time.Second)}
+	last := answered(200)
+	last.load = &choice.GateLoad{Running: 3, Queued: 1, Limit: 6}
+	t := &try{job: j, view: agent.View(), process: "10.1.0.36:7100", picks: 1, reached: 1, last: last}
+	resp := &edge.Response{Status: 200}
+	b.ReportAllocs()
+	for b.Loop() {
+		gate.logTry(j, last)
+		in.finish(r, t, resp)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(out.n.Load())/float64(b.N), "bytes/request")
+}
