Serve the connections that are opened or kept during a drain

Cause: a connection without a request in progress was given a read deadline in the past as soon as the server drained, so that new connections were closed without an answer, although callers and peers learn of a planned stop only within 2 s. On a busy connection one more request was read and those sent behind it were lost.

Ruled out: the end of the listeners after 2.2 s; the cuts came within milliseconds of the signal.

Now a drain reads on, and the answer to the last request that was read closes the connection. Closing ends the reading, on busy connections too, and looks out for callers that leave. Tests fail before: TestNewConnectionDuringDrain, TestKeptConnectionDuringDrain.

--- a/router/edge/answer.go
+++ b/router/edge/answer.go
@@ -15,7 +15,7 @@
 			end := c.end(x.last)
 			broken = c.send(r, x.method, end) != nil || end
 			if end && !x.last {
-				_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // ends the wait for more
+				c.endReading()
 			}
 		}
 		c.pending.Add(-1)
--- a/router/edge/conn.go
+++ b/router/edge/conn.go
@@ -85,11 +85,16 @@
 
 func (c *conn) gone() bool { return c.closing.Load() }
 
-// endIfIdle ends the wait for the next request.
-func (c *conn) endIfIdle() {
-	if c.pending.Load() == 0 {
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // a failure shows at the read
-	}
+// endReading ends the wait for the next request.
+func (c *conn) endReading() {
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // a failure shows at the read
+}
+
+// noMore reports whether no further request is to be read.
+func (c *conn) noMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended || c.server.isClosing()
 }
 
 // read reads requests until the connection ends, and reports whether the
@@ -104,12 +109,12 @@
 			}
 			var timeout net.Error
 			if errors.As(err, &timeout) && timeout.Timeout() {
-				return false
+				return c.watch()
 			}
 			c.closing.Store(true)
 			return true
 		}
-		last := r.Header.Get("Connection") == "close" || c.server.isDraining()
+		last := r.Header.Get("Connection") == "close"
 		x := exchange{answer: make(chan *Response, 1), method: r.Method, last: last}
 		if !c.admit() {
 			return false // it crossed the close and was not passed on
@@ -183,8 +188,9 @@
 	if err := c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
 		return nil, 0, err
 	}
-	if c.server.isDraining() && c.pending.Load() == 0 {
-		c.endIfIdle()
+	if c.noMore() {
+		// The deadline above may have replaced the one that ends the reading.
+		c.endReading()
 	}
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, 0, err
--- a/router/edge/edge_test.go
+++ b/router/edge/edge_test.go
@@ -139,6 +139,111 @@
 	}
 }
 
+// Guards against connections that are opened during a drain and closed without
+// an answer: callers and peers learn of a planned stop late.
+func TestNewConnectionDuringDrain(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(context.Context, *edge.Request) *edge.Response { return edge.Text(200, "x") })
+	s.Drain()
+	for range 20 {
+		c, br := dial(t, s)
+		_, err := io.WriteString(c, get("/"))
+		is.NoErr(err)
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		is.True(resp.Close)
+	}
+}
+
+// Guards against a caller's kept connection that a drain closes before its
+// next request, and against requests that are sent behind one which runs when
+// the drain begins and are not read.
+func TestKeptConnectionDuringDrain(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}, 8), make(chan struct{}, 8)
+	s := start(t, func(context.Context, *edge.Request) *edge.Response {
+		entered <- struct{}{}
+		<-release
+		return edge.Text(200, "x")
+	})
+	c, br := dial(t, s)
+	read := func() *http.Response {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		return resp
+	}
+	_, err := io.WriteString(c, get("/"))
+	is.NoErr(err)
+	release <- struct{}{}
+	is.True(!read().Close)
+	<-entered
+	s.Drain()
+	_, err = io.WriteString(c, get("/"))
+	is.NoErr(err)
+	<-entered
+	_, err = io.WriteString(c, get("/")) // behind the one that runs
+	is.NoErr(err)
+	<-entered
+	release <- struct{}{}
+	is.True(!read().Close)
+	release <- struct{}{}
+	is.True(read().Close)
+}
+
+// Guards against a stop that goes on reading requests of a busy connection,
+// and against one that cuts what was read or works on for a caller that left.
+func TestCloseReadsNoMoreAndAnswersTheRest(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan string, 8), make(chan struct{}, 8)
+	cancelled := make(chan struct{})
+	s := start(t, func(ctx context.Context, r *edge.Request) *edge.Response {
+		entered <- r.Path
+		if r.Path == "/left" {
+			<-ctx.Done()
+			close(cancelled)
+			return edge.Text(504, "left")
+		}
+		<-release
+		return edge.Text(200, "x")
+	})
+	idle, idleReader := dial(t, s)
+	_, err := io.WriteString(idle, get("/"))
+	is.NoErr(err)
+	<-entered
+	release <- struct{}{}
+	_, err = http.ReadResponse(idleReader, nil)
+	is.NoErr(err)
+	busy, busyReader := dial(t, s)
+	_, err = io.WriteString(busy, get("/"))
+	is.NoErr(err)
+	<-entered
+	leaver, _ := dial(t, s)
+	_, err = io.WriteString(leaver, get("/left"))
+	is.NoErr(err)
+	<-entered
+
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Close(context.Background())
+	}()
+	_, err = io.Copy(io.Discard, idle) // the rest of its answer, then the end
+	is.NoErr(err)
+	_, _ = io.WriteString(busy, get("/late")) // may fail: it is not read
+	_ = leaver.Close()
+	<-cancelled
+	release <- struct{}{}
+	resp, err := http.ReadResponse(busyReader, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.True(resp.Close)
+	<-ended
+	is.Equal(len(entered), 0)
+}
+
 // Guards against input that ends the server or gets no answer.
 func TestBadInput(t *testing.T) {
 	s := start(t, func(context.Context, *edge.Request) *edge.Response { return edge.Text(200, "x") })
--- a/router/edge/server.go
+++ b/router/edge/server.go
@@ -21,6 +21,7 @@
 	listener net.Listener
 	conns    map[*conn]struct{}
 	draining bool
+	closing  bool
 	empty    chan struct{}
 }
 
@@ -84,8 +85,8 @@
 	}
 }
 
-// Drain makes every connection end after the requests that were read. New
-// connections are still served, one round each.
+// Drain makes every connection, new ones too, end with the answer to the last
+// request that was read by then.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,14 +113,21 @@
 	return n
 }
 
-// Close ends the listener and every idle connection, then waits for the
-// others until ctx ends.
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+// Close ends the listener and every idle connection and reads no further
+// requests, then waits for the answers to the others until ctx ends.
 func (s *Server) Close(ctx context.Context) {
 	_ = s.listener.Close() // a second close changes nothing
 	s.Drain()
 	s.mu.Lock()
+	s.closing = true
 	for c := range s.conns {
-		c.endIfIdle()
+		c.endReading()
 	}
 	s.mu.Unlock()
 	select {
