--- a/router/soak/operator_test.go
+++ b/router/soak/operator_test.go
@@ -36,7 +36,6 @@
 // fall behind what was accepted.
 type operator struct {
 	c        *cluster
-	mu       sync.Mutex
 	accepted uint64
 	faults   []string
 	cancel   context.CancelFunc
