Check in the soak that planned stops cut nothing

A request that begins within 1.5 s of SIGTERM and ends without an answer is a fault, unless something else disturbed the process.

--- a/router/soak/check_rules_test.go
+++ b/router/soak/check_rules_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -41,3 +43,19 @@
 		}
 	}
 }
+
+// Guards against requests that a planned stop cuts unnoticed, and against a
+// fault that is blamed on a stop although the process had been killed.
+func TestCheckOfPlannedStops(t *testing.T) {
+	is := is.New(t)
+	at := time.Now()
+	stop := span{node: "m", planned: true, from: at, to: at.Add(4 * time.Second)}
+	cut := answer{id: "a", node: "m", begun: at.Add(time.Second), ended: at.Add(time.Second), err: io.EOF}
+	is.Equal(len(checkStops([]answer{cut}, []span{stop})), 1)
+	late, other, served := cut, cut, cut
+	late.ended = at.Add(3 * time.Second)
+	other.node = "n"
+	served.err = nil
+	is.Equal(len(checkStops([]answer{late, other, served}, []span{stop})), 0)
+	is.Equal(len(checkStops([]answer{cut}, []span{stop, {node: "m", from: at.Add(-time.Second), to: at}})), 0)
+}
--- a/router/soak/check_test.go
+++ b/router/soak/check_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"time"
 
 	"bramleyquay.example/router/rangetarget"
 )
@@ -79,3 +80,33 @@
 	}
 	return faults
 }
+
+const (
+	// stopNotice is the time after SIGTERM in which a process takes requests: it
+	// promises 2.2 s, less the time of one request on a busy machine.
+	stopNotice = 1500 * time.Millisecond
+	// startTime is the time after another disturbance in which a process may
+	// not listen yet.
+	startTime = 3 * time.Second
+)
+
+// checkStops returns the requests that a planned stop has cut: they began and
+// failed within stopNotice of the signal, and nothing else disturbed the
+// process.
+func checkStops(seen []answer, spans []span) []string {
+	var faults []string
+	for i, s := range spans {
+		disturbed := slices.ContainsFunc(spans, func(o span) bool {
+			return o != spans[i] && o.node == s.node && o.from.Before(s.from.Add(stopNotice)) && o.to.Add(startTime).After(s.from)
+		})
+		if !s.planned || disturbed {
+			continue
+		}
+		for _, a := range seen {
+			if a.node == s.node && a.err != nil && a.begun.After(s.from) && a.ended.Before(s.from.Add(stopNotice)) {
+				faults = append(faults, fmt.Sprintf("request %s was cut %s after SIGTERM of %s: %v", a.id, a.ended.Sub(s.from), s.node, a.err))
+			}
+		}
+	}
+	return faults
+}
--- a/router/soak/faults_test.go
+++ b/router/soak/faults_test.go
@@ -79,6 +79,20 @@
 	down   map[string]int
 	frozen map[string]int
 	faults []string
+	spans  []span
+}
+
+// span is the time in which the process of a node was disturbed.
+type span struct {
+	node     string
+	planned  bool // by SIGTERM alone
+	from, to time.Time
+}
+
+func (in *injector) note(n *harness.FleetNode, planned bool, from time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.spans = append(in.spans, span{n.Name, planned, from, time.Now()})
 }
 
 func (in *injector) play(events []event) {
@@ -124,6 +138,8 @@
 	p := e.victim.Daemon
 	if what == "target" {
 		p = e.victim.Target
+	} else {
+		defer in.note(e.victim, e.kind == "terminate", time.Now())
 	}
 	name := e.victim.Name + " " + what
 	in.mu.Lock()
@@ -165,6 +181,8 @@
 	p, name := e.victim.Daemon, e.victim.Name+" daemon"
 	if e.kind == "target-freeze" {
 		p, name = e.victim.Target, e.victim.Name+" target"
+	} else {
+		defer in.note(e.victim, false, time.Now())
 	}
 	in.mu.Lock()
 	in.frozen[name]++
--- a/router/soak/load_test.go
+++ b/router/soak/load_test.go
@@ -27,11 +27,14 @@
 type answer struct {
 	id     string
 	unsafe bool
-	status int // 0: no whole answer
-	notRun bool
-	body   string
-	signed string
-	err    error
+	// node was asked at begun and had answered or failed at ended.
+	node         string
+	begun, ended time.Time
+	status       int // 0: no whole answer
+	notRun       bool
+	body         string
+	signed       string
+	err          error
 }
 
 // load is a set of callers that keep their connections until the process at
@@ -62,7 +65,9 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		member := l.c.Members[rng.IntN(len(l.c.Members))]
 		path := []string{"/view/x", "/buy/x", "/mail/x"}[rng.IntN(3)]
+		begun := time.Now()
 		a := call(l.client, member, path, fmt.Sprintf("r%d-%d", rng.Uint32(), n), rng.IntN(1<<16))
+		a.node, a.begun, a.ended = member.Name, begun, time.Now()
 		l.mu.Lock()
 		l.seen = append(l.seen, a)
 		l.mu.Unlock()
