Empty a drained data centre also if no other has targets

Cause: rows were asked back only if another target could take them, so that the keys of the only data centre were served on through its drain.

Ruled out: requests that waited; the owner's process held the drain.

An operator's drain now empties a data centre in any case. A target that drains by itself keeps its keys while nobody can take them, as before (TestLastTargetDrains). TestDrainOfTheOnlyDataCentre fails before.

--- a/coord/fleet/leader_test.go
+++ b/coord/fleet/leader_test.go
@@ -96,6 +96,38 @@
 	is.Equal(n, 0)
 }
 
+// Guards against requests that still reach a drained data centre because no
+// other one has a target that could take its keys.
+func TestDrainOfTheOnlyDataCentre(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.join("a")
+	w.run(4 * time.Second)
+	n, _ := w.held("a")
+	is.True(n > 0)
+	w.apply(fleet.Command{SetDrain: &fleet.SetDrain{DataCentre: "dc-a", On: true}})
+	w.run(time.Second)
+	for _, r := range w.state.Space("s").Rows {
+		is.True(r.Releasing || r.Holder.IsZero())
+	}
+}
+
+// Guards against keys that are taken from the last target because it drains:
+// nobody else could serve them.
+func TestLastTargetDrains(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.join("a")
+	w.run(4 * time.Second)
+	a := w.members["a"]
+	a.Member.Condition = fleet.Draining
+	w.members["a"] = a
+	w.run(time.Second)
+	for _, r := range w.state.Space("s").Rows {
+		is.True(!r.Releasing && !r.Holder.IsZero())
+	}
+}
+
 // Guards against a lease that is granted to a holder whose loss was decided.
 func TestNoLeaseWhileLosing(t *testing.T) {
 	is := is.New(t)
--- a/coord/fleet/plan.go
+++ b/coord/fleet/plan.go
@@ -21,10 +21,9 @@
 	drained := st.Drained()
 	candidates := l.candidates(service, drained)
 	rows, returned := l.takeReleased(rows)
-	vacated := false
-	if len(candidates) > 0 {
-		rows, vacated = ranges.Vacate(rows, func(h ranges.Holder) bool { return l.leaves(h, drained) })
-	}
+	rows, vacated := ranges.Vacate(rows, func(h ranges.Holder) bool {
+		return l.isDrained(h, drained) || len(candidates) > 0 && l.leaves(h)
+	})
 	load := v.load()
 	assigned := false
 	if space.Revision != 0 || now.MonoSince(v.first) >= l.cfg.Settle {
@@ -93,10 +92,17 @@
 	return rows, changed
 }
 
-// leaves reports whether a holder is to give its rows back.
-func (l *Leader) leaves(h ranges.Holder, drained []string) bool {
+// leaves reports whether a holder should give its rows to others.
+func (l *Leader) leaves(h ranges.Holder) bool {
+	m := l.members[h.Process]
+	return m != nil && m.Holder() == h && m.Condition != Ready
+}
+
+// isDrained reports whether a holder must give its rows back, even if nobody
+// can take them.
+func (l *Leader) isDrained(h ranges.Holder, drained []string) bool {
 	m := l.members[h.Process]
-	return m != nil && m.Holder() == h && (m.Condition != Ready || slices.Contains(drained, m.DataCentre))
+	return m != nil && m.Holder() == h && slices.Contains(drained, m.DataCentre)
 }
 
 // candidates returns the holders that may take rows of a service.
