Wait for room on a full disk before a replica starts

Ruled out: going on without the write; a failed write may be in part on the disk, and what was promised must be read again.

--- a/router/fleetnode/node.go
+++ b/router/fleetnode/node.go
@@ -87,6 +87,9 @@
 		return ""
 	}, log)
 	fsys := store.OS(cfg.Folder)
+	if err := awaitRoom(fsys, roomPause, log); err != nil {
+		return nil, err
+	}
 	st, stored, empty, err := store.Open(fsys)
 	if err != nil {
 		return nil, err
