--- a/router/fleetsettings/settings.go
+++ b/router/fleetsettings/settings.go
@@ -51,7 +51,9 @@
 	// process behind a forwarder.
 	Peer string `json:"peer"`
 	// Caller accepts requests of callers, Gate those of other processes, and
-	// Target the announcements of the target beside the process.
+	// Target the announcements of the target beside the process. Announcements
+	// prove nothing about who sends them: Target belongs on an address that
+	// only this machine reaches.
 	Caller string `json:"caller"`
 	Gate   string `json:"gate"`
 	Target string `json:"target"`
@@ -86,8 +88,9 @@
 	MaxHoldMs int64 `json:"maxHoldMs"`
 }
 
-// Budget bounds the repeats of all processes together: Ratio for each request
-// and Slack in addition, within ten seconds.
+// Budget bounds the repeats of all processes together: Ratio of a repeat for
+// each request, of which up to Slack repeats can be saved up. Half of both is
+// used, since a process does not see all repeats of the others.
 type Budget struct {
 	Ratio float64 `json:"ratio"`
 	Slack float64 `json:"slack"`
@@ -99,7 +102,8 @@
 	DefaultShutdownTimeoutMs  = 10_000
 	DefaultAnnounceIntervalMs = 1_000
 	DefaultMaxHoldMs          = 10_000
-	// DefaultRatio and DefaultSlack allow a repeat for one request in ten.
+	// DefaultRatio and DefaultSlack keep repeats well below the load that a
+	// service has to spare when one of ten targets fails.
 	DefaultRatio = 0.1
 	DefaultSlack = 10
 )
