--- a/router/soak/cluster_test.go
+++ b/router/soak/cluster_test.go
@@ -12,10 +12,12 @@
 )
 
 const (
+	// A short interval and hold let leases of 3.6 s run out within a run.
 	announceInterval = 300 * time.Millisecond
 	maxHold          = 4 * time.Second
-	shutdownTimeout  = 6 * time.Second
-	serviceTime      = 8 * time.Millisecond
+	// shutdownTimeout leaves 2.9 s for requests in progress after the notice.
+	shutdownTimeout = 6 * time.Second
+	serviceTime     = 8 * time.Millisecond
 	// settleTime bounds the first service and the recovery after the last
 	// fault: a lease, an election and the longest pauses between attempts.
 	settleTime = 20 * time.Second
--- a/router/soak/faults_test.go
+++ b/router/soak/faults_test.go
@@ -30,15 +30,23 @@
 )
 
 const (
-	faultTime   = 12 * time.Second
-	faultCount  = 12
-	minFault    = 300 * time.Millisecond
-	maxFault    = 4 * time.Second
-	linkDelay   = 40 * time.Millisecond
-	wipeAt      = 6 * time.Second
-	wipeShare   = 0.3
-	rollShare   = 0.3
-	rollPause   = 700 * time.Millisecond
+	// faultCount faults begin within faultTime, so that two or three of them
+	// last at any time.
+	faultTime  = 12 * time.Second
+	faultCount = 12
+	// A fault lasts from one announcement interval to longer than a lease.
+	minFault = 300 * time.Millisecond
+	maxFault = 4 * time.Second
+	// linkDelay is that of two distant regions.
+	linkDelay = 40 * time.Millisecond
+	// A replica loses its disk in wipeShare of the runs, in the middle of the
+	// other faults; all members are stopped in turn in rollShare of them, so
+	// fast that the stops overlap.
+	wipeAt    = 6 * time.Second
+	wipeShare = 0.3
+	rollShare = 0.3
+	rollPause = 700 * time.Millisecond
+	// killedLimit is the time for a planned stop on a busy machine.
 	killedLimit = shutdownTimeout + 2*time.Second
 )
 
--- a/router/soak/load_test.go
+++ b/router/soak/load_test.go
@@ -17,10 +17,14 @@
 )
 
 const (
-	callers        = 12
-	callerPause    = 10 * time.Millisecond
+	// Some 500 requests a second: every key range is in use in every fault, and
+	// the targets have room.
+	callers     = 12
+	callerPause = 10 * time.Millisecond
+	// requestTimeout is the timeout of the routes.
 	requestTimeout = 3 * time.Second
-	probeKeys      = 24
+	// probeKeys keys at each member reach every target's rows.
+	probeKeys = 24
 )
 
 // answer is what a caller saw of one request.
--- a/router/soak/operator_test.go
+++ b/router/soak/operator_test.go
@@ -43,7 +43,9 @@
 }
 
 const (
-	operatorPause   = 300 * time.Millisecond
+	// operatorPause puts some changes into every fault.
+	operatorPause = 300 * time.Millisecond
+	// operatorTimeout covers an election.
 	operatorTimeout = 2 * time.Second
 )
 
