Share what was written twice: replica work, encoding, settings checks

Both control replicas carried out their log's work, compacted it and answered proposals with the same code; raftwire.Log and raftwire.Proposals serve both. coord/control and coord/fleet had the same set-up of their encoding; it is coord/internal/codec, each with its own bound. router/settings and router/fleetsettings share Checks and Tell. The soak and the demo build their requests in one place, and three loops over all keys in a test are one.

One finding changes with it: the data folder of fleetsettings is checked like that of settings, and so also for whether it can be written.

--- a/coord/control/command.go
+++ b/coord/control/command.go
@@ -1,8 +1,9 @@
 package control
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
+
+	"bramleyquay.example/coord/internal/codec"
 )
 
 // Error is the class of this package's errors.
@@ -32,28 +33,21 @@
 	ReleaseKeyspace  *ReleaseKeyspace  `cbor:"19,keyasint,omitempty"`
 }
 
-var (
-	encMode = must(cbor.CanonicalEncOptions().EncMode())
-	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 24}.DecMode())
-)
+// maxElements bounds the lists and maps of a command or a snapshot.
+const maxElements = 1 << 24
 
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
+var binary = codec.New(maxElements)
 
 // EncodeCommand returns the log form of c.
 func EncodeCommand(c Command) ([]byte, error) {
-	data, err := encMode.Marshal(c)
+	data, err := binary.Marshal(c)
 	return data, Error.Wrap(err)
 }
 
 // DecodeCommand reads what EncodeCommand returned.
 func DecodeCommand(data []byte) (Command, error) {
 	var c Command
-	if err := decMode.Unmarshal(data, &c); err != nil {
+	if err := binary.Unmarshal(data, &c); err != nil {
 		return Command{}, Error.Wrap(err)
 	}
 	return c, nil
--- a/coord/control/snapshot.go
+++ b/coord/control/snapshot.go
@@ -55,14 +55,14 @@
 	for _, u := range sortedUnits(s.recordsLost) {
 		snap.RecordsLostAt = append(snap.RecordsLostAt, unitRevision{u, s.recordsLost[u]})
 	}
-	data, err := encMode.Marshal(snap)
+	data, err := binary.Marshal(snap)
 	return data, Error.Wrap(err)
 }
 
 // Restore returns the state of a snapshot.
 func Restore(data []byte) (*State, error) {
 	var snap snapshot
-	if err := decMode.Unmarshal(data, &snap); err != nil {
+	if err := binary.Unmarshal(data, &snap); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	if snap.Format != snapshotFormat {
--- a/coord/fleet/command.go
+++ b/coord/fleet/command.go
@@ -3,9 +3,9 @@
 package fleet
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"bramleyquay.example/coord/internal/codec"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/coord/routes"
 )
@@ -67,20 +67,13 @@
 	Version uint64  `json:"version"`
 }
 
-var (
-	encMode = must(cbor.CanonicalEncOptions().EncMode())
-	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode())
-)
+// maxElements bounds the lists and maps of a command or a snapshot.
+const maxElements = 1 << 20
 
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
+var binary = codec.New(maxElements)
 
 // EncodeCommand returns the log form of c.
 func EncodeCommand(c Command) ([]byte, error) {
-	data, err := encMode.Marshal(c)
+	data, err := binary.Marshal(c)
 	return data, Error.Wrap(err)
 }
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -53,7 +53,7 @@
 // Restore reads a snapshot.
 func Restore(data []byte) (*State, error) {
 	st := NewState()
-	if err := decMode.Unmarshal(data, &st.s); err != nil {
+	if err := binary.Unmarshal(data, &st.s); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	if st.s.Spaces == nil {
@@ -73,7 +73,7 @@
 
 // Snapshot encodes the state.
 func (st *State) Snapshot() ([]byte, error) {
-	data, err := encMode.Marshal(st.s)
+	data, err := binary.Marshal(st.s)
 	return data, Error.Wrap(err)
 }
 
@@ -81,7 +81,7 @@
 func (st *State) Apply(index uint64, data []byte) (Result, error) {
 	st.s.Index = index
 	var c Command
-	if err := decMode.Unmarshal(data, &c); err != nil {
+	if err := binary.Unmarshal(data, &c); err != nil {
 		return Result{}, Error.Wrap(err)
 	}
 	switch {
--- a/router/controlnode/node.go
+++ b/router/controlnode/node.go
@@ -31,6 +31,7 @@
 	state      *control.State
 	controller *control.Controller
 	outbox     *raftwire.Outbox
+	work       *raftwire.Log
 	wakers     *raftwire.Wakers[table.MemberID]
 
 	formation  formation
@@ -38,8 +39,7 @@
 	leading    bool
 	lastTick   clock.Reading
 	lastReview clock.Reading
-	waiting    map[uint64]waiter
-	compacted  uint64
+	proposals  raftwire.Proposals[control.Result]
 	spread     spread
 	gaps       *gaps
 	// seen are the revisions that members were last woken for.
@@ -50,17 +50,6 @@
 // revisions are the revisions that members follow.
 type revisions struct{ table, config, directory uint64 }
 
-// waiter waits for the result of a proposed command.
-type waiter struct {
-	term   uint64
-	result chan proposed
-}
-
-type proposed struct {
-	result control.Result
-	err    error
-}
-
 // Open reads the replica's folder. A damaged folder is an error: the replica
 // must not take part with less than it has promised.
 func Open(cfg Config, client *peer.Client, log logging.Logger) (*Node, error) {
@@ -71,7 +60,7 @@
 		state:      control.NewState(),
 		controller: control.NewController(cfg.Controller, rand.New(rand.NewPCG(cfg.Seed, shard.Hash(cfg.ID)))),
 		wakers:     raftwire.NewWakers[table.MemberID](MethodWake),
-		waiting:    map[uint64]waiter{},
+		proposals:  raftwire.Proposals[control.Result]{},
 	}
 	n.outbox = raftwire.NewOutbox(client, n.address, log)
 	if err := n.open(); err != nil {
@@ -109,7 +98,8 @@
 			return Error.Wrap(err)
 		}
 	}
-	n.raft, n.compacted = node, stored.Snapshot.Index
+	n.raft = node
+	n.work = &raftwire.Log{Store: n.store, Outbox: n.outbox, SnapshotEntries: n.cfg.SnapshotEntries, Compacted: stored.Snapshot.Index}
 	n.lastTick = timesource.Now()
 	n.log.Infof("replica %s starts at index %d, term %d", id, stored.Snapshot.Index+uint64(len(stored.Entries)), stored.Hard.Term)
 	return nil
--- a/router/controlnode/process.go
+++ b/router/controlnode/process.go
@@ -3,6 +3,7 @@
 import (
 	"bramleyquay.example/coord/control"
 	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/raftwire"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -11,76 +12,44 @@
 	if n.raft == nil {
 		return nil
 	}
-	for n.raft.HasReady() {
-		r := n.raft.Ready()
-		if err := n.persist(r); err != nil {
-			return err
-		}
-		n.outbox.Send(r.Messages)
-		if err := n.install(r.Snapshot); err != nil {
-			return err
-		}
-		for _, e := range r.Committed {
-			n.applyEntry(e)
-		}
-		n.raft.Advance(r)
-		n.follow()
+	machine := raftwire.Machine{Install: n.install, Apply: n.applyEntry, Advanced: n.follow}
+	if err := n.work.Process(n.raft, machine); err != nil {
+		return err
 	}
 	if n.leading {
 		n.gaps.follow(n.state.Table(), timesource.Now())
 	}
 	n.review()
 	n.wake()
-	return n.compact()
-}
-
-// persist stores what must be synced before the messages are sent.
-func (n *Node) persist(r raft.Ready) error {
-	if r.Snapshot != nil {
-		if err := n.store.SaveSnapshot(*r.Snapshot); err != nil {
-			return err
-		}
-	}
-	return n.store.Save(r.Hard, r.Entries)
+	return n.work.Compact(n.raft, n.state.Snapshot)
 }
 
 // install replaces the state by a snapshot from the leader.
 func (n *Node) install(s *raft.Snapshot) error {
-	if s == nil || len(s.Data) == 0 {
-		return nil
-	}
 	state, err := control.Restore(s.Data)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	n.state, n.compacted = state, s.Index
+	n.state = state
 	n.log.Infof("caught up by a snapshot at index %d", s.Index)
 	return nil
 }
 
 // applyEntry applies one committed entry and answers who waits for it.
 func (n *Node) applyEntry(e raft.Entry) {
-	var p proposed
+	var p raftwire.Proposed[control.Result]
 	if e.Kind == raft.EntryCommand {
 		cmd, err := control.DecodeCommand(e.Data)
 		if err != nil {
 			// Every replica skips the entry in the same way.
 			n.log.Errorf("entry %d cannot be decoded: %v", e.Index, err)
-			p.err = Error.Wrap(err)
+			p.Err = Error.Wrap(err)
 		} else {
-			p.result = n.state.Apply(e.Index, cmd)
-			n.controller.Applied(timesource.Now(), n.state, cmd, p.result)
+			p.Result = n.state.Apply(e.Index, cmd)
+			n.controller.Applied(timesource.Now(), n.state, cmd, p.Result)
 		}
 	}
-	w, ok := n.waiting[e.Index]
-	if !ok {
-		return
-	}
-	delete(n.waiting, e.Index)
-	if w.term != e.Term {
-		p = proposed{err: errLost}
-	}
-	w.result <- p
+	n.proposals.Answer(e, p)
 }
 
 // follow notes the begin and end of leadership.
@@ -127,20 +96,3 @@
 		}
 	}
 }
-
-// compact replaces the log by a snapshot once it has grown.
-func (n *Node) compact() error {
-	applied := n.raft.Status().Applied
-	if applied < n.compacted+n.cfg.SnapshotEntries {
-		return nil
-	}
-	data, err := n.state.Snapshot()
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if err := n.raft.Compact(applied, data); err != nil {
-		return Error.Wrap(err)
-	}
-	n.compacted = applied
-	return n.store.SaveSnapshot(n.raft.Snapshot())
-}
--- a/router/controlnode/propose.go
+++ b/router/controlnode/propose.go
@@ -10,10 +10,6 @@
 	"bramleyquay.example/router/timesource"
 )
 
-// errLost means that another leader's entry took the proposal's place: the
-// command had no effect and may be sent again.
-var errLost = errors.New("the command was not committed; send it again")
-
 // Propose commits a command and returns its result. An error other than
 // *peer.NotLeaderError leaves open whether the command takes effect; commands
 // with a change id may be sent again.
@@ -22,7 +18,7 @@
 	if err != nil {
 		return control.Result{}, Error.Wrap(err)
 	}
-	result := make(chan proposed, 1)
+	result := make(chan raftwire.Proposed[control.Result], 1)
 	var refused error
 	err = n.do(ctx, func() {
 		if !n.serves() {
@@ -34,7 +30,7 @@
 			refused = n.refusal(err)
 			return
 		}
-		n.waiting[at.Index] = waiter{term: at.Term, result: result}
+		n.proposals.Await(at, result)
 	})
 	if err == nil {
 		err = refused
@@ -44,7 +40,7 @@
 	}
 	select {
 	case p := <-result:
-		return p.result, p.err
+		return p.Result, p.Err
 	case <-ctx.Done():
 		return control.Result{}, Error.Wrap(ctx.Err())
 	case <-n.events.Stopped():
--- a/router/daemon/main.go
+++ b/router/daemon/main.go
@@ -92,14 +92,7 @@
 // must not run with them.
 func load(file string, errs io.Writer) (*settings.Settings, int) {
 	cfg, findings, err := settings.Load(file)
-	for _, f := range findings {
-		_, _ = fmt.Fprintln(errs, f.String()) // the exit code tells as well
-	}
-	switch {
-	case err != nil:
-		_, _ = fmt.Fprintln(errs, "bramleyquay:", err) // the exit code tells as well
-		return nil, exitInvalid
-	case settings.HasErrors(findings):
+	if !settings.Tell(errs, findings, err) {
 		return nil, exitInvalid
 	}
 	return cfg, exitOK
--- a/router/examples/demo/ranges.go
+++ b/router/examples/demo/ranges.go
@@ -7,12 +7,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"time"
 
 	"bramleyquay.example/router/fleetclient"
 	"bramleyquay.example/router/harness"
-	"bramleyquay.example/router/relay"
 	"bramleyquay.example/router/routefile"
 )
 
@@ -113,15 +111,13 @@
 }
 
 func askKey(ctx context.Context, entry *harness.FleetNode, key int) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.Address(harness.FleetCaller)+"/view/x", nil)
+	r, err := entry.Request(ctx, harness.FleetRequest{
+		Method: http.MethodGet, Host: "seats.example", Path: "/view/x", Key: key,
+		ID: fmt.Sprintf("demo-%d-%d", key, time.Now().UnixNano()), Timeout: 2 * time.Second,
+	})
 	if err != nil {
 		return err
 	}
-	names := relay.DefaultNames
-	r.Host = "seats.example"
-	r.Header.Set(names.RequestID, fmt.Sprintf("demo-%d-%d", key, time.Now().UnixNano()))
-	r.Header.Set(names.Key, strconv.Itoa(key))
-	r.Header.Set(names.DeadlineMs, "2000")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return err
--- a/router/fleetcmd/main.go
+++ b/router/fleetcmd/main.go
@@ -31,13 +31,7 @@
 // must not run with them.
 func load(file string, errs io.Writer) *fleetsettings.Settings {
 	s, findings, err := fleetsettings.Load(file)
-	for _, f := range findings {
-		_, _ = fmt.Fprintln(errs, f.String()) // the exit code tells as well
-	}
-	if err != nil {
-		_, _ = fmt.Fprintln(errs, "bramleyquay:", err) // the exit code tells as well
-	}
-	if err != nil || settings.HasErrors(findings) {
+	if !settings.Tell(errs, findings, err) {
 		return nil
 	}
 	return s
--- a/router/fleetdaemon/relay_test.go
+++ b/router/fleetdaemon/relay_test.go
@@ -18,10 +18,8 @@
 	keyed = [2]*target{c.member("k1", "keyed"), c.member("k2", "keyed")}
 	plain = [2]*target{c.member("p1", "plain"), c.member("p2", "plain")}
 	await(t, "service of all keys", func() bool {
-		for key := 0; key < 65536; key += 997 {
-			if status, _, _ := plain[0].call("GET", "/keyed/x", fmt.Sprint("w", key), map[string]string{"X-Key": fmt.Sprint(key)}); status != 200 {
-				return false
-			}
+		if !everyKey(plain[0], "w", func(_ string, status int, _ string) bool { return status == 200 }) {
+			return false
 		}
 		status, _, _ := keyed[0].call("GET", "/safe/x", "w", nil)
 		return status == 200 && len(keyed[0].Agent().View().Members) == 4
@@ -29,6 +27,17 @@
 	return keyed, plain, c
 }
 
+// everyKey asks for keys all over the key space until an answer is not right.
+func everyKey(from *target, ids string, right func(id string, status int, body string) bool) bool {
+	for key := 0; key < 65536; key += 997 {
+		id := fmt.Sprint(ids, key)
+		if status, body, _ := from.call("GET", "/keyed/x", id, map[string]string{"X-Key": fmt.Sprint(key)}); !right(id, status, body) {
+			return false
+		}
+	}
+	return true
+}
+
 // Guards against a request on a key that reaches a target which does not hold
 // it, against a lost or invented caller, and against routes that do not exist.
 func TestRequestsReachTheirOwner(t *testing.T) {
@@ -115,13 +124,7 @@
 	keyed[0].mu.Unlock()
 	keyed[0].stop()
 	await(t, "service of all keys by the other target", func() bool {
-		for key := 0; key < 65536; key += 997 {
-			id := fmt.Sprint("l", key)
-			if status, _, _ := plain[0].call("GET", "/keyed/x", id, map[string]string{"X-Key": fmt.Sprint(key)}); status != 200 || keyed[1].count(id) == 0 {
-				return false
-			}
-		}
-		return true
+		return everyKey(plain[0], "l", func(id string, status int, _ string) bool { return status == 200 && keyed[1].count(id) > 0 })
 	})
 }
 
@@ -134,13 +137,7 @@
 	keyed[0].silent = true
 	keyed[0].mu.Unlock()
 	await(t, "service of all keys by the other target", func() bool {
-		for key := 0; key < 65536; key += 997 {
-			status, body, _ := plain[0].call("GET", "/keyed/x", fmt.Sprint("silent", key), map[string]string{"X-Key": fmt.Sprint(key)})
-			if status != 200 || !strings.HasPrefix(body, "k2") {
-				return false
-			}
-		}
-		return true
+		return everyKey(plain[0], "silent", func(_ string, status int, body string) bool { return status == 200 && strings.HasPrefix(body, "k2") })
 	})
 	is.True(!keyed[1].draining)
 }
--- a/router/fleetnode/node.go
+++ b/router/fleetnode/node.go
@@ -31,6 +31,7 @@
 	leader *fleet.Leader
 	group  *fleet.Group
 	outbox *raftwire.Outbox
+	work   *raftwire.Log
 	wakers *raftwire.Wakers[string]
 	packer packer
 
@@ -38,8 +39,7 @@
 	lastReview clock.Reading
 	lastUpkeep clock.Reading
 	lastLeader raft.ID
-	waiting    map[uint64]waiter
-	compacted  uint64
+	proposals  raftwire.Proposals[fleet.Result]
 	// planned is the table revision that the last proposal for a service
 	// built on; one proposal at a time is in flight.
 	planned map[string]flight
@@ -58,27 +58,16 @@
 // made again. It covers a commit on slow disks.
 const flightTimeout = 500 * time.Millisecond
 
-// waiter waits for the result of a proposed command.
-type waiter struct {
-	term   uint64
-	result chan proposed
-}
-
-type proposed struct {
-	result fleet.Result
-	err    error
-}
-
 // Open reads the replica's folder. A damaged folder is an error: the replica
 // must not take part with less than it has promised.
 func Open(cfg Config, client *peer.Client, peers *leaderclient.Client, log logging.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, peers: peers, log: log,
-		events:  raftwire.NewEvents(),
-		state:   fleet.NewState(),
-		leader:  fleet.NewLeader(cfg.Leader),
-		wakers:  raftwire.NewWakers[string](MethodWake),
-		waiting: map[uint64]waiter{},
+		events:    raftwire.NewEvents(),
+		state:     fleet.NewState(),
+		leader:    fleet.NewLeader(cfg.Leader),
+		wakers:    raftwire.NewWakers[string](MethodWake),
+		proposals: raftwire.Proposals[fleet.Result]{},
 	}
 	n.outbox = raftwire.NewOutbox(client, func(id raft.ID) string {
 		if a := fleet.ReplicaAddress(id); a != cfg.Address {
@@ -164,7 +153,8 @@
 			return Error.Wrap(err)
 		}
 	}
-	n.raft, n.compacted, n.lastTick = node, stored.Snapshot.Index, timesource.Boot()
+	n.raft, n.lastTick = node, timesource.Boot()
+	n.work = &raftwire.Log{Store: n.store, Outbox: n.outbox, SnapshotEntries: n.cfg.SnapshotEntries, Compacted: stored.Snapshot.Index}
 	n.log.Info().Str("replica", string(id)).Uint64("index", stored.Snapshot.Index+uint64(len(stored.Entries))).
 		Uint64("term", stored.Hard.Term).Uint64("version", n.state.Version()).Msg("replica starts")
 	return nil
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -4,71 +4,45 @@
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/raft"
 	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/raftwire"
 	"bramleyquay.example/router/timesource"
 )
 
 // process carries out the log's work until there is none left.
 func (n *Node) process() error {
-	for n.raft.HasReady() {
-		r := n.raft.Ready()
-		if r.Snapshot != nil {
-			if err := n.store.SaveSnapshot(*r.Snapshot); err != nil {
-				return err
-			}
-		}
-		if err := n.store.Save(r.Hard, r.Entries); err != nil {
-			return err
-		}
-		n.outbox.Send(r.Messages)
-		if err := n.install(r.Snapshot); err != nil {
-			return err
-		}
-		for _, e := range r.Committed {
-			n.applyEntry(e)
-		}
-		n.raft.Advance(r)
-		n.follow()
+	machine := raftwire.Machine{Install: n.install, Apply: n.applyEntry, Advanced: n.follow}
+	if err := n.work.Process(n.raft, machine); err != nil {
+		return err
 	}
 	n.review()
 	n.wake()
-	return n.compact()
+	return n.work.Compact(n.raft, n.state.Snapshot)
 }
 
 // install replaces the state by a snapshot from the leader.
 func (n *Node) install(s *raft.Snapshot) error {
-	if s == nil || len(s.Data) == 0 {
-		return nil
-	}
 	state, err := fleet.Restore(s.Data)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	n.state, n.compacted = state, s.Index
+	n.state = state
 	n.log.Info().Uint64("index", s.Index).Uint64("version", state.Version()).Msg("caught up by a snapshot")
 	return nil
 }
 
 // applyEntry applies one committed entry and answers who waits for it.
 func (n *Node) applyEntry(e raft.Entry) {
-	var p proposed
+	var p raftwire.Proposed[fleet.Result]
 	if e.Kind == raft.EntryCommand {
 		before := n.state.Revisions()
-		p.result, p.err = n.state.Apply(e.Index, e.Data)
-		if p.err != nil {
+		p.Result, p.Err = n.state.Apply(e.Index, e.Data)
+		if p.Err != nil {
 			// Every replica skips the entry in the same way.
-			n.log.Error().Uint64("index", e.Index).Err(p.err).Msg("entry has no effect")
+			n.log.Error().Uint64("index", e.Index).Err(p.Err).Msg("entry has no effect")
 		}
 		n.logApplied(e, before)
 	}
-	w, ok := n.waiting[e.Index]
-	if !ok {
-		return
-	}
-	delete(n.waiting, e.Index)
-	if w.term != e.Term {
-		p = proposed{err: errLost}
-	}
-	w.result <- p
+	n.proposals.Answer(e, p)
 }
 
 func (n *Node) logApplied(e raft.Entry, before fleet.Revisions) {
@@ -175,20 +149,3 @@
 	}
 	n.log.Info().Stringer("kind", c.Kind).Str("replica", string(c.ID)).Msg("change of the group proposed")
 }
-
-// compact replaces the log by a snapshot once it has grown.
-func (n *Node) compact() error {
-	applied := n.raft.Status().Applied
-	if applied < n.compacted+n.cfg.SnapshotEntries {
-		return nil
-	}
-	data, err := n.state.Snapshot()
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if err := n.raft.Compact(applied, data); err != nil {
-		return Error.Wrap(err)
-	}
-	n.compacted = applied
-	return n.store.SaveSnapshot(n.raft.Snapshot())
-}
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -27,10 +27,6 @@
 	MethodWake = "fleet.wake"
 )
 
-// errLost means that another leader's entry took the proposal's place: the
-// command had no effect and may be sent again.
-var errLost = errors.New("the command was not committed; send it again")
-
 // Join asks to be added to the group.
 type Join struct {
 	ID      raft.ID `json:"id"`
@@ -164,13 +160,13 @@
 	if err != nil {
 		return fleet.Result{}, err
 	}
-	result := make(chan proposed, 1)
+	result := make(chan raftwire.Proposed[fleet.Result], 1)
 	err = n.lead(ctx, func() error {
 		at, err := n.raft.Propose(data)
 		if err != nil {
 			return err
 		}
-		n.waiting[at.Index] = waiter{term: at.Term, result: result}
+		n.proposals.Await(at, result)
 		return nil
 	})
 	if err != nil {
@@ -178,7 +174,7 @@
 	}
 	select {
 	case p := <-result:
-		return p.result, p.err
+		return p.Result, p.Err
 	case <-ctx.Done():
 		return fleet.Result{}, Error.Wrap(ctx.Err())
 	case <-n.events.Stopped():
--- a/router/fleetsettings/check.go
+++ b/router/fleetsettings/check.go
@@ -3,33 +3,23 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"slices"
-	"strings"
 
-	"bramleyquay.example/coord/config"
 	"bramleyquay.example/router/settings"
-	"bramleyquay.example/router/strictjson"
 )
 
-// checker collects findings about decoded settings.
+// checker checks decoded settings.
 type checker struct {
-	s         *Settings
-	positions *strictjson.Positions
-	findings  []strictjson.Finding
-}
-
-func (c *checker) report(path, format string, args ...any) {
-	c.findings = append(c.findings, c.positions.At(path, fmt.Sprintf(format, args...)))
+	*settings.Checks
+	s *Settings
 }
 
 func (c *checker) check() {
 	s := c.s
-	c.name("cluster", s.Cluster)
+	c.Name("cluster", s.Cluster)
 	c.secret()
 	c.address("peer", s.Peer, true)
 	if len(s.Seeds) == 0 {
-		c.report("seeds", "is missing: every process needs the control replicas' peer addresses")
+		c.Report("seeds", "is missing: every process needs the control replicas' peer addresses")
 	}
 	for i, seed := range s.Seeds {
 		c.address(fmt.Sprintf("seeds[%d]", i), seed, true)
@@ -37,36 +27,27 @@
 	c.address("listen.peer", s.Listen.Peer, false)
 	c.address("listen.metrics", s.Listen.Metrics, false)
 	if !s.IsReplica() && !s.IsBeside() {
-		c.report("", "the process has no role: give target, or control.dataFolder")
+		c.Report("", "the process has no role: give target, or control.dataFolder")
 	}
 	c.beside()
 	c.control()
 	c.figures()
-	levels := []string{"trace", "debug", "info", "warn", "error"}
-	if !slices.Contains(levels, s.LogLevel) {
-		c.report("logLevel", "must be one of %s", strings.Join(levels, ", "))
-	}
-}
-
-func (c *checker) name(path, name string) {
-	if fault := config.NameFault(name); fault != "" {
-		c.report(path, "%s", fault)
-	}
+	c.Level("logLevel", s.LogLevel)
 }
 
 func (c *checker) address(path, text string, needed bool) {
 	if text == "" {
 		if needed {
-			c.report(path, "is missing")
+			c.Report(path, "is missing")
 		}
 		return
 	}
 	a, err := netip.ParseAddrPort(text)
 	switch {
 	case err != nil:
-		c.report(path, "%q is not an address with a numeric IP and a port, such as 127.0.0.1:7000", text)
+		c.Report(path, "%q is not an address with a numeric IP and a port, such as 127.0.0.1:7000", text)
 	case a.Port() == 0:
-		c.report(path, "%q has no port that others could dial", text)
+		c.Report(path, "%q has no port that others could dial", text)
 	}
 }
 
@@ -75,17 +56,17 @@
 	given := s.Secret.IsSet() || s.SecretFile != ""
 	switch {
 	case s.Secret.IsSet() && s.SecretFile != "":
-		c.report("secretFile", "secret and secretFile exclude each other")
+		c.Report("secretFile", "secret and secretFile exclude each other")
 	case given && s.TrustNetwork:
-		c.report("trustNetwork", "has no use with a secret")
+		c.Report("trustNetwork", "has no use with a secret")
 	case !given && !s.TrustNetwork:
-		c.report("secretFile", "is missing: give secret or secretFile, or set trustNetwork where nobody else reaches the network")
+		c.Report("secretFile", "is missing: give secret or secretFile, or set trustNetwork where nobody else reaches the network")
 	case s.Secret.IsSet() && len(s.Secret.Bytes()) < settings.MinSecretLength:
-		c.report("secret", "must have at least %d characters", settings.MinSecretLength)
+		c.Report("secret", "must have at least %d characters", settings.MinSecretLength)
 	case s.SecretFile != "":
 		secret, err := settings.ReadSecretFile(s.SecretFile)
 		if err != nil {
-			c.report("secretFile", "%s", err)
+			c.Report("secretFile", "%s", err)
 			return
 		}
 		s.Secret = secret
@@ -97,13 +78,13 @@
 	if !s.IsBeside() {
 		for path, set := range map[string]bool{"listen.caller": s.Listen.Caller != "", "listen.gate": s.Listen.Gate != "", "listen.target": s.Listen.Target != ""} {
 			if set {
-				c.report(path, "has no use without a target")
+				c.Report(path, "has no use without a target")
 			}
 		}
 		return
 	}
-	c.name("target.dataCentre", s.Target.DataCentre)
-	c.name("target.service", s.Target.Service)
+	c.Name("target.dataCentre", s.Target.DataCentre)
+	c.Name("target.service", s.Target.Service)
 	c.address("target.address", s.Target.Address, true)
 	c.address("listen.caller", s.Listen.Caller, true)
 	c.address("listen.gate", s.Listen.Gate, true)
@@ -114,36 +95,34 @@
 	s := c.s
 	if !s.IsReplica() {
 		if s.Control != (Control{}) {
-			c.report("control.dataFolder", "is missing: a control replica needs a data folder")
+			c.Report("control.dataFolder", "is missing: a control replica needs a data folder")
 		}
 		return
 	}
-	if info, err := os.Stat(s.Control.DataFolder); err != nil || !info.IsDir() {
-		c.report("control.dataFolder", "%s is not a folder; create it before the first start", s.Control.DataFolder)
-	}
+	c.Folder("control.dataFolder", s.Control.DataFolder)
 	if s.Control.Losses < 0 {
-		c.report("control.losses", "must not be negative")
+		c.Report("control.losses", "must not be negative")
 	}
 }
 
 func (c *checker) figures() {
 	s := c.s
 	if s.Lease.AnnounceIntervalMs <= 0 {
-		c.report("lease.announceIntervalMs", "must be above 0")
+		c.Report("lease.announceIntervalMs", "must be above 0")
 	}
 	if s.Lease.MaxHoldMs <= s.Lease.AnnounceIntervalMs {
-		c.report("lease.maxHoldMs", "must be longer than announceIntervalMs, or targets lose their keys between two announcements")
+		c.Report("lease.maxHoldMs", "must be longer than announceIntervalMs, or targets lose their keys between two announcements")
 	}
 	if s.Budget.Ratio < 0 || s.Budget.Slack < 0 {
-		c.report("budget", "must not be negative")
+		c.Report("budget", "must not be negative")
 	}
 	if s.MemoryMB < 0 {
-		c.report("memoryMB", "must not be negative")
+		c.Report("memoryMB", "must not be negative")
 	}
 	if s.ShutdownTimeoutMs < 0 || s.ShutdownTimeoutMs > settings.MaxShutdownTimeoutMs {
-		c.report("shutdownTimeoutMs", "must be from 0 to %d milliseconds", settings.MaxShutdownTimeoutMs)
+		c.Report("shutdownTimeoutMs", "must be from 0 to %d milliseconds", settings.MaxShutdownTimeoutMs)
 	}
 	if s.Listen.GatePort < 0 || s.Listen.GatePort > 65535 {
-		c.report("listen.gatePort", "must be a port")
+		c.Report("listen.gatePort", "must be a port")
 	}
 }
--- a/router/fleetsettings/settings.go
+++ b/router/fleetsettings/settings.go
@@ -128,9 +128,9 @@
 				*p = filepath.Join(filepath.Dir(path), *p)
 			}
 		}
-		c := &checker{s: s, positions: positions}
+		c := &checker{Checks: settings.NewChecks(positions, found), s: s}
 		c.check()
-		found = c.findings
+		found = c.Findings()
 	}
 	return s, settings.FromText(path, found), nil
 }
--- a/router/harness/fleet.go
+++ b/router/harness/fleet.go
@@ -1,14 +1,19 @@
 package harness
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"time"
 
 	"bramleyquay.example/router/fleetsettings"
+	"bramleyquay.example/router/relay"
 )
 
 // Ports of each process of a Fleet. Others dial FleetPeer and FleetGate and
@@ -55,6 +60,29 @@
 // Address returns an address of the node.
 func (n *FleetNode) Address(port int) string { return fmt.Sprintf("%s:%d", n.IP, port) }
 
+// FleetRequest is a request of a caller.
+type FleetRequest struct {
+	Method, Host, Path, ID string
+	Key                    int
+	// Timeout is the time that the caller waits.
+	Timeout time.Duration
+	Body    io.Reader
+}
+
+// Request returns a request to the process of a member.
+func (n *FleetNode) Request(ctx context.Context, r FleetRequest) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+n.Address(FleetCaller)+r.Path, r.Body)
+	if err != nil {
+		return nil, err
+	}
+	names := relay.DefaultNames
+	out.Host = r.Host
+	out.Header.Set(names.RequestID, r.ID)
+	out.Header.Set(names.Key, strconv.Itoa(r.Key))
+	out.Header.Set(names.DeadlineMs, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
+	return out, nil
+}
+
 // Fleet is a set of nodes.
 type Fleet struct {
 	Layout   FleetLayout
--- /dev/null
+++ b/router/raftwire/log.go
@@ -0,0 +1,116 @@
+package raftwire
+
+import (
+	"errors"
+
+	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/store"
+)
+
+// Log carries out the work of a replica's log: what it has to store, send and
+// apply.
+type Log struct {
+	Store  *store.Store
+	Outbox *Outbox
+	// SnapshotEntries is the number of applied entries between snapshots.
+	SnapshotEntries uint64
+	// Compacted is the index of the newest snapshot.
+	Compacted uint64
+}
+
+// Machine is the state that the log's entries change.
+type Machine struct {
+	// Install replaces the state by a snapshot from the leader.
+	Install func(*raft.Snapshot) error
+	// Apply applies a committed entry.
+	Apply func(raft.Entry)
+	// Advanced is called after each round of work.
+	Advanced func()
+}
+
+// Process works until there is nothing left to do.
+func (l *Log) Process(n *raft.Node, m Machine) error {
+	for n.HasReady() {
+		r := n.Ready()
+		if err := l.persist(r); err != nil {
+			return err
+		}
+		l.Outbox.Send(r.Messages)
+		if s := r.Snapshot; s != nil && len(s.Data) > 0 {
+			if err := m.Install(s); err != nil {
+				return err
+			}
+			l.Compacted = s.Index
+		}
+		for _, e := range r.Committed {
+			m.Apply(e)
+		}
+		n.Advance(r)
+		m.Advanced()
+	}
+	return nil
+}
+
+// persist stores what must be synced before the messages are sent.
+func (l *Log) persist(r raft.Ready) error {
+	if r.Snapshot != nil {
+		if err := l.Store.SaveSnapshot(*r.Snapshot); err != nil {
+			return err
+		}
+	}
+	return l.Store.Save(r.Hard, r.Entries)
+}
+
+// Compact replaces the log by a snapshot of the state once it has grown.
+func (l *Log) Compact(n *raft.Node, snapshot func() ([]byte, error)) error {
+	applied := n.Status().Applied
+	if applied < l.Compacted+l.SnapshotEntries {
+		return nil
+	}
+	data, err := snapshot()
+	if err != nil {
+		return err
+	}
+	if err := n.Compact(applied, data); err != nil {
+		return err
+	}
+	l.Compacted = applied
+	return l.Store.SaveSnapshot(n.Snapshot())
+}
+
+// errLost means that another leader's entry took the proposal's place: the
+// command had no effect and may be sent again.
+var errLost = errors.New("the command was not committed; send it again")
+
+// Proposed is what became of a proposal.
+type Proposed[R any] struct {
+	Result R
+	Err    error
+}
+
+// Proposals hold the channels on which the results of proposals are awaited.
+// They belong to the replica's goroutine.
+type Proposals[R any] map[uint64]proposal[R]
+
+type proposal[R any] struct {
+	term   uint64
+	result chan<- Proposed[R]
+}
+
+// Await has the result of a proposal sent to a channel with room for it.
+func (p Proposals[R]) Await(at raft.Position, result chan<- Proposed[R]) {
+	p[at.Index] = proposal[R]{term: at.Term, result: result}
+}
+
+// Answer sends the result of an applied entry to who waits for it.
+func (p Proposals[R]) Answer(e raft.Entry, r Proposed[R]) {
+	w, ok := p[e.Index]
+	if !ok {
+		return
+	}
+	delete(p, e.Index)
+	if w.term != e.Term {
+		r = Proposed[R]{Err: errLost}
+	}
+	w.result <- r
+}
--- a/router/settings/addresses.go
+++ b/router/settings/addresses.go
@@ -16,7 +16,7 @@
 
 func (c *checker) checkListeners() {
 	if c.settings.Listen.Peer == "" {
-		c.report("listen.peer", "is missing: every process needs a peer listener")
+		c.Report("listen.peer", "is missing: every process needs a peer listener")
 	}
 	type taken struct {
 		path    string
@@ -30,12 +30,12 @@
 		}
 		address, err := netip.ParseAddrPort(text)
 		if err != nil {
-			c.report(path, "%q is not an address with a numeric IP and a port, such as 127.0.0.1:7000 or [::1]:7000", text)
+			c.Report(path, "%q is not an address with a numeric IP and a port, such as 127.0.0.1:7000 or [::1]:7000", text)
 			continue
 		}
 		for _, other := range before {
 			if overlap(address, other.address) {
-				c.report(path, "%s is also used by %s", text, other.path)
+				c.Report(path, "%s is also used by %s", text, other.path)
 			}
 		}
 		before = append(before, taken{path, address})
@@ -55,31 +55,31 @@
 func (c *checker) checkPeers() {
 	peers := c.settings.Control.Peers
 	if len(peers) == 0 {
-		c.report("control.peers", "is missing: every process needs the control replicas' addresses")
+		c.Report("control.peers", "is missing: every process needs the control replicas' addresses")
 	}
 	ids, addresses := map[string]int{}, map[netip.AddrPort]int{}
 	for i, p := range peers {
 		path := fmt.Sprintf("control.peers[%d]", i)
-		c.checkName(path+".id", p.ID)
+		c.Name(path+".id", p.ID)
 		if first, twice := ids[p.ID]; twice && p.ID != "" {
-			c.report(path+".id", "%q is also the id of control.peers[%d]", p.ID, first)
+			c.Report(path+".id", "%q is also the id of control.peers[%d]", p.ID, first)
 		} else {
 			ids[p.ID] = i
 		}
 		address, err := netip.ParseAddrPort(p.Address)
 		switch {
 		case p.Address == "":
-			c.report(path+".address", "is missing")
+			c.Report(path+".address", "is missing")
 			continue
 		case err != nil:
-			c.report(path+".address", "%q is not an address with a numeric IP and a port", p.Address)
+			c.Report(path+".address", "%q is not an address with a numeric IP and a port", p.Address)
 			continue
 		case address.Port() == 0 || address.Addr().IsUnspecified():
-			c.report(path+".address", "%q cannot be dialled: name the IP and the port", p.Address)
+			c.Report(path+".address", "%q cannot be dialled: name the IP and the port", p.Address)
 			continue
 		}
 		if first, twice := addresses[address]; twice {
-			c.report(path+".address", "%s is also the address of control.peers[%d]", p.Address, first)
+			c.Report(path+".address", "%s is also the address of control.peers[%d]", p.Address, first)
 		} else {
 			addresses[address] = i
 		}
--- a/router/settings/finding.go
+++ b/router/settings/finding.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"slices"
 
 	"bramleyquay.example/router/strictjson"
@@ -37,6 +38,18 @@
 	return slices.ContainsFunc(findings, func(f Finding) bool { return !f.Warning })
 }
 
+// Tell writes what loading settings found, for people, and reports whether the
+// process may run with them.
+func Tell(out io.Writer, findings []Finding, err error) bool {
+	for _, f := range findings {
+		_, _ = fmt.Fprintln(out, f.String()) // the exit code tells as well
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(out, "bramleyquay:", err) // the exit code tells as well
+	}
+	return err == nil && !HasErrors(findings)
+}
+
 // Sort orders findings by position.
 func Sort(findings []Finding) {
 	slices.SortStableFunc(findings, func(a, b Finding) int {
--- a/router/settings/load.go
+++ b/router/settings/load.go
@@ -25,8 +25,7 @@
 	s, positions, found := parse(text)
 	if positions.Has("") {
 		s.resolve(filepath.Dir(path))
-		c := &checker{settings: s, positions: positions}
-		c.reportAll(found)
+		c := &checker{Checks: NewChecks(positions, found), settings: s}
 		c.checkAll()
 		c.checkFiles()
 		found = c.findings
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -144,8 +144,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, positions, found := parse(text)
 		if positions.Has("") {
-			c := &checker{settings: s, positions: positions}
-			c.reportAll(found)
+			c := &checker{Checks: NewChecks(positions, found), settings: s}
 			c.checkAll()
 			found = c.findings
 		}
--- a/router/soak/load_test.go
+++ b/router/soak/load_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -99,16 +98,14 @@
 	if strings.HasPrefix(path, "/mail/") {
 		host = "mail.example"
 	}
-	r, err := http.NewRequest(method, "http://"+member.Address(harness.FleetCaller)+path, body)
+	r, err := member.Request(context.Background(), harness.FleetRequest{
+		Method: method, Host: host, Path: path, ID: id, Key: key, Timeout: requestTimeout, Body: body,
+	})
 	if err != nil {
 		a.err = err
 		return a
 	}
 	names := relay.DefaultNames
-	r.Host = host
-	r.Header.Set(names.RequestID, id)
-	r.Header.Set(names.DeadlineMs, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-	r.Header.Set(names.Key, strconv.Itoa(key))
 	resp, err := client.Do(r)
 	if err != nil {
 		a.err = err
