Send large bodies only after the gate has accepted the request

An ingress sent the whole body to each of up to six gates, which read it and refused.

Ruled out: slots (29% of proofroom's in use), the grants (2 requests came to a target without their key).

Change: a body over 8 KiB is sent to a gate after 100 Continue. The gate receives two at a time, in the order of their objectives, and refuses at once what would arrive too late. Until 100 Continue a failure proves that the request did not run. Bodies over 256 KiB are passed on as they are read, and a body that breaks off or exceeds the limit aborts the connection to the target (413 at the limit).

--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -111,7 +111,7 @@
 		d.agent, gate, logging.ForComponent(logs, "ingress"))
 	httpLog := logging.ForComponent(logs, "edge")
 	d.callerServer = httpserver.New(ingress, d.callerLimits, httpLog)
-	d.gateServer = httpserver.New(httpserver.HandlerFunc(gate.ServePeer), httpserver.DefaultLimits, httpLog)
+	d.gateServer = httpserver.NewForPeers(httpserver.HandlerFunc(gate.ServePeer), httpserver.DefaultLimits, httpLog)
 	metrics.GetOrCreateGauge("bramleyquay_target_connections_opened", func() float64 { return float64(target.ConnectionsOpened()) })
 	if err := d.callerServer.Listen(sidecar.Caller); err != nil {
 		return Error.Wrap(err)
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -45,17 +45,40 @@
 	MaxBody int64
 }
 
-// Request is a request with its complete body. Do adds the headers Host and
-// Content-Length; Header must not contain them, nor Transfer-Encoding.
+// Request is a request. Do adds the headers Host, Content-Length, Transfer-Encoding
+// and Expect; Header must not contain them.
 type Request struct {
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
+	// Source, if set, is the body instead of Body.
+	Source *Source
+	// AwaitContinue sends the body only after the answer 100 Continue. After another
+	// answer it is not sent at all, and until then a failure is a *NotSentError.
+	AwaitContinue bool
 	// ID is the id that a response must echo; empty if any response is accepted.
 	// Do does not send it: Header must contain it under Config.RequestIDHeader.
 	ID string
 }
 
+// Source is a body that is read while it is sent.
+type Source struct {
+	// Length is the length in bytes, or -1 if it is not known.
+	Length int64
+	// Open returns the body. It is called once, when the body is sent.
+	Open func() (io.Reader, error)
+}
+
+// SourceError means that the body could not be read to its end. The server got a part
+// of it that it cannot take for the whole.
+type SourceError struct{ Cause error }
+
+// Error implements error.
+func (e *SourceError) Error() string { return "body not readable: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SourceError) Unwrap() error { return e.Cause }
+
 // Response is a complete response.
 type Response struct {
 	Status int
@@ -118,7 +141,8 @@
 		return nil, &NotSentError{Cause: err, Refused: isRefused(err)}
 	}
 	stop := context.AfterFunc(ctx, func() { pc.abort(c.cfg.ResetOnCancel) })
-	resp, reuse, err := pc.exchange(c.cfg, r)
+	x := newExchange(pc, r)
+	resp, reuse, err := x.run(c.cfg)
 	if !stop() {
 		reuse = false
 		if err != nil {
@@ -130,7 +154,10 @@
 	} else {
 		c.putIdle(pc)
 	}
-	if err != nil {
+	switch {
+	case err != nil && r.AwaitContinue && !x.continued():
+		return nil, &NotSentError{Cause: err}
+	case err != nil:
 		return nil, &IncompleteResponseError{Cause: err}
 	}
 	return resp, nil
@@ -201,13 +228,15 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &persistConn{raw: raw, br: bufio.NewReader(raw)}, nil
+	limited := &limitedReader{inner: raw}
+	return &persistConn{raw: raw, limited: limited, br: bufio.NewReader(limited)}, nil
 }
 
 // persistConn is a connection that can be used for several requests, one after the
 // other. expires is set when it becomes idle.
 type persistConn struct {
 	raw     net.Conn
+	limited *limitedReader
 	br      *bufio.Reader
 	expires time.Time
 }
@@ -227,33 +256,6 @@
 	_ = pc.raw.Close() // it is not used any more
 }
 
-// exchange sends r and reads its response. The boolean says whether the
-// connection can be reused.
-func (pc *persistConn) exchange(cfg Config, r *Request) (*Response, bool, error) {
-	sent := make(chan error, 1)
-	go func() {
-		_, err := pc.raw.Write(encodeRequest(r))
-		sent <- err
-	}()
-	for {
-		hr, err := http.ReadResponse(pc.br, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, false, err
-		}
-		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
-			continue
-		}
-		body, err := readBody(hr, cfg.MaxBody)
-		if err != nil {
-			return nil, false, err
-		}
-		if id := hr.Header.Get(cfg.RequestIDHeader); id != "" && r.ID != "" && id != r.ID {
-			continue // a late second response to an earlier request
-		}
-		return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, pc.reusable(cfg, hr, sent), nil
-	}
-}
-
 var errBodyTooLong = errors.New("the answer is too long")
 
 func readBody(hr *http.Response, limit int64) ([]byte, error) {
@@ -272,32 +274,6 @@
 	return buf.Bytes(), nil
 }
 
-// writeWait bounds the wait for the end of sending a request whose response
-// arrived first.
-const writeWait = 50 * time.Millisecond
-
-// reusable reports whether the connection can take another request after the
-// response hr, and sets expires. sent delivers the result of sending the request.
-func (pc *persistConn) reusable(cfg Config, hr *http.Response, sent <-chan error) bool {
-	if hr.Close || hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 || pc.br.Buffered() > 0 {
-		return false
-	}
-	select {
-	case err := <-sent:
-		if err != nil {
-			return false
-		}
-	case <-time.After(writeWait):
-		return false // the server would read the next request as the rest of this one
-	}
-	idle := cfg.IdleTimeout
-	if serverTimeout, ok := parseKeepAlive(hr.Header.Get("Keep-Alive")); ok {
-		idle = min(idle, time.Duration(keepAliveFraction*float64(serverTimeout)))
-	}
-	pc.expires = time.Now().Add(idle)
-	return idle > 0
-}
-
 // keepAliveFraction is the part of the time-out in the server's Keep-Alive header
 // during which an idle connection is reused. The header gives whole seconds, and
 // a request that is sent while the server closes the connection may be lost.
@@ -317,20 +293,3 @@
 	}
 	return 0, false
 }
-
-func encodeRequest(r *Request) []byte {
-	buf := make([]byte, 0, len(r.Body)+768)
-	buf = append(append(append(append(buf, r.Method...), ' '), r.URI...), " HTTP/1.1\r\nHost: "...)
-	buf = append(append(buf, r.Host...), "\r\n"...)
-	for name, values := range r.Header {
-		for _, v := range values {
-			buf = append(append(append(append(buf, name...), ": "...), v...), "\r\n"...)
-		}
-	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		buf = append(buf, "Content-Length: "...)
-		buf = strconv.AppendInt(buf, int64(len(r.Body)), 10)
-		buf = append(buf, "\r\n"...)
-	}
-	return append(append(buf, "\r\n"...), r.Body...)
-}
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -60,6 +62,16 @@
 	response chan *Response
 	method   string
 	last     bool
+	upload   *Upload
+}
+
+// endsConnection reports whether the connection is closed after the response: also if
+// a part of the body has not been read. It is called once the handler has returned.
+func (x exchange) endsConnection(deferred bool) bool {
+	if x.upload == nil {
+		return x.last
+	}
+	return x.last || !x.upload.end() && (x.upload.IsOpened() || !deferred)
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -139,18 +151,78 @@
 			return true
 		}
 		last := r.Header.Get("Connection") == "close"
-		x := exchange{response: make(chan *Response, 1), method: r.Method, last: last}
+		x := exchange{response: make(chan *Response, 1), method: r.Method, last: last, upload: r.Upload}
 		if !c.admit() {
 			return false // the last response is already decided; this request is not handled
 		}
 		c.queue <- x
-		go func() { x.response <- c.server.handler.Serve(c.ctx, r) }()
+		handled := make(chan struct{})
+		go func() {
+			x.response <- c.server.handler.Serve(c.ctx, r)
+			close(handled)
+		}()
+		if r.Upload != nil {
+			if c.awaitUpload(r.Upload, handled) {
+				return true
+			}
+			last = x.endsConnection(c.server.deferBodies)
+		}
 		if last {
 			return c.awaitResponses()
 		}
 	}
 }
 
+// awaitUpload leaves the connection to the handler from the opening of the body on and
+// waits until the handler has returned. It reports whether the caller closed the
+// connection before.
+func (c *conn) awaitUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
+	for {
+		select {
+		case <-handled:
+			return false
+		case <-u.opened:
+			return c.receiveUpload(u, handled)
+		case <-time.After(disconnectCheckInterval):
+		}
+		if c.server.deferBodies && c.hasDisconnected() {
+			c.broken.Store(true)
+			c.cancel()
+			close(u.ready) // reading the body fails
+			<-handled
+			return true
+		}
+	}
+}
+
+// receiveUpload lets the handler read the body and waits until it has returned.
+func (c *conn) receiveUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
+	c.limited.remaining = math.MaxInt64                       // Upload bounds the body
+	err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)) // a failure shows at the read
+	if c.server.deferBodies && err == nil {
+		_, err = io.WriteString(c.raw, continueResponse)
+	}
+	if err != nil {
+		c.broken.Store(true)
+		c.cancel()
+	}
+	close(u.ready)
+	<-handled
+	return err != nil
+}
+
+// hasDisconnected reports whether the caller has closed a connection on which no bytes
+// are expected.
+func (c *conn) hasDisconnected() bool {
+	_ = c.raw.SetReadDeadline(time.Now().Add(time.Millisecond)) // a failure shows at the read
+	c.limited.remaining = readBufferBytes
+	_, err := c.br.Peek(1)
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
 // awaitResponses waits until the pending responses have been written or the
 // caller closes the connection, and reports the latter. It reads no request.
 func (c *conn) awaitResponses() (callerDisconnected bool) {
@@ -236,14 +308,10 @@
 		}
 		return nil, http.StatusBadRequest, err
 	}
-	body, status, err := c.readBody(hr, limits)
-	if err != nil {
-		return nil, status, err
-	}
-	return &Request{
-		Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host,
-		Header: hr.Header, Body: body, Received: time.Now(),
-	}, 0, nil
+	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host, Header: hr.Header}
+	status, err := c.readBody(hr, r, limits)
+	r.Received = time.Now()
+	return r, status, err
 }
 
 var errTooLarge = errors.New("the request exceeds the limits")
@@ -251,34 +319,47 @@
 // bodyTimeout bounds the time for reading one body; Limits has no bound for it.
 const bodyTimeout = 30 * time.Second
 
-func (c *conn) readBody(hr *http.Request, limits Limits) ([]byte, int, error) {
+// readBody reads the body of a request, or sets Upload if it is long or deferred.
+func (c *conn) readBody(hr *http.Request, r *Request, limits Limits) (status int, err error) {
 	if hr.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge, errTooLarge
+		return http.StatusRequestEntityTooLarge, errTooLarge
 	}
 	if hr.Body == nil || hr.Body == http.NoBody {
-		return nil, 0, nil
+		return 0, nil
 	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, 0, err
+		return 0, err
 	}
-	if hr.Header.Get("Expect") == "100-continue" {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0, err
+	if expects := hr.Header.Get("Expect") == "100-continue"; expects && c.server.deferBodies {
+		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes)
+		return 0, nil
+	} else if expects {
+		if _, err := io.WriteString(c.raw, continueResponse); err != nil {
+			return 0, err
 		}
 	}
+	if hr.ContentLength > InlineBodyBytes {
+		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes)
+		return 0, nil
+	}
 	// A chunked body is longer on the wire by the sizes of its chunks, and the
 	// buffer reads ahead.
-	c.limited.remaining = 2*limits.BodyBytes + readBufferBytes
-	body, err := io.ReadAll(io.LimitReader(hr.Body, limits.BodyBytes+1))
+	inline := min(limits.BodyBytes, InlineBodyBytes)
+	c.limited.remaining = 2*inline + readBufferBytes
+	body, err := io.ReadAll(io.LimitReader(hr.Body, inline+1))
 	switch {
 	case err != nil && isConnError(err):
-		return nil, 0, err
+		return 0, err
 	case err != nil:
-		return nil, http.StatusBadRequest, err
+		return http.StatusBadRequest, err
 	case int64(len(body)) > limits.BodyBytes:
-		return nil, http.StatusRequestEntityTooLarge, errTooLarge
+		return http.StatusRequestEntityTooLarge, errTooLarge
+	case int64(len(body)) > inline:
+		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes)
+		return 0, nil
 	}
-	return body, 0, nil
+	r.Body = body
+	return 0, nil
 }
 
 // isConnError reports whether err comes from the connection (closed, reset or timed
--- a/router/httpserver/message.go
+++ b/router/httpserver/message.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Request is a request whose body has been read completely.
+// Request is a request whose body has been read completely, unless Upload is set.
 type Request struct {
 	Method string
 	// URI is the request target as the caller sent it.
@@ -21,10 +21,19 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Received is the time when the last byte of the body had been read.
+	// Upload is the body if it has not been read: it is longer than InlineBodyBytes,
+	// or the server defers bodies. Body is then empty.
+	Upload *Upload
+	// Received is the time when the last byte of the body had been read, or of the
+	// headers if Upload is set.
 	Received time.Time
 }
 
+// InlineBodyBytes is the longest body of a caller that is read before its request is
+// handled. Together with the buffers of the connection it bounds the memory that the
+// body of a request takes.
+const InlineBodyBytes = 256 << 10
+
 // Response is the response to a request. The server adds Content-Length.
 type Response struct {
 	Status int
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -16,6 +16,9 @@
 	handler Handler
 	limits  func() Limits
 	log     logging.Logger
+	// deferBodies leaves bodies unread whose sender awaits 100 Continue. It is set
+	// for peers, which send no body after another answer.
+	deferBodies bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -32,6 +35,15 @@
 	return &Server{handler: h, limits: limits, log: log, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
 }
 
+// NewForPeers returns a server like New that hands over requests before their bodies
+// if the sender awaits 100 Continue. Such a sender must send no body after another
+// answer.
+func NewForPeers(h Handler, limits func() Limits, log logging.Logger) *Server {
+	s := New(h, limits, log)
+	s.deferBodies = true
+	return s
+}
+
 // Listen opens the TCP listener on addr. Connections wait until Run is called.
 func (s *Server) Listen(addr string) error {
 	lc := net.ListenConfig{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
--- /dev/null
+++ b/router/httpserver/upload.go
@@ -0,0 +1,91 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// ErrBodyTooLong is the error of a body that exceeds Limits.BodyBytes.
+var ErrBodyTooLong = errors.New("the body exceeds the limit")
+
+// errOpened is the error of a second call of Upload.Open.
+var errOpened = errors.New("the body has been opened already")
+
+// Upload is a body that the handler reads from the connection. Until it is opened,
+// a caller that awaits 100 Continue sends no byte of it.
+type Upload struct {
+	// Length is the length in bytes, or -1 if it is not known.
+	Length int64
+
+	mu     sync.Mutex
+	body   io.Reader
+	left   int64 // bytes until the limit
+	opened chan struct{}
+	// ready is closed when the connection's reader leaves the connection to Read.
+	ready chan struct{}
+	// complete is set when the whole body has been read, tooLong at the limit.
+	complete, tooLong bool
+	ended             bool // the handler has returned
+}
+
+func newUpload(body io.Reader, length, limit int64) *Upload {
+	return &Upload{Length: length, body: body, left: limit, opened: make(chan struct{}), ready: make(chan struct{})}
+}
+
+// Open asks the caller to send the body and returns it. It can be called once, and
+// the body can be read until the handler returns.
+func (u *Upload) Open() (io.Reader, error) {
+	select {
+	case <-u.opened:
+		return nil, errOpened
+	default:
+	}
+	close(u.opened)
+	<-u.ready
+	return u, nil
+}
+
+// IsOpened reports whether Open was called.
+func (u *Upload) IsOpened() bool {
+	select {
+	case <-u.opened:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read implements io.Reader. After the end of the limit it returns ErrBodyTooLong, and
+// io.ErrUnexpectedEOF if the caller breaks the body off.
+func (u *Upload) Read(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		return 0, io.ErrClosedPipe
+	}
+	n, err := u.body.Read(p)
+	u.left -= int64(n)
+	if u.left < 0 {
+		u.tooLong = true
+		return 0, ErrBodyTooLong
+	}
+	u.complete = u.complete || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// IsTooLong reports whether reading has ended at the limit.
+func (u *Upload) IsTooLong() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.tooLong
+}
+
+// end ends the reading of the body and reports whether it was complete. A read in
+// progress is awaited.
+func (u *Upload) end() (complete bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ended = true
+	return u.complete
+}
--- a/router/httpserver/writer.go
+++ b/router/httpserver/writer.go
@@ -15,9 +15,10 @@
 	for x := range c.queue {
 		resp := <-x.response
 		if !finished && !c.isBroken() {
-			closes := c.decideClose(x.last)
+			last := x.endsConnection(c.server.deferBodies)
+			closes := c.decideClose(last)
 			finished = c.writeResponse(resp, x.method, closes) != nil || closes
-			if closes && !x.last {
+			if closes && !last {
 				// The reader waits for a further request, which would not be
 				// answered.
 				c.interruptRead()
--- /dev/null
+++ b/router/relay/body.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/httpserver"
+)
+
+const (
+	// maxHopBodyBytes is the longest body that is sent to the gate of another process
+	// together with the head of its request. A longer one is sent once the gate has
+	// accepted the request, so that a refused request does not load the links.
+	maxHopBodyBytes = 8 << 10
+	// maxTransfers bounds the bodies that a gate receives from peers at the same time.
+	// A few fill a link; more would delay all other messages on it.
+	maxTransfers = 2
+)
+
+// reasonBodyBroken is the reason if the caller's body could not be read to its end.
+const reasonBodyBroken = "body broke off"
+
+// receiveBody receives the body that a peer sends after the gate has accepted the
+// request. Bodies arrive in the order of their latency objectives, and one that would
+// arrive too late is refused at once. A body longer than httpserver.InlineBodyBytes
+// stays with the peer until the request has a slot, and is passed on as it arrives.
+func (g *Gate) receiveBody(ctx context.Context, req *routedRequest) (result, bool) {
+	upload := req.request.Upload
+	if upload == nil || upload.Length < 0 || upload.Length > httpserver.InlineBodyBytes {
+		return result{}, true
+	}
+	entered := time.Now()
+	id, a := g.transfers.acquire(ctx, req, targetLimits{slots: maxTransfers})
+	if !a.Start {
+		r := refused(a.Reason, a.RetryAfter)
+		r.waited = time.Since(entered)
+		return r, false
+	}
+	body, err := readUpload(upload)
+	g.transfers.release(id, err == nil)
+	if err != nil {
+		return refused(reasonBodyBroken+": "+err.Error(), 0), false
+	}
+	req.request.Body, req.request.Upload = body, nil
+	// Waiting here costs less than sending the body to another target.
+	req.noWait = false
+	return result{}, true
+}
+
+func readUpload(u *httpserver.Upload) ([]byte, error) {
+	r, err := u.Open()
+	if err != nil {
+		return nil, err
+	}
+	body := make([]byte, u.Length)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	_, err = r.Read(make([]byte, 1))
+	if err == io.EOF {
+		return body, nil
+	}
+	return nil, io.ErrUnexpectedEOF
+}
+
+// openSource opens a body that is passed on as it is read. It returns nil if there is
+// none.
+func openSource(u *httpserver.Upload) (*httpclient.Source, error) {
+	if u == nil {
+		return nil, nil
+	}
+	r, err := u.Open()
+	if err != nil {
+		return nil, err
+	}
+	return &httpclient.Source{Length: u.Length, Open: func() (io.Reader, error) { return r, nil }}, nil
+}
+
+// hopBody sets the body of a request that is sent to the gate of another process.
+func hopBody(out *httpclient.Request, in *httpserver.Request) {
+	out.Body = in.Body
+	out.AwaitContinue = len(in.Body) > maxHopBodyBytes
+	if u := in.Upload; u != nil {
+		out.AwaitContinue = true
+		out.Source = &httpclient.Source{Length: u.Length, Open: u.Open}
+	}
+}
+
+// upload returns the body that is passed on as it is read, or nil.
+func (r *routedRequest) upload() *httpserver.Upload {
+	if r.request == nil {
+		return nil
+	}
+	return r.request.Upload
+}
+
+// isConsumed reports whether the body cannot be sent again.
+func (r *routedRequest) isConsumed() bool {
+	u := r.upload()
+	return u != nil && u.IsOpened()
+}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -59,14 +59,16 @@
 	names  HeaderNames
 	client *httpclient.Client
 	queue  *blockingQueue
-	log    logging.Logger
+	// transfers orders the bodies that peers wait to send.
+	transfers *blockingQueue
+	log       logging.Logger
 }
 
 // NewGate returns the gate of the target that client connects to. It must be called
 // before agent.Run, because it sets the function from which the agent reports the
 // target's load.
 func NewGate(agent *fleetagent.Agent, names HeaderNames, client *httpclient.Client, log logging.Logger) *Gate {
-	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), log: log}
+	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), log: log}
 	agent.SetUsage(g.queue.usage)
 	return g
 }
@@ -94,6 +96,9 @@
 	if !ok {
 		return r
 	}
+	if r, ok := g.receiveBody(ctx, req); !ok {
+		return r
+	}
 	rate := 0.0
 	if s := g.service(req.service); s != nil {
 		rate = s.ColdRate
@@ -192,11 +197,18 @@
 	h.Set(g.names.CallerService, req.caller)
 	h.Set(g.names.Target, t.ID)
 	h.Set(g.names.DeadlineMs, strconv.FormatInt(max(time.Until(req.deadline).Milliseconds(), 1), 10))
+	source, err := openSource(req.request.Upload)
+	if err != nil {
+		return refused(reasonBodyBroken+": "+err.Error(), 0)
+	}
 	resp, err := g.client.Do(ctx, &httpclient.Request{
-		Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, Body: req.request.Body, ID: req.id,
+		Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, Body: req.request.Body, Source: source, ID: req.id,
 	})
 	var unsent *httpclient.NotSentError
+	var broken *httpclient.SourceError
 	switch {
+	case errors.As(err, &broken):
+		return result{outcome: unknown, reason: reasonBodyBroken + ": " + broken.Cause.Error(), reached: true}
 	case errors.As(err, &unsent):
 		if ctx.Err() == nil {
 			g.agent.RecordUnreachable(unsent.Refused)
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -198,6 +198,9 @@
 // against the service's budget, unless the last try reached no target.
 func (in *Ingress) shouldRetry(st *requestState) bool {
 	r := &st.last
+	if st.request.isConsumed() {
+		return false
+	}
 	if r.outcome == notRun && !r.reached {
 		return st.picks < maxPicks && (!st.request.sharded || r.mayHaveNewOwner())
 	}
@@ -234,7 +237,8 @@
 // ended by the deadline.
 const deadlineSlack = 5 * time.Millisecond
 
-// answer returns the response for the caller after the last try: the target's
+// answer returns the response for the caller after the last try: 413 if the body
+// exceeded the limit while it was passed on, so that no target got it whole; the target's
 // answer if there is one, which may be an earlier one with a status of 500 or
 // higher; otherwise 504 if the caller has disconnected, which callerLeft says, 503
 // if the request did not run, 504 if the deadline has passed, and 502 in all other
@@ -244,7 +248,10 @@
 	if r.outcome != done && st.lastServerError != nil {
 		r = st.lastServerError
 	}
+	upload := st.request.upload()
 	switch {
+	case upload != nil && upload.IsTooLong():
+		return in.failure(st, http.StatusRequestEntityTooLarge)
 	case r.outcome == done:
 		h := forwarded(r.response.Header)
 		h.Del(in.names.Load)
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -82,12 +82,14 @@
 func (p *peers) do(ctx context.Context, process string, req *routedRequest) result {
 	h := req.header.Clone()
 	h.Set(headerHop, encodeRouting(req, time.Now()))
-	resp, err := p.client(process).Do(ctx, &httpclient.Request{
-		Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, Body: req.request.Body, ID: req.id,
-	})
+	out := &httpclient.Request{Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, ID: req.id}
+	hopBody(out, req.request)
+	resp, err := p.client(process).Do(ctx, out)
 	var unsent *httpclient.NotSentError
 	if errors.As(err, &unsent) {
-		p.avoid(process)
+		if ctx.Err() == nil {
+			p.avoid(process)
+		}
 		return refused("peer: "+unsent.Cause.Error(), 0)
 	}
 	if err != nil {
