--- a/router/examples/demo/demo.go
+++ b/router/examples/demo/demo.go
@@ -48,7 +48,12 @@
 	if err := d.report(); err != nil {
 		return err
 	}
-	return runRanges(ctx, o, folder)
+	for _, grantsByRequest := range []bool{false, true} {
+		if err := runRanges(ctx, o, folder, grantsByRequest); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // workFolder returns the folder for settings, logs and data, and a function that
--- a/router/examples/demo/ranges.go
+++ b/router/examples/demo/ranges.go
@@ -25,10 +25,11 @@
 )
 
 // runRanges runs a cluster in fleet mode: it bootstraps from its seeds, moves the key
-// ranges of a lost target and replaces a control replica that has lost its disk.
-func runRanges(ctx context.Context, o options, folder string) error {
-	logf("key ranges: starting 3 control replicas, and 4 targets with their sidecar processes")
-	folder = filepath.Join(folder, "ranges")
+// ranges of a lost target and replaces a control replica that has lost its disk. Key
+// ranges are granted in the answers to the targets' announcements or by calls to them.
+func runRanges(ctx context.Context, o options, folder string, grantsByRequest bool) error {
+	logf("key ranges, granted by calls: %t: starting 3 control replicas, and 4 targets with their sidecar processes", grantsByRequest)
+	folder = filepath.Join(folder, fmt.Sprint("ranges-", grantsByRequest))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return err
 	}
@@ -36,6 +37,7 @@
 		Folder: folder, Daemon: o.Daemon, Standin: o.RangeTarget, Network: rangesNetwork, Replicas: 3, ToleratedFailures: 1,
 		MemberServices: []string{"seats", "seats", "seats", "mail"}, KeyedServices: []string{"seats"},
 		AnnounceInterval: 300 * time.Millisecond, MaxGrantTime: 4 * time.Second, ShutdownTimeout: 6 * time.Second, ServiceTime: 2 * time.Millisecond,
+		GrantsByRequest: grantsByRequest,
 	})
 	if err != nil {
 		return err
