Deliver the refusal of an upload whose caller is still sending

After a refusal before the end of the body the server read 256 KiB or 500 ms more and then closed the connection; the rest of the body made the kernel send a reset, and the caller lost the answer that says that nothing ran.

Chunks are framed in place instead of being copied.

Tests: TestRefusalDuringUploadIsDelivered failed before (broken pipe).

--- a/router/fleetdaemon/upload_test.go
+++ b/router/fleetdaemon/upload_test.go
@@ -179,6 +179,7 @@
 				served.Add(1)
 			case status != http.StatusServiceUnavailable:
 				wrong.Add(1)
+				t.Logf("upload %d: status %d, %s", i, status, body)
 			}
 		})
 	}
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -136,13 +136,13 @@
 	if err != nil {
 		return &SourceError{Cause: err}
 	}
-	buf := make([]byte, copyBufferBytes)
+	buf := make([]byte, chunkHeadBytes+copyBufferBytes+len(crlf))
 	total := int64(0)
 	for {
-		n, readErr := body.Read(buf)
+		n, readErr := body.Read(buf[chunkHeadBytes : chunkHeadBytes+copyBufferBytes])
 		total += int64(n)
 		if n > 0 {
-			if err := x.writePart(buf[:n], s.Length < 0); err != nil {
+			if _, err := x.pc.raw.Write(framePart(buf, n, s.Length < 0)); err != nil {
 				return err
 			}
 		}
@@ -150,7 +150,7 @@
 		case errors.Is(readErr, io.EOF) && s.Length >= 0 && total != s.Length:
 			return &SourceError{Cause: io.ErrUnexpectedEOF}
 		case errors.Is(readErr, io.EOF) && s.Length < 0:
-			_, err := x.pc.raw.Write([]byte("0\r\n\r\n"))
+			_, err := x.pc.raw.Write([]byte("0" + crlf + crlf))
 			return err
 		case errors.Is(readErr, io.EOF):
 			return nil
@@ -160,16 +160,23 @@
 	}
 }
 
-// writePart writes a part of a body, as a chunk if its length is not known before.
-func (x *exchange) writePart(part []byte, chunked bool) error {
-	if chunked {
-		chunk := make([]byte, 0, len(part)+16)
-		chunk = strconv.AppendInt(chunk, int64(len(part)), 16)
-		chunk = append(append(append(chunk, "\r\n"...), part...), "\r\n"...)
-		part = chunk
-	}
-	_, err := x.pc.raw.Write(part)
-	return err
+const (
+	crlf = "\r\n"
+	// chunkHeadBytes is the room for the size of a chunk and a line end.
+	chunkHeadBytes = 16
+)
+
+// framePart returns the bytes to send for the n bytes of a body that follow
+// chunkHeadBytes in buf: a chunk if the length of the body is not known before.
+func framePart(buf []byte, n int, chunked bool) []byte {
+	from, to := chunkHeadBytes, chunkHeadBytes+n
+	if !chunked {
+		return buf[from:to]
+	}
+	head := strconv.FormatInt(int64(n), 16) + crlf
+	from -= len(head)
+	copy(buf[from:], head)
+	return buf[from : to+copy(buf[to:], crlf)]
 }
 
 // writeWait bounds the wait for the end of sending a request whose response
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -27,8 +27,11 @@
 	// lingerTimeout bounds the wait for the caller to close its side after the
 	// last response. Closing while received bytes are unread makes the kernel
 	// send a reset, and the caller could lose the response.
-	lingerTimeout   = 500 * time.Millisecond
-	readBufferBytes = 4 << 10
+	lingerTimeout = 500 * time.Millisecond
+	// uploadLingerTimeout is the same wait after the refusal of a body that the caller
+	// may still be sending.
+	uploadLingerTimeout = 3 * time.Second
+	readBufferBytes     = 4 << 10
 )
 
 // conn is one caller's connection. A reader starts a goroutine for each request
@@ -51,8 +54,11 @@
 	// closeDecided is set once a response has been chosen after which the server
 	// closes the connection.
 	closeDecided bool
-	cancel       context.CancelFunc
-	ctx          context.Context
+	// bodyUnread is set if the last request was answered before its body was read. Only
+	// the reader's goroutine uses it.
+	bodyUnread bool
+	cancel     context.CancelFunc
+	ctx        context.Context
 }
 
 // exchange is one request in the queue of responses. last says that the connection
@@ -98,12 +104,17 @@
 
 // lingeringClose closes the sending side, discards what the caller still sends
 // and then closes the connection, so that the last response is not lost.
-// lingerTimeout and lingerBytes bound the wait.
+// lingerTimeout and lingerBytes bound the wait, or uploadLingerTimeout and the limit of
+// a body if a caller may still be sending one.
 func (c *conn) lingeringClose() {
+	timeout, bytes := lingerTimeout, int64(lingerBytes)
+	if c.bodyUnread {
+		timeout, bytes = uploadLingerTimeout, max(bytes, 2*c.server.limits().BodyBytes)
+	}
 	if tcp, ok := c.raw.(*net.TCPConn); ok && !c.isBroken() {
-		_ = tcp.CloseWrite()                                     // the connection is closed below in any case
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) // a failure shows at the read
-		c.limited.remaining = lingerBytes
+		_ = tcp.CloseWrite()                               // the connection is closed below in any case
+		_ = c.raw.SetReadDeadline(time.Now().Add(timeout)) // a failure shows at the read
+		c.limited.remaining = bytes
 		_, _ = io.Copy(io.Discard, c.limited) // stops at the caller's close or at a bound
 	}
 	_ = c.raw.Close() // all responses have been written or cannot be
@@ -137,6 +148,7 @@
 		r, status, err := c.readRequest()
 		if err != nil {
 			if status != 0 {
+				c.bodyUnread = status == http.StatusRequestEntityTooLarge
 				c.rejectAndClose(status)
 				return false
 			}
@@ -165,7 +177,8 @@
 			if c.awaitUpload(r.Upload, handled) {
 				return true
 			}
-			last = x.endsConnection(c.server.deferBodies)
+			c.bodyUnread = x.endsConnection(c.server.deferBodies)
+			last = c.bodyUnread
 		}
 		if last {
 			return c.awaitResponses()
--- a/router/httpserver/upload_test.go
+++ b/router/httpserver/upload_test.go
@@ -182,3 +182,23 @@
 		t.Error("the request is not cancelled")
 	}
 }
+
+// Guards against a refusal that the caller loses because the connection is reset while
+// it still sends the body: without the answer it does not know that nothing ran.
+func TestRefusalDuringUploadIsDelivered(t *testing.T) {
+	is := is.New(t)
+	c := startUploadServer(t, false, func(context.Context, *httpserver.Request) *httpserver.Response {
+		return httpserver.TextResponse(503, "refused")
+	})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n")
+	is.NoErr(err)
+	part := strings.Repeat("x", 64<<10)
+	for range 16 {
+		_, err := io.WriteString(c, part)
+		is.NoErr(err)
+		time.Sleep(60 * time.Millisecond) // a slow caller, about a second in all
+	}
+	got, resp := answerText(t, bufio.NewReader(c))
+	is.Equal(got, "refused")
+	is.True(resp.Close)
+}
