End the reading of a body at the deadline of its request

Change: httpserver.Upload.Interrupt ends the read; the gate calls it at the deadline and the server when the handler has returned.

--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -344,7 +344,7 @@
 		return 0, err
 	}
 	if expects := hr.Header.Get("Expect") == "100-continue"; expects && c.server.deferBodies {
-		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes)
+		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
 		return 0, nil
 	} else if expects {
 		if _, err := io.WriteString(c.raw, continueResponse); err != nil {
@@ -352,7 +352,7 @@
 		}
 	}
 	if hr.ContentLength > InlineBodyBytes {
-		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes)
+		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
 		return 0, nil
 	}
 	// A chunked body is longer on the wire by the sizes of its chunks, and the
@@ -368,7 +368,7 @@
 	case int64(len(body)) > limits.BodyBytes:
 		return http.StatusRequestEntityTooLarge, errTooLarge
 	case int64(len(body)) > inline:
-		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes)
+		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes, c.interruptRead)
 		return 0, nil
 	}
 	r.Body = body
--- a/router/httpserver/upload.go
+++ b/router/httpserver/upload.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // ErrBodyTooLong is the error of a body that exceeds Limits.BodyBytes.
@@ -27,10 +28,20 @@
 	// complete is set when the whole body has been read, tooLong at the limit.
 	complete, tooLong bool
 	ended             bool // the handler has returned
+	// interrupt ends a read of the connection that is in progress.
+	interrupt func()
+	finished  atomic.Bool // no read has to be interrupted any more
 }
 
-func newUpload(body io.Reader, length, limit int64) *Upload {
-	return &Upload{Length: length, body: body, left: limit, opened: make(chan struct{}), ready: make(chan struct{})}
+func newUpload(body io.Reader, length, limit int64, interrupt func()) *Upload {
+	return &Upload{Length: length, body: body, left: limit, opened: make(chan struct{}), ready: make(chan struct{}), interrupt: interrupt}
+}
+
+// Interrupt makes reading the body fail, also a read in progress, unless it is complete.
+func (u *Upload) Interrupt() {
+	if u.IsOpened() && !u.finished.Swap(true) {
+		u.interrupt()
+	}
 }
 
 // Open asks the caller to send the body and returns it. It can be called once, and
@@ -70,7 +81,10 @@
 		u.tooLong = true
 		return 0, ErrBodyTooLong
 	}
-	u.complete = u.complete || errors.Is(err, io.EOF)
+	if errors.Is(err, io.EOF) {
+		u.complete = true
+		u.finished.Store(true)
+	}
 	return n, err
 }
 
@@ -81,9 +95,10 @@
 	return u.tooLong
 }
 
-// end ends the reading of the body and reports whether it was complete. A read in
-// progress is awaited.
+// end ends the reading of the body, also a read in progress, and reports whether it was
+// complete.
 func (u *Upload) end() (complete bool) {
+	u.Interrupt()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.ended = true
--- a/router/httpserver/upload_test.go
+++ b/router/httpserver/upload_test.go
@@ -202,3 +202,43 @@
 	is.Equal(got, "refused")
 	is.True(resp.Close)
 }
+
+// Guards against an answer that waits for a caller that has stopped sending its body.
+func TestAnswerDoesNotAwaitStalledBody(t *testing.T) {
+	is := is.New(t)
+	c := startUploadServer(t, false, func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		body, err := r.Upload.Open()
+		if err != nil {
+			return httpserver.TextResponse(500, err.Error())
+		}
+		go func() { _, _ = io.Copy(io.Discard, body) }() // is still reading at the deadline
+		time.Sleep(100 * time.Millisecond)
+		return httpserver.TextResponse(504, "deadline")
+	})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\nabc")
+	is.NoErr(err)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	got, _ := answerText(t, bufio.NewReader(c))
+	is.Equal(got, "deadline")
+}
+
+// Guards against a read of a body that does not end when it is interrupted.
+func TestInterruptedBody(t *testing.T) {
+	is := is.New(t)
+	c := startUploadServer(t, true, func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		time.AfterFunc(100*time.Millisecond, r.Upload.Interrupt)
+		resp := readUpload(context.Background(), r)
+		resp.Status = 503
+		return resp
+	})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	is.NoErr(err)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 100)
+	_, resp = answerText(t, br)
+	is.Equal(resp.StatusCode, 503)
+	is.True(resp.Close)
+}
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -38,7 +38,10 @@
 		r.waited = time.Since(entered)
 		return r, false
 	}
+	// A peer that stops sending must not keep others from sending beyond the deadline.
+	stop := context.AfterFunc(ctx, upload.Interrupt)
 	body, err := readUpload(upload)
+	stop()
 	g.transfers.release(id, err == nil)
 	if err != nil {
 		return refused(reasonBodyBroken+": "+err.Error(), 0), false
