Log the limit and the leave that a target states in its answers

The logs could not tell whether a gate ignores a target's limit, loses it, or keeps to it while the sum over all processes is too high. The line of each try now has the fields limit and leaving, and bramleyquay_target_limit shows the limit in force.

--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -223,13 +223,14 @@
 		return result{outcome: unknown, reason: reasonAnswerBroken + ": " + err.Error(), reached: true}
 	}
 	g.agent.RecordSuccess()
+	n := g.notice(resp.Status, resp.Header)
 	switch {
 	case resp.Header.Get(g.names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
-		return result{outcome: notRun, reason: reasonTargetRefused + " with " + strconv.Itoa(resp.Status), reached: true}
+		return result{outcome: notRun, reason: reasonTargetRefused + " with " + strconv.Itoa(resp.Status), reached: true, notice: n}
 	case resp.Status >= 200 && resp.Status < 300 && resp.Header.Get(g.names.Signature) == "":
 		return result{outcome: unknown, reason: reasonNoSignature, reached: true}
 	}
-	return result{outcome: done, response: resp, reached: true}
+	return result{outcome: done, response: resp, reached: true, notice: n}
 }
 
 // ServePeer runs a request that the ingress of another process has routed to this
@@ -270,8 +271,12 @@
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
+		Float64("limit", r.notice.limit).Bool("leaving", r.notice.leaving).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
+	if r.notice.limitKnown {
+		setTargetLimit(r.notice.limit)
+	}
 }
 
 func (g *Gate) service(name string) *routes.Service {
--- a/router/relay/headers.go
+++ b/router/relay/headers.go
@@ -35,12 +35,17 @@
 	Signature string
 	// Load carries a target's load; it is not passed on to callers.
 	Load string
+	// Limit names the requests per second, a decimal number, that a target in
+	// trouble takes from all processes together, for as long as its answers have it.
+	Limit string
+	// Leaving marks the answers of a target that stops.
+	Leaving string
 }
 
 // DefaultHeaderNames are the names that the product's own targets and callers use.
 var DefaultHeaderNames = HeaderNames{
 	RequestID: "Bq-Request-Id", DeadlineMs: "Bq-Timeout-Ms", Key: "Bq-Key", Target: "Bq-Target", CallerService: "Bq-Caller",
-	NotRun: "Bq-Not-Run", Signature: "Bq-Signature", Load: "Bq-Load",
+	NotRun: "Bq-Not-Run", Signature: "Bq-Signature", Load: "Bq-Load", Limit: "Bq-Limit", Leaving: "Bq-Leaving",
 }
 
 // headerHop carries the routing decision from an ingress to the gate of another
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -14,6 +14,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_requests_total{role=%q,outcome=%q}`, role, outcome)).Inc()
 }
 
+// setTargetLimit sets bramleyquay_target_limit: the requests per second that the
+// process's target names as its limit, zero without a limit.
+func setTargetLimit(rate float64) {
+	metrics.GetOrCreateGauge("bramleyquay_target_limit", nil).Set(rate)
+}
+
 // observe records the latency of one answer to a caller by service and class of
 // status.
 func observe(service string, status int, took time.Duration) {
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -61,6 +61,8 @@
 	// waited and ran are the times spent in the gate's queue and at the target. They
 	// are zero in the result of another process.
 	waited, ran time.Duration
+	// notice is what the target's answer says about its state.
+	notice notice
 }
 
 // refused returns the result of a request that no target received.
