Keep to the limit that a target names in its answers

Cause: nothing read the limit.

Change: dispatch.Queue starts requests at the named rate, after idle time with a burst of half a second's worth. The limit ends with the answer to a later request that names none, or with another incarnation. Expected waits include it, so that requests that it leaves no room for are refused at once; the offered load, the load that peers see and the capacity by which key ranges move are measured against it.

--- a/coord/dispatch/estimate.go
+++ b/coord/dispatch/estimate.go
@@ -24,7 +24,7 @@
 	return q.cfg.MaxLateFraction * min(max((highOfferedLoad-q.usage.offeredLoad)/(highOfferedLoad-lowOfferedLoad), 0), 1)
 }
 
-// lowOfferedLoad and highOfferedLoad are the bounds, as multiples of what the slots
+// lowOfferedLoad and highOfferedLoad are the bounds, as multiples of what the target
 // can do, between which lateFraction falls and waitFactor rises. The offered load
 // includes the retries of refused callers, so it exceeds the load of new requests
 // under overload.
@@ -32,8 +32,8 @@
 
 // expectedWait estimates the time until r starts. Slots become free at the rate
 // at which the running requests end, and requests ahead of r take them first. The
-// estimate is zero if a slot is left for r. At a cold target it is at least the
-// delay of the start limiter.
+// estimate is zero if a slot is left for r. At a target that is cold or limits its
+// requests it is at least the delay until that limit allows the start.
 func (q *Queue) expectedWait(now clock.Reading, r Request) time.Duration {
 	var work time.Duration
 	ahead := 0
@@ -52,7 +52,7 @@
 		}
 		wait = (total/time.Duration(running) + work) / time.Duration(running)
 	}
-	return max(wait, q.startLimiter.delay(now.Mono, ahead))
+	return max(wait, q.startLimiter.delay(now.Mono, ahead), q.rateLimiter.delay(now.Mono, ahead))
 }
 
 const (
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -85,6 +85,8 @@
 	waiting      []Request
 	serviceTimes map[string]time.Duration // moving mean by group
 	startLimiter startLimiter
+	rateLimiter  rateLimiter
+	limitNamed   time.Duration // the last time at which an answer named a limit
 	usage        usage
 	groups       map[string]serviceTimeGroup // by name
 }
@@ -117,7 +119,7 @@
 // waits. The actions may concern other requests as well.
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
-	q.usage.requestArrived(q.serviceTime(r.ServiceTimeGroup), q.cfg.Slots)
+	q.usage.requestArrived(q.capacityUsed(q.serviceTime(r.ServiceTimeGroup)))
 	q.groups[r.ServiceTimeGroup] = serviceTimeGroup{priority: r.Priority, latencyObjective: r.latencyObjective(), lastOffer: now.Mono}
 	q.waiting = append(q.waiting, r)
 	actions := q.schedule(now)
@@ -180,19 +182,24 @@
 // are checked only when a method is called.
 func (q *Queue) Tick(now clock.Reading) []Action { return q.schedule(now) }
 
-// Load returns the numbers of running and waiting requests and of slots.
+// Load returns the numbers of running and waiting requests and of slots that can be
+// in use: fewer than the target has if it limits its requests.
 func (q *Queue) Load() (running, waiting, limit int) {
-	return len(q.running), len(q.waiting), q.cfg.Slots
+	return len(q.running), len(q.waiting), q.usableSlots()
 }
 
-// Utilization returns the recent fraction of the slots in use, and the requests
-// per second that the target could serve, zero before the first answer.
+// Utilization returns the recent fraction of the target's capacity in use, and the
+// requests per second that the target could serve, zero before the first answer.
 func (q *Queue) Utilization(now clock.Reading) (utilization, capacity float64) {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
+	utilization = q.usage.utilization
 	if q.usage.meanServiceTime > 0 {
 		capacity = float64(q.cfg.Slots) / q.usage.meanServiceTime.Seconds()
 	}
-	return q.usage.utilization, capacity
+	if limit := q.rateLimiter.rate(); limit > 0 && (capacity == 0 || limit < capacity) {
+		return max(utilization, min(q.usage.offeredLoad, 1)), limit
+	}
+	return utilization, capacity
 }
 
 // schedule refuses the waiting requests for which at most a quarter of the expected
@@ -208,7 +215,8 @@
 		}
 		i++
 	}
-	for len(q.waiting) > 0 && len(q.running) < q.cfg.Slots && q.startLimiter.allow(now.Mono) {
+	for len(q.waiting) > 0 && len(q.running) < q.cfg.Slots && q.rateLimiter.ready(now.Mono) && q.startLimiter.allow(now.Mono) {
+		q.rateLimiter.started(now.Mono)
 		i := q.next(now)
 		r := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
--- a/coord/dispatch/usage.go
+++ b/coord/dispatch/usage.go
@@ -21,8 +21,8 @@
 	// utilization is the recent fraction of the slots in use.
 	utilization     float64
 	meanServiceTime time.Duration
-	// offeredLoad is the expected service time that recently arrived, relative to
-	// what the slots can do.
+	// offeredLoad is the work that recently arrived, relative to what the target can
+	// do.
 	offeredLoad float64
 }
 
@@ -46,7 +46,8 @@
 	u.meanServiceTime += time.Duration(meanWeight * float64(serviceTime-u.meanServiceTime))
 }
 
-// requestArrived adds the expected service time of a request to the offered load.
-func (u *usage) requestArrived(expected time.Duration, slots int) {
-	u.offeredLoad += float64(expected) / float64(usageTimeConstant) / float64(max(slots, 1))
+// requestArrived adds a request to the offered load that is expected to use the whole
+// target for a time.
+func (u *usage) requestArrived(use time.Duration) {
+	u.offeredLoad += float64(use) / float64(usageTimeConstant)
 }
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -260,6 +260,8 @@
 type Target struct {
 	ID    string
 	Slots int
+	// Incarnation identifies this start of the target at its process.
+	Incarnation ranges.Holder
 	// Accepts is set if the target may get new requests.
 	Accepts bool
 	// ColdUntil is the announced or assumed end of its cold period, on the clock
@@ -283,7 +285,7 @@
 		coldUntil = max(coldUntil, now+a.cfg.AnnounceInterval) // until the next announcement, which says how long it is cold
 	}
 	return Target{
-		ID: t.id, Slots: t.slots, ColdUntil: coldUntil, NextGrant: a.nextGrant(now),
+		ID: t.id, Slots: t.slots, Incarnation: ranges.Holder{Target: t.id, Incarnation: t.incarnation, Process: a.cfg.Process}, ColdUntil: coldUntil, NextGrant: a.nextGrant(now),
 		Accepts: a.condition(now) == fleet.Ready,
 	}, true
 }
--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -28,7 +28,7 @@
 const waitTimeout = 60 * time.Second
 
 var headerNames = relay.HeaderNames{RequestID: "X-Id", DeadlineMs: "X-Deadline-Ms", Key: "X-Key", Target: "X-Target",
-	CallerService: "X-Caller", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load"}
+	CallerService: "X-Caller", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving"}
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/router/httpclient"
 	"bramleyquay.example/router/httpserver"
 )
@@ -42,7 +43,7 @@
 	stop := context.AfterFunc(ctx, upload.Interrupt)
 	body, err := readUpload(upload)
 	stop()
-	g.transfers.release(id, err == nil)
+	g.transfers.release(id, err == nil, dispatch.Limit{})
 	if err != nil {
 		return refused(reasonBodyBroken+": "+err.Error(), 0), false
 	}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -106,7 +106,7 @@
 	// The queue uses the monotonic clock, ColdUntil is on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.BootTime().Mono
 	entered := time.Now()
-	id, a := g.queue.acquire(ctx, req, targetLimits{slots: t.Slots, coldUntil: until, coldRate: rate})
+	id, a := g.queue.acquire(ctx, req, targetLimits{target: t.Incarnation, slots: t.Slots, coldUntil: until, coldRate: rate})
 	waited := time.Since(entered)
 	if !a.Start {
 		r := refused(a.Reason, a.RetryAfter)
@@ -125,13 +125,13 @@
 		r, ok = refused(reasonCallerLeft, 0), false
 	}
 	if !ok {
-		g.queue.release(id, false)
+		g.queue.release(id, false, dispatch.Limit{})
 		return r
 	}
 	begun := time.Now()
 	r = g.send(ctx, req, t)
 	r.waited, r.ran = waited, time.Since(begun)
-	g.queue.release(id, r.outcome == done)
+	g.queue.release(id, r.outcome == done, r.notice.limit)
 	return r
 }
 
@@ -271,12 +271,10 @@
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
-		Float64("limit", r.notice.limit).Bool("leaving", r.notice.leaving).
+		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
-	if r.notice.limitKnown {
-		setTargetLimit(r.notice.limit)
-	}
+	setTargetLimit(g.queue.limit())
 }
 
 func (g *Gate) service(name string) *routes.Service {
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -4,14 +4,13 @@
 	"math"
 	"net/http"
 	"strconv"
+
+	"bramleyquay.example/coord/dispatch"
 )
 
 // notice is what a target says about its own state in an answer.
 type notice struct {
-	// limitKnown is set if the answer says whether the target limits its requests;
-	// limit is then the number per second, or zero without a limit.
-	limitKnown bool
-	limit      float64
+	limit dispatch.Limit
 	// leaving is set if the target stops.
 	leaving bool
 }
@@ -31,7 +30,7 @@
 	n := notice{leaving: h.Get(g.names.Leaving) != ""}
 	text := h.Get(g.names.Limit)
 	if text == "" {
-		n.limitKnown = signed
+		n.limit.Known = signed
 		return n
 	}
 	rate, err := strconv.ParseFloat(text, 64)
@@ -39,6 +38,6 @@
 		g.log.Warn().Str("limit", text).Msg("limit ignored: not a number of requests per second")
 		return n
 	}
-	n.limitKnown, n.limit = true, max(rate, minLimit)
+	n.limit = dispatch.Limit{Known: true, Rate: max(rate, minLimit)}
 	return n
 }
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -7,6 +7,7 @@
 
 	"bramleyquay.example/coord/balancer"
 	"bramleyquay.example/coord/dispatch"
+	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -21,6 +22,8 @@
 	waiters map[uint64]chan dispatch.Action
 	lastID  uint64
 	ticking bool
+	// target is the incarnation of the target that the queue's limit belongs to.
+	target ranges.Holder
 }
 
 func newBlockingQueue(slots int) *blockingQueue {
@@ -32,6 +35,10 @@
 func (w *blockingQueue) acquire(ctx context.Context, req *routedRequest, limits targetLimits) (uint64, dispatch.Action) {
 	w.mu.Lock()
 	now := timesource.Now()
+	if w.target != limits.target {
+		w.target = limits.target
+		w.queue.ClearLimit(now)
+	}
 	w.queue.SetSlots(limits.slots)
 	w.queue.SetColdStartRate(now, limits.coldUntil, limits.coldRate)
 	w.lastID++
@@ -66,17 +73,20 @@
 
 // targetLimits are the limits that the target's state sets for the queue.
 type targetLimits struct {
+	target    ranges.Holder
 	slots     int
 	coldUntil time.Duration // on the monotonic clock of timesource
 	coldRate  float64       // starts per second until coldUntil
 }
 
 // release frees the slot of a started request. complete says that the target
-// answered it.
-func (w *blockingQueue) release(id uint64, complete bool) {
+// answered it, limit is the limit in that answer.
+func (w *blockingQueue) release(id uint64, complete bool, limit dispatch.Limit) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.deliver(w.queue.Done(timesource.Now(), id, complete))
+	now := timesource.Now()
+	w.queue.RecordLimit(now, id, limit)
+	w.deliver(w.queue.Done(now, id, complete))
 }
 
 // deliver passes decisions to the requests that wait for them. The caller must
@@ -113,6 +123,13 @@
 	return &balancer.GateLoad{Running: running, Limit: limit, Queued: waiting}
 }
 
+// limit returns the limit that the target named, in requests per second, or zero.
+func (w *blockingQueue) limit() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Limit()
+}
+
 // usage returns the utilization, which is the share of slots in use, and the
 // number of requests per second that the target could serve.
 func (w *blockingQueue) usage() (utilization, capacity float64) {
