Send no new requests to a target whose answers say that it leaves

A target that stops may say so in its answers before its announcements do, or instead of them. Nothing read this, so requests went on to it until it announced its end.

Change: the gate reports it to the agent, which counts the target as draining from then on, as after its announcement; the other processes get it with their next renewal. An answer of an earlier incarnation is ignored.

Test: TestTargetThatLeavesByAnswer (real sockets) fails without the call in Gate.send.

--- /dev/null
+++ b/router/fleetdaemon/leaving_test.go
@@ -0,0 +1,32 @@
+package fleetdaemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against new requests at a target whose answers say that it leaves, while its
+// announcements do not say so yet.
+func TestTargetThatLeavesByAnswer(t *testing.T) {
+	is := is.New(t)
+	_, plain, _ := startServingCluster(t)
+	plain[0].behave = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("X-Leaving", "1")
+		return false
+	}
+	told := ""
+	await(t, "an answer of the leaving target", func() bool {
+		told += "t"
+		status, _, header := plain[0].call("GET", "/safe/a", told, nil)
+		return status == 200 && header.Get("X-Leaving") != ""
+	})
+	for i := range 40 {
+		id := fmt.Sprint("after", i)
+		status, _, _ := plain[i%2].call("GET", "/safe/a", id, nil)
+		is.Equal(status, 200)
+		is.Equal(plain[0].count(id), 0)
+	}
+}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -224,6 +224,9 @@
 	}
 	g.agent.RecordSuccess()
 	n := g.notice(resp.Status, resp.Header)
+	if n.leaving {
+		g.agent.RecordLeaving(t.Incarnation)
+	}
 	switch {
 	case resp.Header.Get(g.names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		return result{outcome: notRun, reason: reasonTargetRefused + " with " + strconv.Itoa(resp.Status), reached: true, notice: n}
