Read the refusal of a leader call only after the call has run

Cause: doAsLeader joined the result of a function that may still be running on the replica's goroutine when the caller's context ends or the replica stops. The race detector reported it in TestNamedLimitIsKept, in a renewal at the end of the test. A renewal whose context has ended got its error either way, so callers saw nothing.

Ruled out: replies. All callers discard theirs after an error.

--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -139,7 +138,10 @@
 		}
 		refused = f()
 	})
-	return errors.Join(err, refused)
+	if err != nil {
+		return err // f may still be running
+	}
+	return refused
 }
 
 // handleJoin proposes to add a replica as a learner and does not wait until
