Read results of the control replica's calls only after they have run

The same cause as in fleetnode: the functions that TaskQueue.Do runs may still run when it returns an error, and the callers read their variables all the same. Found by looking for the pattern; no report of the race detector here.

--- a/router/controlnode/bootstrap.go
+++ b/router/controlnode/bootstrap.go
@@ -140,7 +140,10 @@
 	err := r.do(context.Background(), func() {
 		reply = BootstrapProbeReply{DataDirID: r.bootstrapState.DataDirID, Bootstrapped: len(r.bootstrapState.VoterDataDirIDs) > 0, RecordedDataDirID: r.bootstrapState.VoterDataDirIDs[probe.ID]}
 	})
-	return reply, err
+	if err != nil {
+		return BootstrapProbeReply{}, err
+	}
+	return reply, nil
 }
 
 // bootstrapOrJoin starts a replica that has no id yet: as an initial voter once
--- a/router/controlnode/propagation.go
+++ b/router/controlnode/propagation.go
@@ -71,5 +71,8 @@
 			out.Elapsed = now.MonoSince(r.propagation.since)
 		}
 	})
-	return out, err
+	if err != nil {
+		return ConfigPropagation{}, err
+	}
+	return out, nil
 }
--- a/router/controlnode/propose.go
+++ b/router/controlnode/propose.go
@@ -69,7 +69,10 @@
 		}
 		f(r.state, r.controller)
 	})
-	return errors.Join(err, refused)
+	if err != nil {
+		return err
+	}
+	return refused
 }
 
 // ChangeMembership proposes a change of the control group by one replica. It
@@ -84,7 +87,10 @@
 		}
 		_, refused = r.raft.ProposeMembership(c)
 	})
-	return errors.Join(err, refused)
+	if err != nil {
+		return err
+	}
+	return refused
 }
 
 // Transfer starts a transfer of leadership to the active voter with the most
@@ -101,7 +107,10 @@
 		}
 		refused = r.transfer(avoid)
 	})
-	return errors.Join(err, refused)
+	if err != nil {
+		return err
+	}
+	return refused
 }
 
 func (r *Replica) transfer(avoid func(raft.ID) bool) error {
@@ -132,7 +141,10 @@
 			st, started = r.raft.Status(), true
 		}
 	})
-	return st, started, err
+	if err != nil {
+		return raft.Status{}, false, err
+	}
+	return st, started, nil
 }
 
 // ControllerStatus returns the status of the leader's controller for dumps, or
