Retain at the leader what a target said, over restarts of its process

A late one that still says ready makes a target that leaves count as ready again, and until the first answer the process does not know the limit that the target has named, which the other processes have passed on.

Change: the leader retains per process, for one incarnation of the target, that it leaves and the last limit; the renewal's reply has them (fleet.targetNotices). The directory shows such a target as draining from the first renewal on. The gate keeps to the earlier limit until the first answer. A new leader learns both from the renewals of the processes that know them; only a restart of the process together with a change of leader loses them, until the next announcement and answer.

Ruled out: passing the notices along with requests between processes (more fields in each request, and a process without traffic to the target learns nothing).

--- a/coord/dispatch/namedlimit.go
+++ b/coord/dispatch/namedlimit.go
@@ -22,8 +22,11 @@
 // been written before the target named it.
 func (q *Queue) RecordLimit(now clock.Reading, id uint64, limit Limit) {
 	r, running := q.running[id]
+	if !running || !limit.Known {
+		return
+	}
+	q.limitKnown = true
 	switch {
-	case !running || !limit.Known:
 	case limit.Rate > 0:
 		q.limitNamed = now.Mono
 		q.rateLimiter.setRate(now.Mono, limit.Rate)
@@ -32,11 +35,23 @@
 	}
 }
 
+// AssumeLimit applies a limit that the target named to somebody else, until its first
+// answer.
+func (q *Queue) AssumeLimit(now clock.Reading, rate float64) {
+	if !q.limitKnown {
+		q.rateLimiter.setRate(now.Mono, rate)
+	}
+}
+
 // ClearLimit removes the limit, because the target is another incarnation.
-func (q *Queue) ClearLimit(now clock.Reading) { q.rateLimiter.setRate(now.Mono, 0) }
+func (q *Queue) ClearLimit(now clock.Reading) {
+	q.limitKnown = false
+	q.rateLimiter.setRate(now.Mono, 0)
+}
 
-// Limit returns the limit in force in requests per second, zero without one.
-func (q *Queue) Limit() float64 { return q.rateLimiter.rate() }
+// Limit returns the limit in force, with a rate of zero without one. It is not known
+// before the target's first answer.
+func (q *Queue) Limit() Limit { return Limit{Known: q.limitKnown, Rate: q.rateLimiter.rate()} }
 
 // usableSlots returns the number of slots that can be in use on average under the
 // limit, at least one.
--- a/coord/dispatch/namedlimit_test.go
+++ b/coord/dispatch/namedlimit_test.go
@@ -113,14 +113,14 @@
 	q.RecordLimit(clock.At(50*ms), 1, dispatch.Limit{Known: true, Rate: 2})
 	q.Done(clock.At(50*ms), 1, true)
 	q.RecordLimit(clock.At(60*ms), 2, dispatch.Limit{Known: true})
-	is.Equal(q.Limit(), 2.0)
+	is.Equal(q.Limit().Rate, 2.0)
 	q.Done(clock.At(60*ms), 2, true)
 
 	q.Offer(clock.At(1000*ms), request(3, "a", 0, 1000*ms, 600*ms, 1200*ms))
 	q.RecordLimit(clock.At(1050*ms), 3, dispatch.Limit{}) // broke off: it says nothing
-	is.Equal(q.Limit(), 2.0)
+	is.Equal(q.Limit().Rate, 2.0)
 	q.RecordLimit(clock.At(1060*ms), 3, dispatch.Limit{Known: true})
-	is.Equal(q.Limit(), 0.0)
+	is.Equal(q.Limit().Rate, 0.0)
 }
 
 // Guards against key ranges that stay at a target which its limit keeps from serving
@@ -141,3 +141,21 @@
 	_, _, slots := q.Load()
 	is.Equal(slots, 1)
 }
+
+// Guards against a restarted process that exceeds the limit that its target named to
+// the process before, until the target's first answer, and against one that keeps to
+// it beyond.
+func TestAssumedLimit(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.DefaultConfig(6))
+	q.AssumeLimit(clock.At(0), 2)
+	for id := range uint64(3) {
+		q.Offer(clock.At(0), request(id, "a", 0, 0, 2000*ms, 4000*ms))
+	}
+	running, waiting, _ := q.Load()
+	is.Equal([]int{running, waiting}, []int{1, 2})
+	q.RecordLimit(clock.At(50*ms), 0, dispatch.Limit{Known: true})
+	is.Equal(len(q.Done(clock.At(50*ms), 0, true)), 2)
+	q.AssumeLimit(clock.At(60*ms), 2)
+	is.Equal(q.Limit(), dispatch.Limit{Known: true})
+}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -87,6 +87,7 @@
 	startLimiter startLimiter
 	rateLimiter  rateLimiter
 	limitNamed   time.Duration // the last time at which an answer named a limit
+	limitKnown   bool          // by an answer
 	usage        usage
 	groups       map[string]serviceTimeGroup // by name
 }
--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -88,6 +88,7 @@
 	// released are the ranges that each holder reported as released.
 	released map[ranges.Holder][]ReleasedRange
 	services map[string]*serviceState // by name
+	notices  targetNotices
 }
 
 type member struct {
@@ -114,7 +115,7 @@
 		cfg: l.cfg, leading: true, term: term, observedSince: now, lastTick: now,
 		members: map[string]*member{}, lastGrant: map[ranges.Holder]clock.Reading{},
 		ended: map[ranges.Holder]bool{}, lossProposed: map[ranges.Holder]bool{},
-		released: map[ranges.Holder][]ReleasedRange{}, services: map[string]*serviceState{},
+		released: map[ranges.Holder][]ReleasedRange{}, services: map[string]*serviceState{}, notices: targetNotices{},
 	}
 }
 
@@ -129,10 +130,11 @@
 // target whose loss this term has not proposed. Renew does not set Compressed and
 // Replicas. It must be called only while IsLeader is true.
 func (l *Leader) Renew(now clock.Reading, st *State, r Renewal) RenewalReply {
+	r, limit := l.notices.record(now, r)
 	l.recordRenewal(now, r)
 	current := st.Revisions()
 	current.Directory, current.Term = l.directory.revision, l.term
-	reply := RenewalReply{Revisions: current, MembersComplete: l.membersComplete(now)}
+	reply := RenewalReply{Revisions: current, MembersComplete: l.membersComplete(now), TargetLeaving: r.Member.Condition == Draining, TargetLimit: limit}
 	reply.Patch, reply.Document = st.DocumentSince(r.Revisions.Document)
 	if r.Revisions.Drain != current.Drain || r.Revisions.Document == 0 {
 		drained := st.Drained()
@@ -233,6 +235,7 @@
 	}
 	l.lastTick = now
 	l.removeTimedOutMembers(now)
+	l.notices.prune(now)
 	doc, _ := st.Document()
 	if doc == nil {
 		return nil
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -65,6 +65,9 @@
 	// use.
 	Capacity    float64 `json:"capacity,omitempty"`
 	Utilization float64 `json:"busy,omitempty"`
+	// Limit is the number of requests per second that the target names as its limit,
+	// zero without one. It is nil until the target has answered this process.
+	Limit *float64 `json:"limit,omitempty"`
 }
 
 // ReleasedRange is a range that a target has released, or does not accept.
@@ -92,6 +95,11 @@
 	// target may serve the ranges that are assigned to it. Zero means that no
 	// lease is granted.
 	Lease time.Duration `json:"lease,omitempty"`
+	// TargetLeaving is set if the renewal's target has said that it stops, perhaps to
+	// an earlier start of the process. TargetLimit is the limit that it named there, if
+	// the renewal has none.
+	TargetLeaving bool    `json:"targetLeaving,omitempty"`
+	TargetLimit   float64 `json:"targetLimit,omitempty"`
 	// The fields from Document to Members hold what changed since the renewal's
 	// revisions; they are empty if nothing changed. Document and Patch are sent in
 	// Compressed, as JSON compressed with DEFLATE.
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
@@ -72,7 +73,7 @@
 	endedHolders []ranges.Holder
 	leaving      bool
 	connected    bool
-	usage        func() (utilization, capacity float64)
+	usage        func() Usage
 	changed      chan struct{}
 }
 
@@ -121,12 +122,20 @@
 	a.RenewNow()
 }
 
-// SetUsage sets the function that returns the target's load for renewals:
-// utilization is the share of its slots in use, capacity the number of
-// requests per second that it could serve, or zero if it was not measured. f
-// is called with the agent's lock held, so of the agent's methods it may call
-// only View, RenewNow and CountRequest. SetUsage must be called before Run.
-func (a *Agent) SetUsage(f func() (utilization, capacity float64)) { a.usage = f }
+// Usage is the load of the process's target.
+type Usage struct {
+	// Utilization is the share of its capacity in use, Capacity the number of requests
+	// per second that it could serve, or zero if it was not measured.
+	Utilization, Capacity float64
+	// Limit is the limit that Target, an incarnation of the target, names.
+	Limit  dispatch.Limit
+	Target ranges.Holder
+}
+
+// SetUsage sets the function that returns the target's load for renewals. f is
+// called with the agent's lock held, so of the agent's methods it may call only
+// View, RenewNow and CountRequest. SetUsage must be called before Run.
+func (a *Agent) SetUsage(f func() Usage) { a.usage = f }
 
 // CountRequest counts a request on a key of the target's service for the rates
 // in renewals.
@@ -169,11 +178,17 @@
 	a.apply(renewal, reply)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	// The lease counts from the sending of the renewal and belongs to the
-	// incarnation in it; another one may have announced itself since.
-	if reply.Lease > 0 && a.issuer != nil && a.issuer.Holder() == renewal.Member.Holder() {
-		a.issuer.SetLease(sent, reply.Lease)
-		a.sendCalls()
+	// The reply concerns the incarnation in the renewal; another one may have announced
+	// itself since. The lease counts from the sending of the renewal.
+	if a.issuer != nil && a.issuer.Holder() == renewal.Member.Holder() {
+		if reply.TargetLeaving {
+			a.setLeaving("known to control")
+		}
+		a.target.earlierLimit = reply.TargetLimit
+		if reply.Lease > 0 {
+			a.issuer.SetLease(sent, reply.Lease)
+			a.sendCalls()
+		}
 	}
 	// This is also logged at the first contact.
 	if !a.connected {
@@ -208,8 +223,11 @@
 	a.releaseExpired(now)
 	renewal := fleet.Renewal{Member: a.member(now), Revisions: a.view.Load().Revisions, EndedHolders: a.endedHolders}
 	if a.usage != nil {
-		utilization, capacity := a.usage()
-		renewal.Utilization, renewal.Capacity = math.Round(100*utilization)/100, math.Round(100*capacity)/100
+		u := a.usage()
+		renewal.Utilization, renewal.Capacity = math.Round(100*u.Utilization)/100, math.Round(100*u.Capacity)/100
+		if u.Limit.Known && u.Target == renewal.Member.Holder() {
+			renewal.Limit = &u.Limit.Rate
+		}
 	}
 	if a.issuer != nil {
 		renewal.Released = a.issuer.ReleasedRanges()
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -65,6 +65,9 @@
 	// awaitingAnnouncement is set after a drain until the next announcement,
 	// because the target may have become cold in the meantime.
 	awaitingAnnouncement bool
+	// earlierLimit is the limit that the target named to an earlier start of this
+	// process, as control knows it.
+	earlierLimit float64
 }
 
 const (
@@ -279,6 +282,9 @@
 	Slots int
 	// Incarnation identifies this start of the target at its process.
 	Incarnation ranges.Holder
+	// EarlierLimit is the limit in requests per second that the target named to an
+	// earlier start of the process, or zero.
+	EarlierLimit float64
 	// Accepts is set if the target may get new requests.
 	Accepts bool
 	// ColdUntil is the announced or assumed end of its cold period, on the clock
@@ -302,7 +308,7 @@
 		coldUntil = max(coldUntil, now+a.cfg.AnnounceInterval) // until the next announcement, which says how long it is cold
 	}
 	return Target{
-		ID: t.id, Slots: t.slots, Incarnation: ranges.Holder{Target: t.id, Incarnation: t.incarnation, Process: a.cfg.Process}, ColdUntil: coldUntil, NextGrant: a.nextGrant(now),
+		ID: t.id, Slots: t.slots, Incarnation: ranges.Holder{Target: t.id, Incarnation: t.incarnation, Process: a.cfg.Process}, EarlierLimit: t.earlierLimit, ColdUntil: coldUntil, NextGrant: a.nextGrant(now),
 		Accepts: a.condition(now) == fleet.Ready,
 	}, true
 }
--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -174,10 +174,10 @@
 			ID: t.name, Incarnation: 1, Service: service, Address: t.server.Listener.Addr().String(), Slots: 4,
 			Sequence: t.sequence, Draining: t.draining, Ranges: grant.RangeReport{Held: t.holds, Released: t.released},
 		}
-		silent := t.silent
+		silent, agent := t.silent, t.Agent()
 		t.mu.Unlock()
 		if !silent {
-			granted, _ := t.Agent().Announce(r)
+			granted, _ := agent.Announce(r)
 			t.applyGrant(granted)
 		}
 		select {
@@ -187,6 +187,19 @@
 	}
 }
 
+// restartProcess stops the sidecar process and starts it again, while the target runs.
+func (t *target) restartProcess(test *testing.T) {
+	test.Helper()
+	t.stop()
+	if err := <-t.done; err != nil {
+		test.Fatal(err)
+	}
+	p := start(test, t.cfg)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.process = p
+}
+
 // applyGrant replaces the held ranges by those of a grant and releases the
 // others.
 func (t *target) applyGrant(g grant.Grant) {
--- a/router/fleetdaemon/leaving_test.go
+++ b/router/fleetdaemon/leaving_test.go
@@ -30,3 +30,33 @@
 		is.Equal(plain[0].count(id), 0)
 	}
 }
+
+// Guards against new requests at a target that leaves after its process was restarted,
+// when a late announcement says that it is ready, and against more requests at once
+// than a limit that it named before.
+func TestNoticesOutlastRestartOfProcess(t *testing.T) {
+	is := is.New(t)
+	_, plain, _ := startServingCluster(t)
+	leaving, limited := plain[0], plain[1]
+	leaving.behave = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("X-Leaving", "1")
+		return false
+	}
+	limited.behave = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("X-Limit", "1")
+		return false
+	}
+	status, _, _ := leaving.call("GET", "/safe/a", "told", nil)
+	is.Equal(status, 200)
+	status, _, _ = limited.call("GET", "/safe/a", "limit", nil)
+	is.Equal(status, 200)
+	for _, p := range plain {
+		p.restartProcess(t)
+	}
+	await(t, "the notices at the restarted processes", func() bool {
+		l, known := leaving.Agent().Target()
+		n, ok := limited.Agent().Target()
+		return known && ok && !l.Accepts && n.EarlierLimit == 1
+	})
+	is.Equal(leaving.count("told"), 1)
+}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -106,7 +106,7 @@
 	// The queue uses the monotonic clock, ColdUntil is on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.BootTime().Mono
 	entered := time.Now()
-	id, a := g.queue.acquire(ctx, req, targetLimits{target: t.Incarnation, slots: t.Slots, coldUntil: until, coldRate: rate})
+	id, a := g.queue.acquire(ctx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
 	waited := time.Since(entered)
 	if !a.Start {
 		r := refused(a.Reason, a.RetryAfter)
@@ -277,7 +277,7 @@
 		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
-	setTargetLimit(g.queue.limit())
+	setTargetLimit(g.queue.limit().Rate)
 }
 
 func (g *Gate) service(name string) *routes.Service {
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -8,6 +8,7 @@
 	"bramleyquay.example/coord/balancer"
 	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/fleetagent"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -39,6 +40,7 @@
 		w.target = limits.target
 		w.queue.ClearLimit(now)
 	}
+	w.queue.AssumeLimit(now, limits.earlierLimit)
 	w.queue.SetSlots(limits.slots)
 	w.queue.SetColdStartRate(now, limits.coldUntil, limits.coldRate)
 	w.lastID++
@@ -73,10 +75,13 @@
 
 // targetLimits are the limits that the target's state sets for the queue.
 type targetLimits struct {
-	target    ranges.Holder
-	slots     int
-	coldUntil time.Duration // on the monotonic clock of timesource
-	coldRate  float64       // starts per second until coldUntil
+	target ranges.Holder
+	// earlierLimit is the limit in requests per second that the target named to an
+	// earlier start of this process, or zero.
+	earlierLimit float64
+	slots        int
+	coldUntil    time.Duration // on the monotonic clock of timesource
+	coldRate     float64       // starts per second until coldUntil
 }
 
 // release frees the slot of a started request. complete says that the target
@@ -123,17 +128,17 @@
 	return &balancer.GateLoad{Running: running, Limit: limit, Queued: waiting}
 }
 
-// limit returns the limit that the target named, in requests per second, or zero.
-func (w *blockingQueue) limit() float64 {
+// limit returns the limit that the target named in its answers.
+func (w *blockingQueue) limit() dispatch.Limit {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.queue.Limit()
 }
 
-// usage returns the utilization, which is the share of slots in use, and the
-// number of requests per second that the target could serve.
-func (w *blockingQueue) usage() (utilization, capacity float64) {
+// usage returns the load of the target.
+func (w *blockingQueue) usage() fleetagent.Usage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.queue.Utilization(timesource.Now())
+	utilization, capacity := w.queue.Utilization(timesource.Now())
+	return fleetagent.Usage{Utilization: utilization, Capacity: capacity, Limit: w.queue.Limit(), Target: w.target}
 }
