--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -130,11 +130,14 @@
 // target whose loss this term has not proposed. Renew does not set Compressed and
 // Replicas. It must be called only while IsLeader is true.
 func (l *Leader) Renew(now clock.Reading, st *State, r Renewal) RenewalReply {
-	r, limit := l.notices.record(now, r)
+	unknown := l.notices.record(now, r)
+	if unknown.leaving {
+		r.Member.Condition = Draining
+	}
 	l.recordRenewal(now, r)
 	current := st.Revisions()
 	current.Directory, current.Term = l.directory.revision, l.term
-	reply := RenewalReply{Revisions: current, MembersComplete: l.membersComplete(now), TargetLeaving: r.Member.Condition == Draining, TargetLimit: limit}
+	reply := RenewalReply{Revisions: current, MembersComplete: l.membersComplete(now), TargetLeaving: unknown.leaving, TargetLimit: unknown.limit}
 	reply.Patch, reply.Document = st.DocumentSince(r.Revisions.Document)
 	if r.Revisions.Drain != current.Drain || r.Revisions.Document == 0 {
 		drained := st.Drained()
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -95,9 +95,9 @@
 	// target may serve the ranges that are assigned to it. Zero means that no
 	// lease is granted.
 	Lease time.Duration `json:"lease,omitempty"`
-	// TargetLeaving is set if the renewal's target has said that it stops, perhaps to
-	// an earlier start of the process. TargetLimit is the limit that it named there, if
-	// the renewal has none.
+	// TargetLeaving is set if the renewal does not say that its target stops, but an
+	// earlier one did, of an earlier start of the process. TargetLimit is the limit that
+	// the target named then, if the renewal has none.
 	TargetLeaving bool    `json:"targetLeaving,omitempty"`
 	TargetLimit   float64 `json:"targetLimit,omitempty"`
 	// The fields from Document to Members hold what changed since the renewal's
--- a/coord/fleet/targetnotices.go
+++ b/coord/fleet/targetnotices.go
@@ -23,34 +23,33 @@
 // is discarded. A process restarts within seconds.
 const noticeRetention = time.Minute
 
-// record updates the notice by a renewal. It returns the renewal with the condition
-// that the target has said before, and the limit that the process does not know yet,
-// or zero.
-func (n targetNotices) record(now clock.Reading, r Renewal) (Renewal, float64) {
+// record updates the notice of a process by its renewal, and returns what the renewal
+// does not know.
+func (n targetNotices) record(now clock.Reading, r Renewal) (unknown targetNotice) {
 	h := r.Member.Holder()
 	if h.IsZero() {
-		return r, 0
+		return targetNotice{}
 	}
 	t := n[h.Process]
 	switch {
 	case h.Incarnation < t.holder.Incarnation:
-		return r, 0 // from a late announcement
+		return targetNotice{} // from a late announcement
 	case t.holder != h:
 		t = targetNotice{holder: h}
 	}
 	t.recorded = now
-	t.leaving = t.leaving || r.Member.Condition == Draining
-	if t.leaving {
-		r.Member.Condition = Draining
+	if r.Member.Condition == Draining {
+		t.leaving = true
+	} else {
+		unknown.leaving = t.leaving
 	}
-	unknown := 0.0
 	if r.Limit != nil {
 		t.limit = *r.Limit
 	} else {
-		unknown = t.limit
+		unknown.limit = t.limit
 	}
 	n[h.Process] = t
-	return r, unknown
+	return unknown
 }
 
 // prune discards old notices.
