Refuse requests that end the targets that run them

What callers saw: while such a request came again and again, up to 18 targets of a service with 4 ended, and the other requests to it with them: 502, or 503 for lack of targets.

Cause: no process connected one crash with the next. Each attempt has another id and may arrive at another process, and a gate took a connection that broke for a lost answer.

Change: coord/quarantine. A gate probes its target when a connection breaks; if it refuses connections, the requests that broke off are reported with the next renewal. The leader counts for each fingerprint the targets that ended one after the other, each while running a copy that was sent after the last end. From the third on all processes refuse it for 10 minutes with 503 and Retry-After. A request that any target completes is cleared, also if that was before the process heard of the suspicion. A new leader learns crashes and refusals from the processes. The quarantine is small and volatile, so that it needs no log entries.

Ruled out: the ingress's retries as the only cause (deposit-commit is never tried twice and ended 8 targets); broken connections as proof (lost answers break them too).

Tests of each part in coord/quarantine, coord/fleet and router/fleetagent.

--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/coord/ranges"
 )
 
@@ -38,6 +39,8 @@
 	BalanceInterval time.Duration
 	// Ranges configures the division of key spaces.
 	Ranges ranges.Config
+	// Quarantine configures the refusal of requests that end targets.
+	Quarantine quarantine.Config
 }
 
 const (
@@ -54,7 +57,7 @@
 		Lease: lease, LeaseMargin: lease/driftMarginDivisor + timerMargin,
 		MemberTimeout: 2500 * time.Millisecond, MemberGracePeriod: 2 * time.Second,
 		StallThreshold: 500 * time.Millisecond, BalanceInterval: time.Second,
-		Ranges: ranges.DefaultConfig(),
+		Ranges: ranges.DefaultConfig(), Quarantine: quarantine.DefaultConfig(),
 	}
 }
 
@@ -89,6 +92,8 @@
 	released map[ranges.Holder][]ReleasedRange
 	services map[string]*serviceState // by name
 	notices  targetNotices
+	// quarantine counts the crashes that processes report.
+	quarantine *quarantine.Registry
 }
 
 type member struct {
@@ -116,6 +121,7 @@
 		members: map[string]*member{}, lastGrant: map[ranges.Holder]clock.Reading{},
 		ended: map[ranges.Holder]bool{}, lossProposed: map[ranges.Holder]bool{},
 		released: map[ranges.Holder][]ReleasedRange{}, services: map[string]*serviceState{}, notices: targetNotices{},
+		quarantine: quarantine.NewRegistry(l.cfg.Quarantine),
 	}
 }
 
@@ -136,7 +142,8 @@
 	}
 	l.recordRenewal(now, r)
 	current := st.Revisions()
-	current.Directory, current.Term = l.directory.revision, l.term
+	l.recordQuarantine(now, r.Quarantine)
+	current.Directory, current.Term, current.Quarantine = l.directory.revision, l.term, l.quarantine.Revision()
 	reply := RenewalReply{Revisions: current, MembersComplete: l.membersComplete(now), TargetLeaving: unknown.leaving, TargetLimit: unknown.limit}
 	reply.Patch, reply.Document = st.DocumentSince(r.Revisions.Document)
 	if r.Revisions.Drain != current.Drain || r.Revisions.Document == 0 {
@@ -152,6 +159,10 @@
 			reply.Members = &MembersUpdate{Full: true, Members: l.memberList}
 		}
 	}
+	if r.Revisions.Term != l.term || r.Revisions.Quarantine != current.Quarantine {
+		entries := l.quarantine.Entries(now)
+		reply.Quarantine = &entries
+	}
 	if h := r.Member.Holder(); !h.IsZero() && !l.lossProposed[h] && !l.ended[h] {
 		l.lastGrant[h] = now
 		reply.Lease = l.cfg.Lease
@@ -239,6 +250,7 @@
 	l.lastTick = now
 	l.removeTimedOutMembers(now)
 	l.notices.prune(now)
+	l.quarantine.Prune(now)
 	doc, _ := st.Document()
 	if doc == nil {
 		return nil
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/coord/routes"
 )
@@ -68,6 +69,20 @@
 	// Limit is the number of requests per second that the target names as its limit,
 	// zero without one. It is nil until the target has answered this process.
 	Limit *float64 `json:"limit,omitempty"`
+	// Quarantine is nil if the process has nothing to report.
+	Quarantine *QuarantineReport `json:"quarantine,omitempty"`
+}
+
+// QuarantineReport is what a process knows about requests that end targets. All parts
+// may be sent more than once.
+type QuarantineReport struct {
+	// Crashes are the recent crashes of the process's target.
+	Crashes []quarantine.Report `json:"crashes,omitempty"`
+	// Completed are listed requests that the process's target has completed. Each is
+	// repeated until it is not listed any more.
+	Completed []quarantine.Fingerprint `json:"completed,omitempty"`
+	// Known are the requests that an earlier leader has listed.
+	Known []quarantine.Entry `json:"known,omitempty"`
 }
 
 // ReleasedRange is a range that a target has released, or does not accept.
@@ -100,7 +115,7 @@
 	// the target named then, if the renewal has none.
 	TargetLeaving bool    `json:"targetLeaving,omitempty"`
 	TargetLimit   float64 `json:"targetLimit,omitempty"`
-	// The fields from Document to Members hold what changed since the renewal's
+	// The fields from Document to Quarantine hold what changed since the renewal's
 	// revisions; they are empty if nothing changed. Document and Patch are sent in
 	// Compressed, as JSON compressed with DEFLATE.
 	Document   *routes.Document          `json:"-"`
@@ -109,6 +124,8 @@
 	Drained    *[]string                 `json:"drained,omitempty"`
 	Keyspaces  map[string]KeyspaceUpdate `json:"spaces,omitempty"`
 	Members    *MembersUpdate            `json:"members,omitempty"`
+	// Quarantine lists the requests to watch or refuse.
+	Quarantine *[]quarantine.Entry `json:"quarantine,omitempty"`
 
 	// MembersComplete is set once the leader's grace period has passed, in which
 	// every running process is expected to have renewed. The directory then counts
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -195,4 +195,6 @@
 	// leader counts from zero.
 	Directory uint64 `json:"directory"`
 	Term      uint64 `json:"term"`
+	// Quarantine is the number of changes of the quarantine in the term.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
--- /dev/null
+++ b/coord/quarantine/fingerprint.go
@@ -0,0 +1,23 @@
+// Package quarantine finds requests that end the targets that run them, from the
+// crashes that several processes see, and decides when such requests are refused. A
+// Detector at each process finds the requests that a target ran when it ended; one
+// Registry counts for how many targets in a row that holds.
+package quarantine
+
+import "github.com/cespare/xxhash/v2"
+
+// Fingerprint identifies requests that are alike: the same caller sends the same
+// method, host, path with query, and body.
+type Fingerprint uint64
+
+// NewFingerprint returns the fingerprint of a request. The parts are those that
+// identify it, in a fixed order.
+func NewFingerprint(parts ...string) Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts {
+		_, _ = d.WriteString(p) // a Digest returns no errors
+		_, _ = d.Write([]byte{0})
+	}
+	return Fingerprint(d.Sum64())
+}
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
@@ -75,6 +74,7 @@
 	connected    bool
 	usage        func() Usage
 	changed      chan struct{}
+	quarantine   quarantineState
 }
 
 // New returns an agent with an empty view and no target.
@@ -122,21 +122,6 @@
 	a.RenewNow()
 }
 
-// Usage is the load of the process's target.
-type Usage struct {
-	// Utilization is the share of its capacity in use, Capacity the number of requests
-	// per second that it could serve, or zero if it was not measured.
-	Utilization, Capacity float64
-	// Limit is the limit that Target, an incarnation of the target, names.
-	Limit  dispatch.Limit
-	Target ranges.Holder
-}
-
-// SetUsage sets the function that returns the target's load for renewals. f is
-// called with the agent's lock held, so of the agent's methods it may call only
-// View, RenewNow and CountRequest. SetUsage must be called before Run.
-func (a *Agent) SetUsage(f func() Usage) { a.usage = f }
-
 // CountRequest counts a request on a key of the target's service for the rates
 // in renewals.
 func (a *Agent) CountRequest(key uint16) { a.rates.count(key) }
@@ -178,6 +163,7 @@
 	a.apply(renewal, reply)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.confirmQuarantineReport(reply.Revisions.Term)
 	// The reply concerns the incarnation in the renewal; another one may have announced
 	// itself since. The lease counts from the sending of the renewal.
 	if a.issuer != nil && a.issuer.Holder() == renewal.Member.Holder() {
@@ -233,6 +219,7 @@
 		renewal.Released = a.issuer.ReleasedRanges()
 	}
 	renewal.Rates = a.rates.report(now)
+	renewal.Quarantine = a.quarantineReport(now, a.view.Load())
 	return renewal
 }
 
@@ -263,6 +250,9 @@
 		a.sendCalls()
 	}
 	a.removeEndedHolders(next)
+	if reply.Quarantine != nil {
+		a.applyQuarantine(old, next)
+	}
 	if wasDrained := old.IsDrained(a.cfg.DataCentre); wasDrained && !next.IsDrained(a.cfg.DataCentre) {
 		// The target may have become cold while the data centre was drained. Its
 		// next announcement says for how long.
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -185,37 +185,6 @@
 	a.log.Info().Str("target", h.Target).Int64("life", h.Incarnation).Str("why", reason).Msg("target ended")
 }
 
-// TargetLeaving records that the target id has announced that it stops. The
-// target finishes the requests that it has and counts as draining.
-func (a *Agent) TargetLeaving(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.target.id == id {
-		a.setLeaving("announced")
-	}
-}
-
-// RecordLeaving records that an answer of an incarnation of the target says that it
-// stops.
-func (a *Agent) RecordLeaving(h ranges.Holder) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.issuer != nil && a.issuer.Holder() == h {
-		a.setLeaving("said in an answer")
-	}
-}
-
-// setLeaving makes the target count as draining. The caller holds mu.
-func (a *Agent) setLeaving(how string) {
-	if a.target.leaving {
-		return
-	}
-	a.target.leaving = true
-	a.log.Info().Str("target", a.target.id).Str("how", how).Msg("target is leaving")
-	a.RenewNow()
-	a.notifyChange()
-}
-
 // RecordUnreachable records that no connection to the target could be opened.
 // The target gets no requests until its next announcement, because it may be
 // cold when it is back. refused is set if the connection was refused: if the
@@ -228,6 +197,9 @@
 	if t.id == "" {
 		return
 	}
+	if refused && a.issuer != nil {
+		a.addCrashes(a.quarantine.detector.TargetEnded(now, a.issuer.Holder()))
+	}
 	if !t.unreachable {
 		t.unreachable = true
 		a.log.Warn().Str("target", t.id).Bool("refused", refused).Dur("silence", now-t.lastAnnouncement).Msg("target cannot be reached")
--- a/router/fleetagent/view.go
+++ b/router/fleetagent/view.go
@@ -9,8 +9,10 @@
 	"slices"
 
 	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/coord/routes"
+	"bramleyquay.example/router/timesource"
 )
 
 // View is the cluster state that a process has applied. It is immutable.
@@ -21,6 +23,8 @@
 	Drained   []string
 	Keyspaces map[string]fleet.Keyspace
 	Members   []fleet.Member
+	// quarantine has the requests to watch or refuse because they end targets.
+	quarantine map[quarantine.Fingerprint]quarantineEntry
 }
 
 // Owner returns the range that contains a key of a sharded service, with its
@@ -63,6 +67,9 @@
 	if reply.Keyspaces != nil {
 		next.applyKeyspaces(reply.Keyspaces)
 	}
+	if reply.Quarantine != nil {
+		next.quarantine = v.applyQuarantine(timesource.BootTime().Mono, &reply)
+	}
 	if reply.Members != nil {
 		next.Members = applyMembersUpdate(v.Members, reply.Members)
 		if reply.Members.Full && !reply.MembersComplete {
--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -120,10 +120,13 @@
 	sequence uint64
 	draining bool
 	silent   bool
+	// incarnation counts the starts of the target.
+	incarnation int64
+	crashes     int
 }
 
 func (c *cluster) addMember(name, service string) *target {
-	member := &target{name: name, runs: map[string]int{}}
+	member := &target{name: name, runs: map[string]int{}, incarnation: 1}
 	member.server = httptest.NewServer(http.HandlerFunc(member.serve))
 	c.t.Cleanup(member.server.Close)
 	gate := freeAddress(c.t)
@@ -171,7 +174,7 @@
 		t.mu.Lock()
 		t.sequence++
 		r := fleetagent.Announcement{
-			ID: t.name, Incarnation: 1, Service: service, Address: t.server.Listener.Addr().String(), Slots: 4,
+			ID: t.name, Incarnation: t.incarnation, Service: service, Address: t.cfg.Sidecar.Target, Slots: 4,
 			Sequence: t.sequence, Draining: t.draining, Ranges: grant.RangeReport{Held: t.holds, Released: t.released},
 		}
 		silent, agent := t.silent, t.Agent()
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -5,19 +5,15 @@
 package httpclient
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
-
-	"bramleyquay.example/router/netopt"
 )
 
 // Config configures a Client.
@@ -163,99 +159,6 @@
 	return resp, nil
 }
 
-// acquireConn returns an idle connection that can be reused, or opens one.
-func (c *Client) acquireConn(ctx context.Context) (*persistConn, error) {
-	for {
-		pc := c.popIdle()
-		if pc == nil {
-			return c.dial(ctx)
-		}
-		expired := !time.Now().Before(pc.expires)
-		if !expired && pc.usable() {
-			return pc, nil
-		}
-		_ = pc.raw.Close() // it is not used any more
-		if c.cfg.FailOnClosedIdle && !expired {
-			return nil, errClosedIdle
-		}
-	}
-}
-
-// errClosedIdle is the cause of a NotSentError with Config.FailOnClosedIdle.
-var errClosedIdle = errors.New("the server has closed an idle connection")
-
-func (c *Client) popIdle() *persistConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle) == 0 {
-		return nil
-	}
-	pc := c.idle[len(c.idle)-1]
-	c.idle = c.idle[:len(c.idle)-1]
-	return pc
-}
-
-func (c *Client) putIdle(pc *persistConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.idle = append(c.idle, pc)
-	// The connections that have been idle longest are at the front.
-	for len(c.idle) > 0 && now.After(c.idle[0].expires) {
-		_ = c.idle[0].raw.Close() // it is not used any more
-		c.idle = c.idle[1:]
-	}
-}
-
-// Close closes the idle connections. Connections in use are not closed.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, pc := range c.idle {
-		_ = pc.raw.Close() // it is not used any more
-	}
-	c.idle = nil
-}
-
-func (c *Client) dial(ctx context.Context) (*persistConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
-	defer cancel()
-	d := net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
-	raw, err := d.DialContext(ctx, "tcp", c.cfg.Address)
-	if err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	c.opened++
-	c.mu.Unlock()
-	limited := &limitedReader{inner: raw}
-	return &persistConn{raw: raw, limited: limited, br: bufio.NewReader(limited)}, nil
-}
-
-// persistConn is a connection that can be used for several requests, one after the
-// other. expires is set when it becomes idle.
-type persistConn struct {
-	raw     net.Conn
-	limited *limitedReader
-	br      *bufio.Reader
-	expires time.Time
-}
-
-// usable reports whether an idle connection that has not expired can take a request:
-// the server has not closed it, and no unexpected bytes have arrived.
-func (pc *persistConn) usable() bool {
-	return pc.br.Buffered() == 0 && isOpenIdle(pc.raw)
-}
-
-// abort closes the connection while a request is in progress. With reset it discards
-// the bytes that are still to be sent.
-func (pc *persistConn) abort(reset bool) {
-	if tcp, ok := pc.raw.(*net.TCPConn); ok && reset {
-		_ = tcp.SetLinger(0) // the connection is closed below in any case
-	}
-	_ = pc.raw.Close() // it is not used any more
-}
-
 var errBodyTooLong = errors.New("the answer is too long")
 
 func readBody(hr *http.Response, limit int64) ([]byte, error) {
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/routes"
 	"bramleyquay.example/router/fleetagent"
 	"bramleyquay.example/router/httpclient"
-	"bramleyquay.example/router/httpserver"
 	"bramleyquay.example/router/logging"
 	"bramleyquay.example/router/timesource"
 )
@@ -33,6 +33,8 @@
 	reasonNoConnection  = "no connection"
 	reasonAnswerBroken  = "answer broke off"
 	reasonNoSignature   = "answer without signature"
+	// reasonQuarantined requests have ended the targets that ran them.
+	reasonQuarantined = "request has ended several targets"
 )
 
 // mayHaveNewOwner reports whether another process may own the request's key after
@@ -61,6 +63,7 @@
 	queue  *blockingQueue
 	// transfers orders the bodies that peers wait to send.
 	transfers *blockingQueue
+	probing   atomic.Bool
 	log       logging.Logger
 }
 
@@ -149,6 +152,9 @@
 		// of the target's keys is requested.
 		return t, refused(reasonDrained, 0), false
 	}
+	if after := g.agent.View().RefusedFor(req.fingerprint); after > 0 {
+		return t, refused(reasonQuarantined, after), false
+	}
 	return t, result{}, true
 }
 
@@ -201,6 +207,7 @@
 	if err != nil {
 		return refused(reasonBodyBroken+": "+err.Error(), 0)
 	}
+	sent := time.Now()
 	resp, err := g.client.Do(ctx, &httpclient.Request{
 		Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, Body: req.request.Body, Source: source, ID: req.id,
 	})
@@ -220,6 +227,10 @@
 		if !errors.Is(err, context.Canceled) {
 			g.agent.RecordFailure()
 		}
+		if ctx.Err() == nil && req.fingerprint != 0 {
+			g.agent.RecordBroken(req.fingerprint, t.Incarnation, sent)
+			go g.probe()
+		}
 		return result{outcome: unknown, reason: reasonAnswerBroken + ": " + err.Error(), reached: true}
 	}
 	g.agent.RecordSuccess()
@@ -233,30 +244,10 @@
 	case resp.Status >= 200 && resp.Status < 300 && resp.Header.Get(g.names.Signature) == "":
 		return result{outcome: unknown, reason: reasonNoSignature, reached: true}
 	}
-	return result{outcome: done, response: resp, reached: true, notice: n}
-}
-
-// ServePeer runs a request that the ingress of another process has routed to this
-// gate, and blocks until the result is known. It is the handler of the listener for
-// peers. The header Bq-Hop of the answer has the result; the status is 503 if the
-// outcome is not done.
-func (g *Gate) ServePeer(ctx context.Context, r *httpserver.Request) *httpserver.Response {
-	req, ok := decodeRouting(r.Header.Get(headerHop), r, r.Header.Get(g.names.RequestID))
-	if !ok {
-		return httpserver.TextResponse(http.StatusBadRequest, "the request comes from no peer")
-	}
-	ctx, cancel := context.WithDeadline(ctx, req.deadline)
-	defer cancel()
-	res := g.do(ctx, req)
-	out := &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
-	if res.outcome == done {
-		out.Status, out.Header, out.Body = res.response.Status, forwarded(res.response.Header), res.response.Body
-		out.Header.Del(g.names.Load)
-	} else if req.id != "" {
-		out.Header.Set(g.names.RequestID, req.id)
+	if resp.Status < http.StatusInternalServerError {
+		g.agent.RecordCompleted(req.fingerprint)
 	}
-	out.Header.Set(headerHop, encodeResult(res))
-	return out
+	return result{outcome: done, response: resp, reached: true, notice: n}
 }
 
 func (g *Gate) logTry(req *routedRequest, r result) {
--- a/router/relay/headers.go
+++ b/router/relay/headers.go
@@ -52,6 +52,11 @@
 // process and, in the answer, the result of the try.
 const headerHop = "Bq-Hop"
 
+// headerFingerprint carries the fingerprint of a request from an ingress to the gate of
+// another process, which may get the body later. It is not part of headerHop, so that
+// processes of both kinds work together during an upgrade.
+const headerFingerprint = "Bq-Fingerprint"
+
 // hopByHopHeaders apply to one connection and are not forwarded. Content-Length and
 // Expect are among them, because bodies are sent complete with their own length and
 // the server has answered the expectation.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyquay.example/coord/balancer"
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/router/httpclient"
 	"bramleyquay.example/router/httpserver"
 )
@@ -31,6 +32,8 @@
 	objective, deadline time.Time
 	// version is that of the routing document.
 	version uint64
+	// fingerprint identifies requests like this one of the same caller.
+	fingerprint quarantine.Fingerprint
 	// noWait requests are refused at once if they cannot start at once.
 	noWait bool
 }
@@ -110,7 +113,8 @@
 		objective: r.Received.Add(time.Duration(objective) * time.Millisecond),
 		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version, noWait: noWait,
 	}
-	delete(req.header, headerHop)
+	req.fingerprint = decodeFingerprint(r.Header.Get(headerFingerprint))
+	req.removeInternalHeaders()
 	if f[3] != "" {
 		key, ok := parseKey(f[3])
 		if !ok {
@@ -121,6 +125,34 @@
 	return req, true
 }
 
+// removeInternalHeaders removes the headers that only processes may set.
+func (r *routedRequest) removeInternalHeaders() {
+	delete(r.header, headerHop)
+	delete(r.header, headerFingerprint)
+}
+
+// setFingerprint computes the fingerprint. A body that is passed on as it is read
+// counts by its length only.
+func (r *routedRequest) setFingerprint() {
+	length := int64(len(r.request.Body))
+	if u := r.request.Upload; u != nil {
+		length = u.Length
+	}
+	r.fingerprint = quarantine.NewFingerprint(r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10), string(r.request.Body))
+}
+
+func encodeFingerprint(f quarantine.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
+
+// decodeFingerprint returns zero, which is no fingerprint, for a malformed text or
+// without one.
+func decodeFingerprint(text string) quarantine.Fingerprint {
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return quarantine.Fingerprint(n)
+}
+
 // encodeResult encodes a result without the response, waited and ran, as fields
 // separated by semicolons; retryAfter is in milliseconds.
 func encodeResult(r result) string {
--- /dev/null
+++ b/router/relay/servepeer.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"bramleyquay.example/router/httpserver"
+)
+
+// ServePeer runs a request that the ingress of another process has routed to this
+// gate, and blocks until the result is known. It is the handler of the listener for
+// peers. The header Bq-Hop of the answer has the result; the status is 503 if the
+// outcome is not done.
+func (g *Gate) ServePeer(ctx context.Context, r *httpserver.Request) *httpserver.Response {
+	req, ok := decodeRouting(r.Header.Get(headerHop), r, r.Header.Get(g.names.RequestID))
+	if !ok {
+		return httpserver.TextResponse(http.StatusBadRequest, "the request comes from no peer")
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	res := g.do(ctx, req)
+	out := &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+	if res.outcome == done {
+		out.Status, out.Header, out.Body = res.response.Status, forwarded(res.response.Header), res.response.Body
+		out.Header.Del(g.names.Load)
+	} else if req.id != "" {
+		out.Header.Set(g.names.RequestID, req.id)
+	}
+	out.Header.Set(headerHop, encodeResult(res))
+	return out
+}
