--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -197,6 +197,11 @@
 	if err := <-t.done; err != nil {
 		test.Fatal(err)
 	}
+	// The listener for peers is closed after Run has returned.
+	await(test, "end of the listener", func() bool {
+		l, err := net.Listen("tcp", t.cfg.Peer)
+		return err == nil && l.Close() == nil
+	})
 	p := start(test, t.cfg)
 	t.mu.Lock()
 	defer t.mu.Unlock()
