Send calls to the leader that the replica's log names

After the leader fell silent each replica's first call still waited 0.8 s for it, nearly as long as an operator's call lasts, so that an order could fail at several replicas in a row, even at the new leader itself.

Change: a replica tells its client each leader that its log names; a call that waits for another process then goes on at the new one.

Test: TestCallMovesToNewLeader (without SetLeader's notification the call waits for its time limit).

--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -78,6 +78,11 @@
 	if st.Leader != r.lastLeader {
 		r.log.Info().Str("leader", string(st.Leader)).Str("before", string(r.lastLeader)).Uint64("term", st.Term).Msg("leader changed")
 		r.lastLeader = st.Leader
+		leader := ""
+		if st.Leader != "" {
+			leader = fleet.ReplicaAddress(st.Leader)
+		}
+		r.peers.SetLeader(leader)
 	}
 }
 
--- a/router/leaderclient/client.go
+++ b/router/leaderclient/client.go
@@ -44,10 +44,30 @@
 	replicas []string
 	leader   string
 	next     int
+	// replaced is closed when SetLeader names another leader.
+	replaced chan struct{}
 }
 
 // New returns a client that finds the group at the peer addresses in seeds.
-func New(caller Caller, seeds []string) *Client { return &Client{caller: caller, seeds: seeds} }
+func New(caller Caller, seeds []string) *Client {
+	return &Client{caller: caller, seeds: seeds, replaced: make(chan struct{})}
+}
+
+// SetLeader sets the address of the leader that a replica has learned of, or empty if
+// it knows that the earlier one has ended. Calls of CallLeader that wait for another
+// process go on at the new leader.
+func (c *Client) SetLeader(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.leader {
+		return
+	}
+	c.leader = addr
+	if addr != "" {
+		close(c.replaced)
+		c.replaced = make(chan struct{})
+	}
+}
 
 // SetSeeds replaces the addresses from the settings.
 func (c *Client) SetSeeds(seeds []string) {
@@ -74,11 +94,11 @@
 func (c *Client) CallLeader(ctx context.Context, method string, params, result any) error {
 	var lastErr error
 	for ctx.Err() == nil {
-		addr, isLeader := c.selectAddress()
+		addr, isLeader, replaced := c.selectAddress()
 		if addr == "" {
 			return Error.New("no control replica is known")
 		}
-		err := c.CallAt(ctx, addr, method, params, result)
+		err := c.callUntil(ctx, replaced, addr, method, params, result)
 		if err == nil {
 			return nil
 		}
@@ -93,6 +113,22 @@
 	return Error.New("no leader answered in time: %v", lastErr)
 }
 
+// callUntil is CallAt, but ends with an error once replaced is closed.
+func (c *Client) callUntil(ctx context.Context, replaced <-chan struct{}, addr, method string, params, result any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	returned := make(chan struct{})
+	defer close(returned)
+	go func() {
+		select {
+		case <-replaced:
+			cancel()
+		case <-returned:
+		}
+	}()
+	return c.CallAt(ctx, addr, method, params, result)
+}
+
 // CallAt calls a method that only the leader answers, once at addr and for at
 // most attemptTimeout. It updates the address of the leader from the answer or
 // the error, and closes the connection to addr after a timeout.
@@ -116,24 +152,24 @@
 // is known, those of the replicas and seeds in turn. It is empty if none is
 // known.
 func (c *Client) NextAddress() string {
-	addr, _ := c.selectAddress()
+	addr, _, _ := c.selectAddress()
 	return addr
 }
 
-// selectAddress returns the address to call next, and whether it is the
-// leader's.
-func (c *Client) selectAddress() (addr string, isLeader bool) {
+// selectAddress returns the address to call next, whether it is the leader's, and a
+// channel that is closed when SetLeader names another one.
+func (c *Client) selectAddress() (addr string, isLeader bool, replaced <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != "" {
-		return c.leader, true
+		return c.leader, true, c.replaced
 	}
 	list := slices.Concat(c.replicas, c.seeds)
 	if len(list) == 0 {
-		return "", false
+		return "", false, c.replaced
 	}
 	c.next++
-	return list[c.next%len(list)], false
+	return list[c.next%len(list)], false, c.replaced
 }
 
 // updateLeader updates the address of the leader after a call at addr.
--- a/router/leaderclient/client_test.go
+++ b/router/leaderclient/client_test.go
@@ -37,3 +37,42 @@
 	is.NoErr(client.CallLeader(ctx, "m", nil, nil))
 	is.Equal(client.NextAddress(), "c")
 }
+
+// silentReplica is a group in which one replica does not answer.
+type silentReplica struct {
+	fakeReplicas
+	silent string
+	called chan string
+}
+
+// Call implements leaderclient.Caller.
+func (s silentReplica) Call(ctx context.Context, addr, method string, params, result any) error {
+	s.called <- addr
+	if addr == s.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.fakeReplicas.Call(ctx, addr, method, params, result)
+}
+
+// Guards against calls that wait for a silent leader although a replica has learned of
+// the next one: an operator's order waits for each replica in turn.
+func TestCallMovesToNewLeader(t *testing.T) {
+	is := is.New(t)
+	group := silentReplica{fakeReplicas: fakeReplicas{"a": "a", "b": "b"}, silent: "a", called: make(chan string, 10)}
+	client := leaderclient.New(group, []string{"a", "b"})
+	client.SetLeader("a")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	done := make(chan error, 1)
+	start := time.Now()
+	go func() { done <- client.CallLeader(ctx, "m", nil, nil) }()
+	is.Equal(<-group.called, "a")
+	client.SetLeader("b")
+	is.NoErr(<-done)
+	is.Equal(<-group.called, "b")
+	is.True(time.Since(start) < 400*time.Millisecond) // half of the time limit of one call
+	is.Equal(client.NextAddress(), "b")
+	client.SetLeader("")
+	is.True(client.NextAddress() != "")
+}
