Notice a caller that leaves after its long body was read

Change: once the body is complete, the connection is checked as while a response is pending. Upload.complete is atomic, because a read in progress holds the mutex.

Test: TestCallerLeavesAfterLongBody (callers' and peers' listener) fails without the check: the request goes on.

conn.go is split: body.go has the reading of bodies, limitreader.go the bound.

--- /dev/null
+++ b/router/httpserver/body.go
@@ -0,0 +1,119 @@
+package httpserver
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"time"
+)
+
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// bodyTimeout bounds the time for reading one body; Limits has no bound for it.
+const bodyTimeout = 30 * time.Second
+
+// readBody reads the body of a request, or sets Upload if it is long or deferred.
+func (c *conn) readBody(hr *http.Request, r *Request, limits Limits) (status int, err error) {
+	if hr.ContentLength > limits.BodyBytes {
+		return http.StatusRequestEntityTooLarge, errTooLarge
+	}
+	if hr.Body == nil || hr.Body == http.NoBody {
+		return 0, nil
+	}
+	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return 0, err
+	}
+	if expects := hr.Header.Get("Expect") == "100-continue"; expects && c.server.deferBodies {
+		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
+		return 0, nil
+	} else if expects {
+		if _, err := io.WriteString(c.raw, continueResponse); err != nil {
+			return 0, err
+		}
+	}
+	if hr.ContentLength > InlineBodyBytes {
+		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
+		return 0, nil
+	}
+	// A chunked body is longer on the wire by the sizes of its chunks, and the
+	// buffer reads ahead.
+	inline := min(limits.BodyBytes, InlineBodyBytes)
+	c.limited.remaining = 2*inline + readBufferBytes
+	body, err := io.ReadAll(io.LimitReader(hr.Body, inline+1))
+	switch {
+	case err != nil && isConnError(err):
+		return 0, err
+	case err != nil:
+		return http.StatusBadRequest, err
+	case int64(len(body)) > limits.BodyBytes:
+		return http.StatusRequestEntityTooLarge, errTooLarge
+	case int64(len(body)) > inline:
+		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes, c.interruptRead)
+		return 0, nil
+	}
+	r.Body = body
+	return 0, nil
+}
+
+// awaitUpload leaves the connection to the handler from the opening of the body on and
+// waits until the handler has returned. It reports whether the caller closed the
+// connection before.
+func (c *conn) awaitUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
+	for {
+		select {
+		case <-handled:
+			return false
+		case <-u.opened:
+			return c.receiveUpload(u, handled)
+		case <-time.After(disconnectCheckInterval):
+		}
+		if c.server.deferBodies && c.hasDisconnected() {
+			c.broken.Store(true)
+			c.cancel()
+			close(u.ready) // reading the body fails
+			<-handled
+			return true
+		}
+	}
+}
+
+// receiveUpload lets the handler read the body and waits until it has returned. It
+// reports whether the caller closed the connection before.
+func (c *conn) receiveUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
+	c.limited.remaining = math.MaxInt64                       // Upload bounds the body
+	err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)) // a failure shows at the read
+	if c.server.deferBodies && err == nil {
+		_, err = io.WriteString(c.raw, continueResponse)
+	}
+	if err != nil {
+		c.broken.Store(true)
+		c.cancel()
+	}
+	close(u.ready)
+	for {
+		select {
+		case <-handled:
+			return err != nil
+		case <-time.After(disconnectCheckInterval):
+		}
+		if err == nil && u.complete.Load() && c.hasDisconnected() {
+			c.broken.Store(true)
+			c.cancel()
+			<-handled
+			return true
+		}
+	}
+}
+
+// hasDisconnected reports whether the caller has closed a connection on which no bytes
+// are expected.
+func (c *conn) hasDisconnected() bool {
+	_ = c.raw.SetReadDeadline(time.Now().Add(time.Millisecond)) // a failure shows at the read
+	c.limited.remaining = readBufferBytes
+	_, err := c.br.Peek(1)
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -186,56 +184,6 @@
 	}
 }
 
-// awaitUpload leaves the connection to the handler from the opening of the body on and
-// waits until the handler has returned. It reports whether the caller closed the
-// connection before.
-func (c *conn) awaitUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
-	for {
-		select {
-		case <-handled:
-			return false
-		case <-u.opened:
-			return c.receiveUpload(u, handled)
-		case <-time.After(disconnectCheckInterval):
-		}
-		if c.server.deferBodies && c.hasDisconnected() {
-			c.broken.Store(true)
-			c.cancel()
-			close(u.ready) // reading the body fails
-			<-handled
-			return true
-		}
-	}
-}
-
-// receiveUpload lets the handler read the body and waits until it has returned.
-func (c *conn) receiveUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
-	c.limited.remaining = math.MaxInt64                       // Upload bounds the body
-	err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)) // a failure shows at the read
-	if c.server.deferBodies && err == nil {
-		_, err = io.WriteString(c.raw, continueResponse)
-	}
-	if err != nil {
-		c.broken.Store(true)
-		c.cancel()
-	}
-	close(u.ready)
-	<-handled
-	return err != nil
-}
-
-// hasDisconnected reports whether the caller has closed a connection on which no bytes
-// are expected.
-func (c *conn) hasDisconnected() bool {
-	_ = c.raw.SetReadDeadline(time.Now().Add(time.Millisecond)) // a failure shows at the read
-	c.limited.remaining = readBufferBytes
-	_, err := c.br.Peek(1)
-	var timeout net.Error
-	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
-}
-
-const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
-
 // awaitResponses waits until the pending responses have been written or the
 // caller closes the connection, and reports the latter. It reads no request.
 func (c *conn) awaitResponses() (callerDisconnected bool) {
@@ -329,78 +277,9 @@
 
 var errTooLarge = errors.New("the request exceeds the limits")
 
-// bodyTimeout bounds the time for reading one body; Limits has no bound for it.
-const bodyTimeout = 30 * time.Second
-
-// readBody reads the body of a request, or sets Upload if it is long or deferred.
-func (c *conn) readBody(hr *http.Request, r *Request, limits Limits) (status int, err error) {
-	if hr.ContentLength > limits.BodyBytes {
-		return http.StatusRequestEntityTooLarge, errTooLarge
-	}
-	if hr.Body == nil || hr.Body == http.NoBody {
-		return 0, nil
-	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return 0, err
-	}
-	if expects := hr.Header.Get("Expect") == "100-continue"; expects && c.server.deferBodies {
-		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
-		return 0, nil
-	} else if expects {
-		if _, err := io.WriteString(c.raw, continueResponse); err != nil {
-			return 0, err
-		}
-	}
-	if hr.ContentLength > InlineBodyBytes {
-		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
-		return 0, nil
-	}
-	// A chunked body is longer on the wire by the sizes of its chunks, and the
-	// buffer reads ahead.
-	inline := min(limits.BodyBytes, InlineBodyBytes)
-	c.limited.remaining = 2*inline + readBufferBytes
-	body, err := io.ReadAll(io.LimitReader(hr.Body, inline+1))
-	switch {
-	case err != nil && isConnError(err):
-		return 0, err
-	case err != nil:
-		return http.StatusBadRequest, err
-	case int64(len(body)) > limits.BodyBytes:
-		return http.StatusRequestEntityTooLarge, errTooLarge
-	case int64(len(body)) > inline:
-		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes, c.interruptRead)
-		return 0, nil
-	}
-	r.Body = body
-	return 0, nil
-}
-
 // isConnError reports whether err comes from the connection (closed, reset or timed
 // out) and not from the content of the request.
 func isConnError(err error) bool {
 	var op *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
-
-// limitReader fails with errTooLarge once remaining bytes have been read. The
-// connection sets remaining before it reads each part of a request; exceeded stays
-// set.
-type limitReader struct {
-	inner     io.Reader
-	remaining int64
-	exceeded  bool
-}
-
-// Read implements io.Reader.
-func (l *limitReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		l.exceeded = true
-		return 0, errTooLarge
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.inner.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
--- /dev/null
+++ b/router/httpserver/limitreader.go
@@ -0,0 +1,26 @@
+package httpserver
+
+import "io"
+
+// limitReader fails with errTooLarge once remaining bytes have been read. The
+// connection sets remaining before it reads each part of a request; exceeded stays
+// set.
+type limitReader struct {
+	inner     io.Reader
+	remaining int64
+	exceeded  bool
+}
+
+// Read implements io.Reader.
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		l.exceeded = true
+		return 0, errTooLarge
+	}
+	if int64(len(p)) > l.remaining {
+		p = p[:l.remaining]
+	}
+	n, err := l.inner.Read(p)
+	l.remaining -= int64(n)
+	return n, err
+}
--- a/router/httpserver/upload.go
+++ b/router/httpserver/upload.go
@@ -24,10 +24,11 @@
 	left   int64 // bytes until the limit
 	opened chan struct{}
 	// ready is closed when the connection's reader leaves the connection to Read.
-	ready chan struct{}
-	// complete is set when the whole body has been read, tooLong at the limit.
-	complete, tooLong bool
-	ended             bool // the handler has returned
+	ready   chan struct{}
+	tooLong bool // reading has ended at the limit
+	ended   bool // the handler has returned
+	// complete is set when the whole body has been read.
+	complete atomic.Bool
 	// interrupt ends a read of the connection that is in progress.
 	interrupt func()
 	finished  atomic.Bool // no read has to be interrupted any more
@@ -82,7 +83,7 @@
 		return 0, ErrBodyTooLong
 	}
 	if errors.Is(err, io.EOF) {
-		u.complete = true
+		u.complete.Store(true)
 		u.finished.Store(true)
 	}
 	return n, err
@@ -102,5 +103,5 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.ended = true
-	return u.complete
+	return u.complete.Load()
 }
--- a/router/httpserver/upload_test.go
+++ b/router/httpserver/upload_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -242,3 +243,29 @@
 	is.Equal(resp.StatusCode, 503)
 	is.True(resp.Close)
 }
+
+// Guards against requests that go on after their caller has left, because a long body
+// was read: nobody receives the answer.
+func TestCallerLeavesAfterLongBody(t *testing.T) {
+	for _, forPeers := range []bool{false, true} {
+		is := is.New(t)
+		left := make(chan struct{})
+		received := make(chan struct{})
+		c := startUploadServer(t, forPeers, func(ctx context.Context, r *httpserver.Request) *httpserver.Response {
+			resp := readUpload(ctx, r)
+			close(received)
+			<-ctx.Done()
+			close(left)
+			return resp
+		})
+		_, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(longBody)+"\r\n\r\n"+strings.Repeat("x", longBody))
+		is.NoErr(err)
+		<-received
+		is.NoErr(c.Close())
+		select {
+		case <-left:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the request goes on")
+		}
+	}
+}
