--- a/coord/fleet/quarantine.go
+++ b/coord/fleet/quarantine.go
@@ -1,10 +1,21 @@
 package fleet
 
-import "bramleyquay.example/coord/clock"
+import (
+	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/quarantine"
+)
 
 // QuarantineRevision returns the number of changes of the quarantine in this term.
 func (l *Leader) QuarantineRevision() uint64 { return l.quarantine.Revision() }
 
+// Quarantine returns the requests that processes watch or refuse.
+func (l *Leader) Quarantine(now clock.Reading) []quarantine.Entry { return l.quarantine.Entries(now) }
+
+// AllowRequest ends the suspicion of a request. It reports whether there was one.
+func (l *Leader) AllowRequest(now clock.Reading, f quarantine.Fingerprint) bool {
+	return l.quarantine.Clear(now, f)
+}
+
 // recordQuarantine applies what a process knows about requests that end targets.
 func (l *Leader) recordQuarantine(now clock.Reading, report *QuarantineReport) {
 	if report == nil {
--- a/coord/quarantine/fingerprint.go
+++ b/coord/quarantine/fingerprint.go
@@ -4,7 +4,11 @@
 // Registry counts for how many targets in a row that holds.
 package quarantine
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Fingerprint identifies requests that are alike: the same caller sends the same
 // method, host, path with query, and body.
@@ -21,3 +25,12 @@
 	}
 	return Fingerprint(d.Sum64())
 }
+
+// String returns the fingerprint as hexadecimal digits.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
+// ParseFingerprint parses the result of String.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return Fingerprint(n), err
+}
--- a/coord/quarantine/registry.go
+++ b/coord/quarantine/registry.go
@@ -114,16 +114,18 @@
 	return s
 }
 
-// Clear removes a request that a target has completed.
-func (r *Registry) Clear(now clock.Reading, f Fingerprint) {
+// Clear removes a request that a target has completed, or that an operator allows. It
+// reports whether the request was suspected.
+func (r *Registry) Clear(now clock.Reading, f Fingerprint) bool {
 	s := r.suspects[f]
 	if s == nil || s.crashes == 0 {
-		return
+		return false
 	}
 	if s.crashes >= watchThreshold {
 		r.revision++
 	}
 	s.crashes, s.clearedAt = 0, now.Mono
+	return true
 }
 
 // Adopt adds an entry that another registry has sent, with its crashes.
--- a/router/bqctl/fleet.go
+++ b/router/bqctl/fleet.go
@@ -25,6 +25,7 @@
 	Apply    fleetApplyCommand    `cmd:"" help:"Check a routing document and put it in force."`
 	Drain    fleetDrainCommand    `cmd:"" help:"Take a data centre out of service."`
 	Return   fleetReturnCommand   `cmd:"" help:"Return a data centre to service."`
+	Allow    fleetAllowCommand    `cmd:"" help:"No longer refuse a request that has ended targets."`
 }
 
 // newClient returns a client, a context with the command's timeout, and a
@@ -96,7 +97,7 @@
 		}
 		members = append(members, []string{m.Process, m.DataCentre, m.Service, m.Target, fmt.Sprint(m.Slots), condition})
 	}
-	return summary + "\n\n" + table(replicas) + "\n\n" + table(members)
+	return summary + "\n\n" + table(replicas) + "\n\n" + table(members) + quarantineText(st.Quarantine)
 }
 
 type fleetDocumentCommand struct{}
--- a/router/bqctl/fleet_test.go
+++ b/router/bqctl/fleet_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/matryer/is"
 
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/router/fleetdaemon"
+	"bramleyquay.example/router/fleetnode"
 	"bramleyquay.example/router/logging"
 )
 
@@ -82,3 +84,24 @@
 	code, _ = run("return", "nowhere")
 	is.Equal(code, ExitDone)
 }
+
+// Guards against an operator who cannot see or end the refusal of a request.
+func TestFleetAllow(t *testing.T) {
+	is := is.New(t)
+	text := fleetStatusText(fleetnode.Status{Quarantine: []quarantine.Entry{{Fingerprint: 0xabc, Crashes: 3, Refused: 90 * time.Second}, {Fingerprint: 0xdef, Crashes: 2}}})
+	is.True(strings.Contains(text, "abc"))
+	is.True(strings.Contains(text, "1m30s"))
+	is.True(strings.Contains(text, "def"))
+
+	const secret = "0123456789abcdef"
+	secretFile := filepath.Join(t.TempDir(), "secret")
+	is.NoErr(os.WriteFile(secretFile, []byte(secret), 0o600))
+	replica := startFleetReplica(t, secret)
+	for argument, want := range map[string]string{"nothex": "not a fingerprint", "abc": "is not refused"} {
+		var out bytes.Buffer
+		code := Run(context.Background(), []string{"--secret-file", secretFile, "fleet", "--replica", replica, "allow", argument},
+			Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" }})
+		is.Equal(code, ExitInvalid)
+		is.True(strings.Contains(out.String(), want))
+	}
+}
--- a/router/fleetagent/quarantine.go
+++ b/router/fleetagent/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"bramleyquay.example/coord/fleet"
@@ -87,7 +86,7 @@
 	}
 	q := &a.quarantine
 	for _, c := range crashes {
-		a.log.Warn().Str("target", c.Target.Target).Str("fingerprint", formatFingerprint(c.Fingerprint)).Dur("ran", c.Ended-c.Started).
+		a.log.Warn().Str("target", c.Target.Target).Str("fingerprint", c.Fingerprint.String()).Dur("ran", c.Ended-c.Started).
 			Msg("target ended while it had the request")
 	}
 	q.crashes = append(q.crashes, crashes...)
@@ -150,7 +149,7 @@
 func (a *Agent) applyQuarantine(old, next *View) {
 	for f, e := range next.quarantine {
 		if e.refusedUntil > old.quarantine[f].refusedUntil && old.RefusedFor(f) == 0 && next.RefusedFor(f) > 0 {
-			a.log.Warn().Str("fingerprint", formatFingerprint(f)).Int("targets", e.crashes).Dur("for", next.RefusedFor(f)).
+			a.log.Warn().Str("fingerprint", f.String()).Int("targets", e.crashes).Dur("for", next.RefusedFor(f)).
 				Msg("request is refused: it has ended targets")
 		}
 		if a.quarantine.completions.Since(f, e.first) && !a.quarantine.completed[f] {
@@ -173,5 +172,3 @@
 	}
 	return list
 }
-
-func formatFingerprint(f quarantine.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
--- a/router/fleetclient/client.go
+++ b/router/fleetclient/client.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/coord/routes"
 	"bramleyquay.example/router/fleetnode"
 	"bramleyquay.example/router/leaderclient"
@@ -68,6 +69,14 @@
 	return c.leaders.CallLeader(ctx, fleetnode.MethodPropose, fleetnode.ProposeRequest{SetDrain: &fleet.SetDrain{DataCentre: dataCentre, On: on}}, &result)
 }
 
+// Allow ends the refusal of a request that has ended targets. It reports whether the
+// request was watched or refused. After an error Allow may be called again.
+func (c *Client) Allow(ctx context.Context, f quarantine.Fingerprint) (suspected bool, err error) {
+	var reply fleetnode.AllowReply
+	err = c.leaders.CallLeader(ctx, fleetnode.MethodAllow, fleetnode.AllowRequest{Fingerprint: f}, &reply)
+	return reply.Suspected, err
+}
+
 // Status returns the status that the leader reports or, if no leader can be
 // reached, that of the last replica that answered. In the leader's status
 // Leader equals ID. Each replica is called once; one that does not answer
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/quarantine"
 	"bramleyquay.example/coord/raft"
 	"bramleyquay.example/router/peer"
 	"bramleyquay.example/router/raftdriver"
@@ -23,6 +24,7 @@
 	MethodPropose = "fleet.propose"
 	MethodRead    = "fleet.read"
 	MethodStatus  = "fleet.status"
+	MethodAllow   = "fleet.allow"
 	// MethodRenewNow is not a method of replicas: it is the method of the
 	// notification with which they ask a member to renew at once.
 	MethodRenewNow = "fleet.wake"
@@ -64,6 +66,7 @@
 	s.Handle(MethodRead, peer.Bind(r.read))
 	s.Handle(MethodRenew, r.renew)
 	s.Handle(MethodStatus, peer.Bind(r.status))
+	s.Handle(MethodAllow, peer.Bind(r.allow))
 }
 
 // Status is one replica's view of the group.
@@ -84,6 +87,9 @@
 	Drained []string `json:"drained,omitempty"`
 	// Members are the processes that renew at the leader; set on the leader only.
 	Members []fleet.Member `json:"members,omitempty"`
+	// Quarantine are the requests that processes watch or refuse because they end
+	// targets; set on the leader only.
+	Quarantine []quarantine.Entry `json:"quarantine,omitempty"`
 }
 
 func (r *Replica) status(ctx context.Context, _ struct{}) (Status, error) {
@@ -98,6 +104,9 @@
 		if st.Role == raft.Leader {
 			out.Active = []raft.ID{st.ID}
 		}
+		if r.leader.IsLeader() {
+			out.Quarantine = r.leader.Quarantine(timesource.BootTime())
+		}
 		for id, p := range st.Progress {
 			if p.Active {
 				out.Active = append(out.Active, id)
@@ -107,6 +116,26 @@
 	return out, err
 }
 
+// AllowRequest asks the leader to no longer refuse a request that has ended targets.
+type AllowRequest struct {
+	Fingerprint quarantine.Fingerprint `json:"request"`
+}
+
+// AllowReply says whether the request was watched or refused.
+type AllowReply struct {
+	Suspected bool `json:"suspected"`
+}
+
+func (r *Replica) allow(ctx context.Context, request AllowRequest) (AllowReply, error) {
+	var reply AllowReply
+	err := r.doAsLeader(ctx, func() error {
+		reply.Suspected = r.leader.AllowRequest(timesource.BootTime(), request.Fingerprint)
+		r.log.Info().Str("fingerprint", request.Fingerprint.String()).Bool("suspected", reply.Suspected).Msg("operator allows a request")
+		return nil
+	})
+	return reply, err
+}
+
 // step queues a message of another replica and does not wait for its processing.
 func (r *Replica) step(_ context.Context, m raft.Message) (struct{}, error) {
 	r.tasks.Post(func() { r.receive(m) }) // if the queue is full, the sender retries
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -82,7 +82,7 @@
 func (p *peers) do(ctx context.Context, process string, req *routedRequest) result {
 	h := req.header.Clone()
 	h.Set(headerHop, encodeRouting(req, time.Now()))
-	h.Set(headerFingerprint, encodeFingerprint(req.fingerprint))
+	h.Set(headerFingerprint, req.fingerprint.String())
 	out := &httpclient.Request{Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, ID: req.id}
 	hopBody(out, req.request)
 	resp, err := p.client(process).Do(ctx, out)
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -32,7 +32,8 @@
 	objective, deadline time.Time
 	// version is that of the routing document.
 	version uint64
-	// fingerprint identifies requests like this one of the same caller.
+	// fingerprint identifies requests like this one of the same caller. It is zero if a
+	// peer has not sent it.
 	fingerprint quarantine.Fingerprint
 	// noWait requests are refused at once if they cannot start at once.
 	noWait bool
@@ -113,7 +114,9 @@
 		objective: r.Received.Add(time.Duration(objective) * time.Millisecond),
 		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version, noWait: noWait,
 	}
-	req.fingerprint = decodeFingerprint(r.Header.Get(headerFingerprint))
+	if f, err := quarantine.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
+		req.fingerprint = f
+	}
 	req.removeInternalHeaders()
 	if f[3] != "" {
 		key, ok := parseKey(f[3])
@@ -141,18 +144,6 @@
 	r.fingerprint = quarantine.NewFingerprint(r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10), string(r.request.Body))
 }
 
-func encodeFingerprint(f quarantine.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
-
-// decodeFingerprint returns zero, which is no fingerprint, for a malformed text or
-// without one.
-func decodeFingerprint(text string) quarantine.Fingerprint {
-	n, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return 0
-	}
-	return quarantine.Fingerprint(n)
-}
-
 // encodeResult encodes a result without the response, waited and ran, as fields
 // separated by semicolons; retryAfter is in milliseconds.
 func encodeResult(r result) string {
