Let targets name limits in the soak

Two targets of a run name a limit of 10 requests a second for 8 s, about a tenth of what they get; their run log records it, and checkLimits compares the two, except around stops and freezes of the process beside the target. The faults are drawn after the others, so that earlier seeds keep theirs. The stand-in target also says in its answers that it leaves.

--- a/router/rangetarget/target.go
+++ b/router/rangetarget/target.go
@@ -51,6 +51,7 @@
 	running  int
 	sequence uint64
 	draining bool
+	limit    namedLimit
 }
 
 // Serve runs the target and blocks until SIGTERM. It then releases its keys and
@@ -161,7 +162,7 @@
 }
 
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
-	if t.serveCall(w, r) {
+	if t.serveCall(w, r) || t.serveLimit(w, r) {
 		return
 	}
 	names := relay.DefaultHeaderNames
@@ -169,12 +170,13 @@
 	key, keyErr := strconv.ParseUint(r.Header.Get(names.Key), 10, 16)
 	run, status := t.begin(uint16(key), keyErr == nil)
 	w.Header().Set(names.RequestID, id)
+	t.setNotices(w.Header())
 	if status != http.StatusOK {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(status)
 		return
 	}
-	t.logRun(Run{ID: id, Key: run.key, Fence: run.fence, At: run.start.UnixNano()})
+	t.logRun(Run{ID: id, Key: run.key, Fence: run.fence, At: run.start.UnixNano(), Limit: run.limit})
 	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(t.cfg.ServiceTime)))
 	w.Header().Set(names.Signature, t.cfg.Name)
 	if !t.end(run) {
@@ -189,6 +191,7 @@
 	key   uint16
 	fence uint64 // 0 if the service has no key ranges
 	start time.Time
+	limit float64 // that the target names, in requests per second
 }
 
 // begin takes a slot and returns the request with its key's fence, or an HTTP status
@@ -197,6 +200,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	run := activeRequest{key: key, start: time.Now()}
+	run.limit = t.limit.at(run.start)
 	switch {
 	case t.running >= t.cfg.Slots:
 		return run, http.StatusServiceUnavailable
@@ -225,6 +229,9 @@
 	// At is the time at which the target checked that the key is granted, in
 	// nanoseconds of the wall clock that all processes of the machine share.
 	At int64 `json:"at"`
+	// Limit is the number of requests per second that the target named as its limit
+	// then, zero without one.
+	Limit float64 `json:"limit,omitempty"`
 }
 
 // logRun appends a request to the run log.
--- a/router/soak/faults_test.go
+++ b/router/soak/faults_test.go
@@ -1,13 +1,17 @@
 package soak
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"bramleyquay.example/router/harness"
+	"bramleyquay.example/router/rangetarget"
 )
 
 // fault is one fault of a run.
@@ -37,6 +41,11 @@
 	// minFault is one announcement interval; maxFault is longer than a lease.
 	minFault = 300 * time.Millisecond
 	maxFault = 4 * time.Second
+	// limitCount targets name limitPerSecond as their limit for limitTime; without it
+	// they get about 100 requests per second.
+	limitCount     = 2
+	limitPerSecond = 10
+	limitTime      = 8 * time.Second
 	// proxyDelay is the network delay between two distant regions.
 	proxyDelay = 40 * time.Millisecond
 	// In wipeShare of the runs a replica loses its disk, in the middle of the other
@@ -76,6 +85,10 @@
 			out = append(out, fault{start: time.Duration(i) * rollingStopPause, duration: minFault, kind: "terminate", node: m})
 		}
 	}
+	// Drawn last, so that the other faults of a seed stay the same.
+	for range limitCount {
+		out = append(out, fault{start: time.Duration(rng.Int64N(int64(faultTime / 2))), duration: limitTime, kind: "limit", node: c.Members[rng.IntN(len(c.Members))]})
+	}
 	return out
 }
 
@@ -132,6 +145,8 @@
 		in.outage(f, "target")
 	case "freeze", "target-freeze":
 		in.freeze(f)
+	case "limit":
+		in.limit(f)
 	case "delay":
 		forEachProxy(func(i int) { n.Proxies[i].Delay(proxyDelay) })
 		time.Sleep(f.duration)
@@ -211,6 +226,22 @@
 	}
 }
 
+// limit makes the target of a node name a limit, if it is running.
+func (in *injector) limit(f fault) {
+	text, err := json.Marshal(rangetarget.LimitRequest{PerSecond: limitPerSecond, ForMs: f.duration.Milliseconds()})
+	if err != nil {
+		in.addViolation("limit: %v", err)
+		return
+	}
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Post("http://"+f.node.Address(harness.FleetTargetPort)+rangetarget.PathLimit, "application/json", bytes.NewReader(text))
+	if err != nil {
+		in.c.t.Logf("%s names no limit: %v", f.node.Name, err) // another fault has stopped it
+		return
+	}
+	_ = resp.Body.Close() // empty
+}
+
 func (in *injector) addViolation(format string, args ...any) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/router/soak/soak_test.go
+++ b/router/soak/soak_test.go
@@ -117,7 +117,8 @@
 		}
 	}
 	t.Logf("%d of %d requests served, document version %d", served, len(answers), accepted)
-	for _, text := range slices.Concat(violations, in.violations, checkRuns(answers, c.runs()), checkStops(answers, in.disturbances)) {
+	runs := c.runs()
+	for _, text := range slices.Concat(violations, in.violations, checkRuns(answers, runs), checkStops(answers, in.disturbances), checkLimits(runs, in.disturbances)) {
 		t.Error(text)
 	}
 }
