Ask members to renew at once only for changes of what is refused

While targets end often, requests that only ran beside the cause are watched and cleared in turn. Each change asked all members to renew; now they hear of watched requests with their next renewal.

--- a/coord/fleet/quarantine.go
+++ b/coord/fleet/quarantine.go
@@ -5,8 +5,8 @@
 	"bramleyquay.example/coord/quarantine"
 )
 
-// QuarantineRevision returns the number of changes of the quarantine in this term.
-func (l *Leader) QuarantineRevision() uint64 { return l.quarantine.Revision() }
+// RefusalRevision returns the number of changes of what is refused in this term.
+func (l *Leader) RefusalRevision() uint64 { return l.quarantine.Refusals() }
 
 // Quarantine returns the requests that processes watch or refuse.
 func (l *Leader) Quarantine(now clock.Reading) []quarantine.Entry { return l.quarantine.Entries(now) }
--- a/coord/quarantine/example_test.go
+++ b/coord/quarantine/example_test.go
@@ -12,7 +12,7 @@
 // A request that ends three targets, one after the other, is refused.
 func Example() {
 	registry := quarantine.NewRegistry(quarantine.DefaultConfig())
-	f := quarantine.NewFingerprint("shop", "GET", "stock.example", "/items/7", "")
+	f := quarantine.NewFingerprint(nil, "shop", "GET", "stock.example", "/items/7")
 	for i, target := range []string{"a", "b", "c"} {
 		var d quarantine.Detector
 		now := time.Duration(i) * time.Second
--- a/coord/quarantine/fingerprint.go
+++ b/coord/quarantine/fingerprint.go
@@ -15,14 +15,15 @@
 type Fingerprint uint64
 
 // NewFingerprint returns the fingerprint of a request. The parts are those that
-// identify it, in a fixed order.
-func NewFingerprint(parts ...string) Fingerprint {
+// identify it besides the body, in a fixed order.
+func NewFingerprint(body []byte, parts ...string) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	for _, p := range parts {
 		_, _ = d.WriteString(p) // a Digest returns no errors
-		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString("\x00")
 	}
+	_, _ = d.Write(body)
 	return Fingerprint(d.Sum64())
 }
 
--- a/coord/quarantine/registry.go
+++ b/coord/quarantine/registry.go
@@ -56,7 +56,8 @@
 type Registry struct {
 	cfg      Config
 	suspects map[Fingerprint]*suspect
-	revision uint64
+	// revision counts the changes of Entries, refusals those of what is refused.
+	revision, refusals uint64
 }
 
 // suspect is a request that a target was running when it ended. Times are monotonic.
@@ -79,6 +80,20 @@
 // Revision increases with each change of Entries other than the passing of time.
 func (r *Registry) Revision() uint64 { return r.revision }
 
+// Refusals increases when a request is refused and when a refusal is lifted. Processes
+// should hear of that at once.
+func (r *Registry) Refusals() uint64 { return r.refusals }
+
+// changed counts a change of a suspect that has the given number of crashes.
+func (r *Registry) changed(crashes int) {
+	if crashes >= watchThreshold {
+		r.revision++
+	}
+	if crashes >= r.cfg.Threshold {
+		r.refusals++
+	}
+}
+
 // Record counts a crash, once for each target. A crash counts only if the request was
 // sent after the last one, and so may have caused this one by itself.
 func (r *Registry) Record(now clock.Reading, report Report) {
@@ -96,9 +111,7 @@
 	}
 	s.crashes++
 	s.last = max(s.last, ended)
-	if s.crashes >= watchThreshold {
-		r.revision++
-	}
+	r.changed(s.crashes)
 }
 
 // suspect returns the state of a request, which is added if needed.
@@ -121,9 +134,7 @@
 	if s == nil || s.crashes == 0 {
 		return false
 	}
-	if s.crashes >= watchThreshold {
-		r.revision++
-	}
+	r.changed(s.crashes)
 	s.crashes, s.clearedAt = 0, now.Mono
 	return true
 }
@@ -139,7 +150,7 @@
 	}
 	s := r.suspect(e.Fingerprint)
 	s.crashes, s.first, s.last = e.Crashes, now.Mono-e.Age, last
-	r.revision++
+	r.changed(s.crashes)
 }
 
 // Prune discards the requests whose last crash is more than twice Duration ago. It
@@ -148,7 +159,7 @@
 	for f, s := range r.suspects {
 		if now.Mono-max(s.last, s.clearedAt) > 2*r.cfg.Duration {
 			delete(r.suspects, f)
-			r.revision++
+			r.changed(s.crashes)
 		}
 	}
 }
@@ -163,7 +174,7 @@
 		}
 	}
 	delete(r.suspects, oldest)
-	r.revision++
+	r.changed(found.crashes)
 }
 
 // Entries returns the requests that processes should watch or refuse, in order of
--- a/router/fleetnode/subscribers.go
+++ b/router/fleetnode/subscribers.go
@@ -2,8 +2,8 @@
 
 import "bramleyquay.example/router/timesource"
 
-// notifyMembers asks the members to renew at once if the state, the quarantine or
-// the directory has changed since the last notification. Changes of the directory
+// notifyMembers asks the members to renew at once if the state, the refused
+// requests or the directory have changed since the last notification. Changes of the directory
 // only are notified less often.
 func (r *Replica) notifyMembers() {
 	now := timesource.BootTime()
@@ -11,7 +11,7 @@
 		return
 	}
 	revisions := r.state.Revisions()
-	revisions.Quarantine = r.leader.QuarantineRevision()
+	revisions.Quarantine = r.leader.RefusalRevision()
 	changed := revisions != r.notifiedRevisions
 	if directory := r.leader.DirectoryRevision(); directory != r.notifiedDirectory && now.MonoSince(r.lastNotified) >= directoryNotifyInterval {
 		r.notifiedDirectory, changed = directory, true
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -141,7 +141,7 @@
 	if u := r.request.Upload; u != nil {
 		length = u.Length
 	}
-	r.fingerprint = quarantine.NewFingerprint(r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10), string(r.request.Body))
+	r.fingerprint = quarantine.NewFingerprint(r.request.Body, r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10))
 }
 
 // encodeResult encodes a result without the response, waited and ran, as fields
