--- /dev/null
+++ b/router/httpserver/stop_test.go
@@ -0,0 +1,90 @@
+package httpserver_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleyquay.example/router/httpserver"
+)
+
+// stopRound sends pipelined requests on several connections around the moment at which
+// a server stops, and returns the ids that were handled and those that were answered.
+func stopRound(t *testing.T, rng *rand.Rand) (handled, answered map[string]bool) {
+	var mu sync.Mutex
+	handled, answered = map[string]bool{}, map[string]bool{}
+	s := start(t, func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		mu.Lock()
+		handled[strings.TrimPrefix(r.Path, "/")] = true
+		mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		return httpserver.TextResponse(200, strings.TrimPrefix(r.Path, "/"))
+	})
+	var callers sync.WaitGroup
+	stopAt := time.Now().Add(20 * time.Millisecond)
+	for i := range 20 {
+		c, br := dial(t, s)
+		wait := time.Until(stopAt) + time.Duration(rng.Int64N(int64(4*time.Millisecond))) - 2*time.Millisecond
+		callers.Go(func() {
+			time.Sleep(wait)
+			for j := range 3 {
+				if _, err := io.WriteString(c, get(fmt.Sprintf("/%d-%d", i, j))); err != nil {
+					return // the server has closed the connection
+				}
+			}
+		})
+		callers.Go(func() {
+			for {
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				answered[strings.TrimSpace(string(body))] = true
+				mu.Unlock()
+				if resp.Close {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(time.Until(stopAt))
+	s.Drain()
+	time.Sleep(time.Duration(rng.Int64N(int64(3 * time.Millisecond))))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s.Shutdown(ctx)
+	callers.Wait()
+	return handled, answered
+}
+
+// Guards against requests that are handled and not answered because they arrive in the
+// moment in which the server stops.
+func TestRequestsInTheMomentOfAStop(t *testing.T) {
+	const seed = 7
+	rng := rand.New(rand.NewPCG(seed, 0))
+	total := 0
+	for round := range 12 {
+		handled, answered := stopRound(t, rng)
+		total += len(handled)
+		for id := range handled {
+			if !answered[id] {
+				t.Errorf("round %d of seed %d: request %s was handled and not answered", round, seed, id)
+			}
+		}
+	}
+	if total == 0 {
+		t.Error("no request was handled")
+	}
+	t.Logf("%d requests handled", total)
+}
