Run one copy at a time of a request that its target has not answered

Change: quarantine.FirstRuns lets a target run one copy of a request that it has not answered yet, or not since its connection last broke. Others wait for that answer at the gate, until the end of their latency objective, or try another target. The crash of a target that had never answered the request counts without the conditions of time. Requests that were answered before are not limited and count as before.

Ruled out: counting the copies of one crash (three copies of a request that ran beside such a one would be refused after a single crash); distributing all suspects after one crash (grows with the crashes of the whole cluster).

Tests: TestCopiesOfRequestThatEndsTargets (real sockets; without the limit more than 6 arrivals, with it 3), TestFirstRuns, TestUnansweredRequestEndsTargetsTogether.

--- a/coord/quarantine/detector.go
+++ b/coord/quarantine/detector.go
@@ -14,6 +14,8 @@
 	Target      ranges.Holder
 	// Started is when the request was sent, Ended when its connection broke.
 	Started, Ended time.Duration
+	// First is set if the target's process knows of no answer to the request.
+	First bool
 }
 
 // endedWindow is the longest time between the end of a target's connections and that
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -172,10 +172,54 @@
 	is := is.New(t)
 	var c quarantine.Completions
 	c.Record(time.Second, 1)
-	for i := range 4000 {
+	for i := range 2000 {
 		c.Record(2*time.Second, quarantine.Fingerprint(10+i))
 	}
 	is.True(c.Since(1, 500*ms))
 	is.True(!c.Since(1, time.Second))
 	is.True(!c.Since(2, 0))
+	for i := range 2048 {
+		c.Record(3*time.Second, quarantine.Fingerprint(5000+i))
+	}
+	is.True(!c.Since(1, 500*ms)) // bounded memory
+}
+
+// Guards against a request without any answer that ends several targets at the same
+// time and is not refused.
+func TestUnansweredRequestEndsTargetsTogether(t *testing.T) {
+	is := is.New(t)
+	r := quarantine.NewRegistry(quarantine.DefaultConfig())
+	for n := range 3 {
+		r.Record(clock.At(100*ms), quarantine.Report{Fingerprint: 1, Target: holder(n), SinceStarted: 80 * ms, First: true})
+	}
+	is.True(refused(r, 200*ms, 1))
+}
+
+// Guards against copies of an unanswered request that run at once, and against limits
+// for requests that the target has answered.
+func TestFirstRuns(t *testing.T) {
+	is := is.New(t)
+	r := quarantine.NewFirstRuns()
+	start := func(f quarantine.Fingerprint) [2]bool {
+		ok, first := r.Start(f)
+		return [2]bool{ok, first}
+	}
+	is.Equal(start(1), [2]bool{true, true})
+	is.Equal(start(1), [2]bool{false, false})
+	is.Equal(start(2), [2]bool{true, true})
+	r.RecordBroken(10*ms, 1)
+	r.End(1)
+	is.Equal(start(1), [2]bool{true, true})
+	r.RecordAnswer(20*ms, 1)
+	r.End(1)
+	is.Equal(start(1), [2]bool{true, false})
+	is.Equal(start(1), [2]bool{true, false})
+	r.RecordBroken(30*ms, 1) // answered before, but not since
+	is.True(!r.Answered(1))
+	is.Equal(start(1), [2]bool{true, true})
+	is.Equal(start(1), [2]bool{false, false})
+	for f := range quarantine.Fingerprint(1000) {
+		r.RecordBroken(40*ms, 100+f)
+	}
+	is.True(r.Answered(1)) // bounded memory
 }
--- a/coord/quarantine/registry.go
+++ b/coord/quarantine/registry.go
@@ -18,8 +18,9 @@
 	// Duration is the time for which a request is refused after the last crash. A
 	// crash after that time refuses it again.
 	Duration time.Duration
-	// MinInterval is the least time between two crashes that count as two. Targets that
-	// end together, as in a power failure, all run the most frequent requests.
+	// MinInterval is the least time between two crashes of targets that had answered the
+	// request before. Targets that end together, as in a power failure, all run the most
+	// frequent requests.
 	MinInterval time.Duration
 	// MaxSuspects bounds the requests in the registry.
 	MaxSuspects int
@@ -37,6 +38,7 @@
 	// SinceStarted and SinceEnded are the times since Crash.Started and Crash.Ended.
 	SinceStarted time.Duration `json:"started"`
 	SinceEnded   time.Duration `json:"ended"`
+	First        bool          `json:"first,omitempty"`
 }
 
 // Entry is a request that processes watch or refuse.
@@ -94,8 +96,10 @@
 	}
 }
 
-// Record counts a crash, once for each target. A crash counts only if the request was
-// sent after the last one, and so may have caused this one by itself.
+// Record counts a crash, once for each target. The crash of a target that had answered
+// the request before counts only if the request was sent after the last crash, and so
+// may have caused this one by itself: frequent requests run at all targets that end
+// together.
 func (r *Registry) Record(now clock.Reading, report Report) {
 	started, ended := now.Mono-report.SinceStarted, now.Mono-report.SinceEnded
 	s := r.suspect(report.Fingerprint)
@@ -103,7 +107,7 @@
 		return
 	}
 	s.targets[report.Target] = true
-	if s.crashes > 0 && (ended-s.last < r.cfg.MinInterval || started < s.last-r.cfg.MinInterval) {
+	if s.crashes > 0 && !report.First && (ended-s.last < r.cfg.MinInterval || started < s.last-r.cfg.MinInterval) {
 		return
 	}
 	if s.crashes == 0 {
--- a/router/fleetagent/quarantine.go
+++ b/router/fleetagent/quarantine.go
@@ -50,12 +50,13 @@
 }
 
 // RecordBroken records a request that was sent at a time of time.Now to an incarnation
-// of the target, and whose connection broke before the answer was complete.
-func (a *Agent) RecordBroken(f quarantine.Fingerprint, target ranges.Holder, sent time.Time) {
+// of the target, and whose connection broke before the answer was complete. first says
+// that the target has not answered such a request yet.
+func (a *Agent) RecordBroken(f quarantine.Fingerprint, target ranges.Holder, sent time.Time, first bool) {
 	now := timesource.BootTime().Mono
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addCrashes(a.quarantine.detector.RequestBroken(now, quarantine.Crash{Fingerprint: f, Target: target, Started: now - time.Since(sent), Ended: now}))
+	a.addCrashes(a.quarantine.detector.RequestBroken(now, quarantine.Crash{Fingerprint: f, Target: target, Started: now - time.Since(sent), Ended: now, First: first}))
 }
 
 // RecordCompleted records that the target completed a request without an error.
@@ -103,7 +104,7 @@
 	if q.anySent {
 		for _, c := range q.crashes {
 			report.Crashes = append(report.Crashes, quarantine.Report{
-				Fingerprint: c.Fingerprint, Target: c.Target, SinceStarted: now - c.Started, SinceEnded: now - c.Ended,
+				Fingerprint: c.Fingerprint, Target: c.Target, SinceStarted: now - c.Started, SinceEnded: now - c.Ended, First: c.First,
 			})
 		}
 		report.Known = v.quarantineEntries(now)
--- a/router/fleetagent/quarantine_test.go
+++ b/router/fleetagent/quarantine_test.go
@@ -31,7 +31,7 @@
 	h := ranges.Holder{Target: "t", Incarnation: 1, Process: "p"}
 	is.True(a.reportTo(1) == nil)
 	is.True(a.reportTo(1) == nil)
-	a.RecordBroken(7, h, time.Now())
+	a.RecordBroken(7, h, time.Now(), false)
 	is.True(a.reportTo(1) == nil) // only an answer may be lost
 	a.RecordUnreachable(true)
 	is.Equal(a.reportTo(1).Crashes[0].Fingerprint, quarantine.Fingerprint(7))
--- a/router/fleetdaemon/deadly_test.go
+++ b/router/fleetdaemon/deadly_test.go
@@ -159,3 +159,27 @@
 	defer t.mu.Unlock()
 	return !t.silent
 }
+
+// Guards against copies of a request that ends targets which run at once at the only
+// target that may run them, so that each end counts for many.
+func TestCopiesOfRequestThatEndsTargets(t *testing.T) {
+	is := is.New(t)
+	keyed, plain, _ := startServingCluster(t)
+	var deadly deadlyRequests
+	deadly.makeDeadly(t, keyed[:], "/keyed/deadly")
+	var callers sync.WaitGroup
+	end := time.Now().Add(10 * time.Second)
+	for i := range 12 {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				plain[i%2].call("GET", "/keyed/deadly", fmt.Sprint("deadly", i, "-", n), map[string]string{"X-Key": "4711"})
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	t.Logf("crashes %d, arrivals %d, after 3 s %d", deadly.crashes, len(deadly.arrivals), deadly.after(3*time.Second))
+	is.True(deadly.crashes >= 3)
+	is.True(deadly.after(3*time.Second) <= 3)
+	is.True(len(deadly.arrivals) <= 3+3)
+}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -35,6 +35,8 @@
 	reasonNoSignature   = "answer without signature"
 	// reasonQuarantined requests have ended the targets that ran them.
 	reasonQuarantined = "request has ended several targets"
+	// reasonFirstRun requests wait for a copy that is the first at the target.
+	reasonFirstRun = "another copy is running for the first time"
 )
 
 // mayHaveNewOwner reports whether another process may own the request's key after
@@ -63,6 +65,7 @@
 	queue  *blockingQueue
 	// transfers orders the bodies that peers wait to send.
 	transfers *blockingQueue
+	firstRuns *firstRuns
 	probing   atomic.Bool
 	log       logging.Logger
 }
@@ -71,7 +74,7 @@
 // before agent.Run, because it sets the function from which the agent reports the
 // target's load.
 func NewGate(agent *fleetagent.Agent, names HeaderNames, client *httpclient.Client, log logging.Logger) *Gate {
-	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), log: log}
+	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), log: log}
 	agent.SetUsage(g.queue.usage)
 	return g
 }
@@ -102,6 +105,11 @@
 	if r, ok := g.receiveBody(ctx, req); !ok {
 		return r
 	}
+	release, r, ok := g.firstRuns.acquire(ctx, req)
+	if !ok {
+		return r
+	}
+	defer release()
 	rate := 0.0
 	if s := g.service(req.service); s != nil {
 		rate = s.ColdRate
@@ -228,7 +236,7 @@
 			g.agent.RecordFailure()
 		}
 		if ctx.Err() == nil && req.fingerprint != 0 {
-			g.agent.RecordBroken(req.fingerprint, t.Incarnation, sent)
+			g.agent.RecordBroken(req.fingerprint, t.Incarnation, sent, g.firstRuns.recordBroken(req.fingerprint))
 			go g.probe()
 		}
 		return result{outcome: unknown, reason: reasonAnswerBroken + ": " + err.Error(), reached: true}
@@ -244,6 +252,7 @@
 	case resp.Status >= 200 && resp.Status < 300 && resp.Header.Get(g.names.Signature) == "":
 		return result{outcome: unknown, reason: reasonNoSignature, reached: true}
 	}
+	g.firstRuns.recordAnswer(req.fingerprint)
 	if resp.Status < http.StatusInternalServerError {
 		g.agent.RecordCompleted(req.fingerprint)
 	}
