Share the server of the tests that send one answer

FuzzResponse and TestAnswerCutAtEachByte had the same server; serveAnswer serves both. The checks are unchanged.

--- a/router/httpclient/cut_test.go
+++ b/router/httpclient/cut_test.go
@@ -13,29 +13,35 @@
 	"bramleyquay.example/router/httpclient"
 )
 
-// answerWith returns the result of a request to a server that sends an answer and then
-// closes the connection, or resets it.
-func answerWith(t *testing.T, answer string, reset bool) (*httpclient.Response, error) {
+// serveAnswer starts a server that sends an answer to one request and then closes the
+// connection, or resets it. It returns the server's address.
+func serveAnswer(t *testing.T, answer []byte, reset bool) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
 		_, _ = http.ReadRequest(bufio.NewReader(c)) // the client's own request
-		_, _ = c.Write([]byte(answer))
+		_, _ = c.Write(answer)
 		if reset {
 			time.Sleep(20 * time.Millisecond) // a reset discards what has not been read
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
 		_ = c.Close()
 	}()
-	client := httpclient.New(httpclient.Config{Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, MaxBody: 1 << 16})
+	return l.Addr().String()
+}
+
+// answerWith returns the result of a request to a server of serveAnswer.
+func answerWith(t *testing.T, answer string, reset bool) (*httpclient.Response, error) {
+	t.Helper()
+	client := httpclient.New(httpclient.Config{Address: serveAnswer(t, []byte(answer), reset), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, MaxBody: 1 << 16})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
--- a/router/httpclient/endless_test.go
+++ b/router/httpclient/endless_test.go
@@ -139,21 +139,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_, _ = c.Write(answer)
-			_ = c.Close()
-		}()
-		client := httpclient.New(httpclient.Config{Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, MaxBody: 1 << 16})
+		client := httpclient.New(httpclient.Config{Address: serveAnswer(t, answer, false), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, MaxBody: 1 << 16})
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		resp, err := client.Do(ctx, request("1"))
