Bound the memory that requests, answers and messages take together

Cause: each answer had a bound of 64 MiB, whatever the memory of the process, in a buffer that doubles; nothing related the bytes in use to the memory.

Requests without room are refused before they run. Long bodies are no longer copied behind their heads.

--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +9,7 @@
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/fleetagent"
+	"bramleyquay.example/router/memory"
 )
 
 // Paths of the HTTP calls that the target sends to its sidecar process.
@@ -81,12 +81,14 @@
 }
 
 // decodeBody decodes the JSON body of a request. If that fails, it answers the
-// request with status 400 and returns false.
-func decodeBody(w http.ResponseWriter, r *http.Request, out any) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
-	if err == nil {
-		err = json.Unmarshal(body, out)
+// request, with status 400 if it is malformed, and returns false.
+func (d *Daemon) decodeBody(w http.ResponseWriter, r *http.Request, out any) bool {
+	body, account, ok := memory.ReadRequest(d.callMemory, w, r, maxAnnounceBytes)
+	if !ok {
+		return false
 	}
+	defer account.Close()
+	err := json.Unmarshal(body, out)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
@@ -98,7 +100,7 @@
 // HoldMs 0.
 func (d *Daemon) announce(w http.ResponseWriter, r *http.Request) {
 	var a Announcement
-	if !decodeBody(w, r, &a) {
+	if !d.decodeBody(w, r, &a) {
 		return
 	}
 	granted, result := d.agent.Announce(a.toAgent())
@@ -134,7 +136,7 @@
 	var a struct {
 		ID string `json:"id"`
 	}
-	if decodeBody(w, r, &a) {
+	if d.decodeBody(w, r, &a) {
 		d.agent.TargetLeaving(a.ID)
 	}
 }
--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -77,6 +77,8 @@
 	t       *testing.T
 	control *process
 	lease   fleetdaemon.LeaseConfig
+	// memory is the memory limit of the sidecar processes, in bytes. Zero sets none.
+	memory int64
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -143,7 +145,7 @@
 	memberAddresses.Unlock()
 	member.process = start(c.t, fleetdaemon.Config{
 		Cluster: "test", Peer: net.JoinHostPort(ip, portOf(freeAddress(c.t))), TrustNetwork: true,
-		Seeds: []string{c.control.cfg.Peer}, StopTimeout: 8 * time.Second, Lease: c.lease,
+		Seeds: []string{c.control.cfg.Peer}, StopTimeout: 8 * time.Second, Lease: c.lease, MemoryBytes: c.memory,
 		Sidecar: &fleetdaemon.Sidecar{
 			DataCentre: "dc-" + name, Caller: freeAddress(c.t), Gate: net.JoinHostPort(ip, port),
 			Target: member.server.Listener.Addr().String(), Service: service, HeaderNames: headerNames,
--- a/router/fleetdaemon/config.go
+++ b/router/fleetdaemon/config.go
@@ -43,7 +43,8 @@
 	// with less than shutdownReserve it aborts the requests in progress.
 	StopTimeout time.Duration
 	// MemoryBytes is the memory limit of the process. The garbage collector is
-	// set to stay below it. Zero sets no limit.
+	// set to stay below it, and requests, responses and messages share parts of it.
+	// With zero the collector has no limit, and the parts are those of 2 GiB.
 	MemoryBytes int64
 	// Lease configures the leases on keys; it is equal in all processes.
 	Lease LeaseConfig
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"bramleyquay.example/router/httpserver"
 	"bramleyquay.example/router/leaderclient"
 	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/memory"
 	"bramleyquay.example/router/peer"
 	"bramleyquay.example/router/relay"
 )
@@ -41,7 +42,11 @@
 	replica      *fleetnode.Replica
 	callerServer *httpserver.Server
 	gateServer   *httpserver.Server
-	stopping     atomic.Bool
+	// requestMemory is shared by the requests of callers and peers, callMemory by the
+	// messages of processes and the calls of targets and operators, so that requests
+	// do not delay these.
+	requestMemory, callMemory *memory.Pool
+	stopping                  atomic.Bool
 	// runCtx ends when Run returns.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -52,6 +57,37 @@
 // socket buffers.
 const memoryLimitShare = 0.7
 
+const (
+	// requestMemoryShare is the share of the memory limit for requests and their
+	// responses, callMemoryShare that for messages and calls. The Go runtime needs the
+	// rest of memoryLimitShare for the state of the process and for memory that has
+	// been used and is not collected yet.
+	requestMemoryShare = 0.25
+	callMemoryShare    = 0.15
+	// defaultMemoryBytes is the memory limit from which the shares are taken if none is
+	// set.
+	defaultMemoryBytes = 2 << 30
+)
+
+// openMemory sets the memory limit of the Go runtime and of requests and calls.
+func (d *Daemon) openMemory() {
+	limit := d.cfg.MemoryBytes
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(limit)))
+	} else {
+		limit = defaultMemoryBytes
+	}
+	d.requestMemory = memory.NewPool(int64(requestMemoryShare * float64(limit)))
+	d.callMemory = memory.NewPool(int64(callMemoryShare * float64(limit)))
+	for name, p := range map[string]*memory.Pool{"requests": d.requestMemory, "calls": d.callMemory} {
+		metrics.GetOrCreateGauge(`bramleyquay_memory_used_bytes{of="`+name+`"}`, func() float64 { return float64(p.Used()) })
+		metrics.GetOrCreateGauge(`bramleyquay_memory_refused{of="`+name+`"}`, func() float64 { return float64(p.Refused()) })
+	}
+}
+
+// CallMemory returns the memory that calls of targets and operators share.
+func (d *Daemon) CallMemory() *memory.Pool { return d.callMemory }
+
 // New opens the listeners and the data directory. It returns an error if the
 // configuration is invalid or something cannot be opened, and blocks while the
 // disk of a control replica is full. After an error the process must end,
@@ -61,16 +97,16 @@
 		return nil, err
 	}
 	logs.Context = log.NewContext(logs.Context).Str("process", cfg.Peer).Value()
-	if cfg.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryBytes)))
-	}
 	d := &Daemon{cfg: cfg, log: logging.ForComponent(logs, "daemon"), server: peer.NewServer()}
+	d.openMemory()
+	d.server.LimitMemory(d.callMemory)
 	d.runCtx, d.cancelRun = context.WithCancel(context.Background())
 	d.client = peer.NewClient(&peer.Dialer{Secret: cfg.Secret}, func(method string) {
 		if method == fleetnode.MethodRenewNow && d.agent != nil {
 			d.agent.RenewNow()
 		}
 	})
+	d.client.LimitMemory(d.callMemory)
 	d.leaders = leaderclient.New(d.client, cfg.Seeds)
 	if cfg.Sidecar != nil {
 		if err := d.openSidecar(logs); err != nil {
@@ -112,6 +148,8 @@
 	httpLog := logging.ForComponent(logs, "edge")
 	d.callerServer = httpserver.New(ingress, d.callerLimits, httpLog)
 	d.gateServer = httpserver.NewForPeers(httpserver.HandlerFunc(gate.ServePeer), httpserver.DefaultLimits, httpLog)
+	d.callerServer.LimitMemory(d.requestMemory, relay.RefuseCaller)
+	d.gateServer.LimitMemory(d.requestMemory, relay.RefusePeer)
 	metrics.GetOrCreateGauge("bramleyquay_target_connections_opened", func() float64 { return float64(target.ConnectionsOpened()) })
 	if err := d.callerServer.Listen(sidecar.Caller); err != nil {
 		return Error.Wrap(err)
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -5,15 +5,15 @@
 package httpclient
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"bramleyquay.example/router/memory"
 )
 
 // Config configures a Client.
@@ -55,6 +55,10 @@
 	// ID is the id that a response must echo; empty if any response is accepted.
 	// Do does not send it: Header must contain it under Config.RequestIDHeader.
 	ID string
+	// Memory is charged with the exchange and the response. Do returns a *NotSentError
+	// if it has no room for the request, and an *IncompleteResponseError if it has none
+	// for the response; both then wrap memory.ErrExhausted.
+	Memory *memory.Account
 }
 
 // Source is a body that is read while it is sent.
@@ -132,6 +136,10 @@
 // its work. The error is a *NotSentError if the request did not run, and an
 // *IncompleteResponseError if it may have run.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
+	if err := r.Memory.Grow(r.exchangeBytes()); err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	defer r.Memory.Shrink(r.exchangeBytes())
 	pc, err := c.acquireConn(ctx)
 	if err != nil {
 		return nil, &NotSentError{Cause: err, Refused: isRefused(err)}
@@ -159,22 +167,14 @@
 	return resp, nil
 }
 
-var errBodyTooLong = errors.New("the answer is too long")
-
-func readBody(hr *http.Response, limit int64) ([]byte, error) {
+// readBody reads the body of a response.
+func readBody(hr *http.Response, account *memory.Account, limit int64) ([]byte, error) {
 	defer func() { _ = hr.Body.Close() }() // the read has returned all errors
-	var buf bytes.Buffer
-	if hr.ContentLength > 0 && hr.ContentLength <= limit {
-		buf.Grow(int(hr.ContentLength))
-	}
-	n, err := buf.ReadFrom(io.LimitReader(hr.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, err
-	case n > limit:
-		return nil, errBodyTooLong
+	length := hr.ContentLength
+	if hr.Body == http.NoBody {
+		length = 0
 	}
-	return buf.Bytes(), nil
+	return memory.ReadAll(account, hr.Body, length, limit)
 }
 
 // keepAliveFraction is the part of the time-out in the server's Keep-Alive header
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"bramleyquay.example/router/memory"
 )
 
 // exchange is one request and its response on a connection.
@@ -73,10 +75,14 @@
 func (x *exchange) receive(cfg Config) (*Response, bool, error) {
 	pc := x.pc
 	pc.limited.limit(maxHeadBytes, errHeadTooLong)
+	defer pc.limited.head.End()
 	for skipped := 0; ; skipped++ {
 		if skipped > maxSkipped {
 			return nil, false, errTooManySkipped
 		}
+		if err := pc.limited.head.Start(x.request.Memory, pc.br.Buffered()); err != nil {
+			return nil, false, err
+		}
 		hr, err := http.ReadResponse(pc.br, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, false, err
@@ -87,13 +93,18 @@
 			}
 			continue
 		}
+		pc.limited.head.End()
+		if err := x.request.Memory.Grow(memory.HeaderBytes(hr.Header)); err != nil {
+			return nil, false, err
+		}
 		// A chunked body is longer on the wire by the sizes of its chunks.
 		pc.limited.limit(2*cfg.MaxBody+maxHeadBytes, errEncodingTooLong)
-		body, err := readBody(hr, cfg.MaxBody)
+		body, err := readBody(hr, x.request.Memory, cfg.MaxBody)
 		if err != nil {
 			return nil, false, err
 		}
 		if id := hr.Header.Get(cfg.RequestIDHeader); id != "" && x.request.ID != "" && id != x.request.ID {
+			x.request.Memory.Shrink(memory.HeaderBytes(hr.Header) + int64(cap(body)))
 			pc.limited.limit(maxHeadBytes, errHeadTooLong)
 			continue // a late second response to an earlier request
 		}
@@ -107,7 +118,7 @@
 // send writes the request. The server's answer may arrive before its end.
 func (x *exchange) send() error {
 	r := x.request
-	if !r.AwaitContinue && r.Source == nil {
+	if !r.AwaitContinue && r.Source == nil && len(r.Body) <= maxJoinedBodyBytes {
 		_, err := x.pc.raw.Write(append(encodeHead(r), r.Body...))
 		return err
 	}
@@ -126,6 +137,24 @@
 	return x.sendSource(r.Source)
 }
 
+const (
+	// maxJoinedBodyBytes is the longest body that is copied behind the head of its
+	// request, to send both in one write.
+	maxJoinedBodyBytes = 16 << 10
+	// exchangeBytes is the memory of an exchange beside its bodies: the goroutine that
+	// sends and the buffers of the connection.
+	exchangeBytes = 8 << 10
+)
+
+// exchangeBytes returns the memory that sending the request takes.
+func (r *Request) exchangeBytes() int64 {
+	n := int64(exchangeBytes) + memory.HeaderBytes(r.Header)
+	if r.Source != nil {
+		n += copyBufferBytes
+	}
+	return n
+}
+
 // copyBufferBytes is the size of the parts in which a body is passed on.
 const copyBufferBytes = 32 << 10
 
@@ -210,7 +239,7 @@
 
 // encodeHead encodes the request line and the headers.
 func encodeHead(r *Request) []byte {
-	buf := make([]byte, 0, len(r.Body)+768)
+	buf := make([]byte, 0, min(len(r.Body), maxJoinedBodyBytes)+768)
 	buf = append(append(append(append(buf, r.Method...), ' '), r.URI...), " HTTP/1.1\r\nHost: "...)
 	buf = append(append(buf, r.Host...), "\r\n"...)
 	for name, values := range r.Header {
--- a/router/httpclient/limit.go
+++ b/router/httpclient/limit.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"bramleyquay.example/router/memory"
 )
 
 const (
@@ -25,6 +27,8 @@
 	inner     io.Reader
 	remaining int64
 	err       error
+	// head is charged with the bytes of a head.
+	head memory.Head
 }
 
 // limit allows n more bytes and then fails with err.
@@ -40,5 +44,8 @@
 	}
 	n, err := l.inner.Read(p)
 	l.remaining -= int64(n)
+	if headErr := l.head.Add(n); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"bramleyquay.example/router/memory"
 )
 
 const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -42,17 +44,19 @@
 	// buffer reads ahead.
 	inline := min(limits.BodyBytes, InlineBodyBytes)
 	c.limited.remaining = 2*inline + readBufferBytes
-	body, err := io.ReadAll(io.LimitReader(hr.Body, inline+1))
+	body, err := memory.ReadAll(r.Memory, hr.Body, hr.ContentLength, inline)
 	switch {
+	case errors.Is(err, memory.ErrTooLong) && int64(len(body)) > limits.BodyBytes:
+		return http.StatusRequestEntityTooLarge, errTooLarge
+	case errors.Is(err, memory.ErrTooLong):
+		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes, c.interruptRead)
+		return 0, nil
+	case errors.Is(err, memory.ErrExhausted):
+		return http.StatusServiceUnavailable, err
 	case err != nil && isConnError(err):
 		return 0, err
 	case err != nil:
 		return http.StatusBadRequest, err
-	case int64(len(body)) > limits.BodyBytes:
-		return http.StatusRequestEntityTooLarge, errTooLarge
-	case int64(len(body)) > inline:
-		r.Upload = newUpload(io.MultiReader(bytes.NewReader(body), hr.Body), -1, limits.BodyBytes, c.interruptRead)
-		return 0, nil
 	}
 	r.Body = body
 	return 0, nil
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bramleyquay.example/router/memory"
 )
 
 const (
@@ -30,6 +32,12 @@
 	// may still be sending.
 	uploadLingerTimeout = 3 * time.Second
 	readBufferBytes     = 4 << 10
+	// connBytes is the memory of a connection: its buffer, its queue and the stacks of
+	// its goroutines.
+	connBytes = 24 << 10
+	// requestBytes is the memory of a request beside its head and its body: the stack of
+	// its handler and its entries in queues.
+	requestBytes = 8 << 10
 )
 
 // conn is one caller's connection. A reader starts a goroutine for each request
@@ -57,6 +65,7 @@
 	bodyUnread bool
 	cancel     context.CancelFunc
 	ctx        context.Context
+	memory     *memory.Account
 }
 
 // exchange is one request in the queue of responses. last says that the connection
@@ -67,6 +76,7 @@
 	method   string
 	last     bool
 	upload   *Upload
+	memory   *memory.Account
 }
 
 // endsConnection reports whether the connection is closed after the response: also if
@@ -78,8 +88,8 @@
 	return x.last || !x.upload.end() && (x.upload.IsOpened() || !deferred)
 }
 
-func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, limited: &limitReader{inner: raw}, queue: make(chan exchange, maxPipelined)}
+func newConn(s *Server, raw net.Conn, account *memory.Account) *conn {
+	c := &conn{server: s, raw: raw, memory: account, limited: &limitReader{inner: raw}, queue: make(chan exchange, maxPipelined)}
 	c.br = bufio.NewReaderSize(c.limited, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -146,8 +156,14 @@
 		r, status, err := c.readRequest()
 		if err != nil {
 			if status != 0 {
-				c.bodyUnread = status == http.StatusRequestEntityTooLarge
-				c.rejectAndClose(status)
+				noMemory := errors.Is(err, memory.ErrExhausted)
+				c.bodyUnread = status == http.StatusRequestEntityTooLarge || noMemory
+				if noMemory {
+					c.server.log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("request refused")
+					c.rejectAndClose(c.server.refusal())
+				} else {
+					c.rejectAndClose(TextResponse(status, http.StatusText(status)))
+				}
 				return false
 			}
 			var timeout net.Error
@@ -161,8 +177,9 @@
 			return true
 		}
 		last := r.Header.Get("Connection") == "close"
-		x := exchange{response: make(chan *Response, 1), method: r.Method, last: last, upload: r.Upload}
+		x := exchange{response: make(chan *Response, 1), method: r.Method, last: last, upload: r.Upload, memory: r.Memory}
 		if !c.admit() {
+			r.Memory.Close()
 			return false // the last response is already decided; this request is not handled
 		}
 		c.queue <- x
@@ -233,9 +250,9 @@
 }
 
 // rejectAndClose queues an error response after which the connection is closed.
-func (c *conn) rejectAndClose(status int) {
+func (c *conn) rejectAndClose(resp *Response) {
 	x := exchange{response: make(chan *Response, 1), last: true}
-	x.response <- TextResponse(status, http.StatusText(status))
+	x.response <- resp
 	if c.admit() {
 		c.queue <- x
 	}
@@ -253,7 +270,14 @@
 		// The deadline set above may have replaced that of interruptRead.
 		c.interruptRead()
 	}
-	if _, err := c.br.Peek(1); err != nil {
+	defer c.limited.head.End()
+	err := c.limited.head.Start(c.memory, c.br.Buffered())
+	if err == nil {
+		_, err = c.br.Peek(1)
+	}
+	if errors.Is(err, memory.ErrExhausted) {
+		return nil, http.StatusServiceUnavailable, err
+	} else if err != nil {
 		return nil, 0, err
 	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
@@ -261,6 +285,8 @@
 	}
 	hr, err := http.ReadRequest(c.br)
 	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		return nil, http.StatusServiceUnavailable, err
 	case c.limited.exceeded:
 		return nil, http.StatusRequestHeaderFieldsTooLarge, errTooLarge
 	case err != nil:
@@ -269,9 +295,16 @@
 		}
 		return nil, http.StatusBadRequest, err
 	}
-	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host, Header: hr.Header}
-	status, err := c.readBody(hr, r, limits)
+	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host, Header: hr.Header, Memory: c.server.memory.Open()}
+	status := http.StatusServiceUnavailable
+	c.limited.head.End()
+	if err = r.Memory.Grow(requestBytes + memory.HeaderBytes(r.Header)); err == nil {
+		status, err = c.readBody(hr, r, limits)
+	}
 	r.Received = time.Now()
+	if err != nil {
+		r.Memory.Close()
+	}
 	return r, status, err
 }
 
--- a/router/httpserver/limitreader.go
+++ b/router/httpserver/limitreader.go
@@ -1,6 +1,10 @@
 package httpserver
 
-import "io"
+import (
+	"io"
+
+	"bramleyquay.example/router/memory"
+)
 
 // limitReader fails with errTooLarge once remaining bytes have been read. The
 // connection sets remaining before it reads each part of a request; exceeded stays
@@ -9,6 +13,8 @@
 	inner     io.Reader
 	remaining int64
 	exceeded  bool
+	// head is charged with the bytes of a head.
+	head memory.Head
 }
 
 // Read implements io.Reader.
@@ -22,5 +28,8 @@
 	}
 	n, err := l.inner.Read(p)
 	l.remaining -= int64(n)
+	if headErr := l.head.Add(n); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
--- a/router/httpserver/message.go
+++ b/router/httpserver/message.go
@@ -10,6 +10,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"bramleyquay.example/router/memory"
 )
 
 // Request is a request whose body has been read completely, unless Upload is set.
@@ -24,6 +26,9 @@
 	// Upload is the body if it has not been read: it is longer than InlineBodyBytes,
 	// or the server defers bodies. Body is then empty.
 	Upload *Upload
+	// Memory is charged with the request. What the handler reads for the response is
+	// charged to it too. The server closes it once the response has been written.
+	Memory *memory.Account
 	// Received is the time when the last byte of the body had been read, or of the
 	// headers if Upload is set.
 	Received time.Time
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/memory"
 	"bramleyquay.example/router/netopt"
 )
 
@@ -19,6 +20,10 @@
 	// deferBodies leaves bodies unread whose sender awaits 100 Continue. It is set
 	// for peers, which send no body after another answer.
 	deferBodies bool
+	// memory bounds what connections and requests take. Nil sets no bound. refusal
+	// returns the response to a request for which there is none.
+	memory  *memory.Pool
+	refusal func() *Response
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -44,6 +49,14 @@
 	return s
 }
 
+// LimitMemory sets the memory that connections and requests share. A request for which
+// there is none is not handled: it gets the response that refusal returns, and its
+// connection is closed. A new connection is closed before anything is read from it. It
+// must be called before Run.
+func (s *Server) LimitMemory(p *memory.Pool, refusal func() *Response) {
+	s.memory, s.refusal = p, refusal
+}
+
 // Listen opens the TCP listener on addr. Connections wait until Run is called.
 func (s *Server) Listen(addr string) error {
 	lc := net.ListenConfig{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
@@ -74,7 +87,14 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConn(s, raw)
+		account := s.memory.Open()
+		if err := account.Grow(connBytes); err != nil {
+			account.Close()
+			_ = raw.Close() // nothing was read
+			s.log.Warn().Err(err).Str("from", raw.RemoteAddr().String()).Msg("connection closed")
+			continue
+		}
+		c := newConn(s, raw, account)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
@@ -83,6 +103,7 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	c.memory.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/router/httpserver/writer.go
+++ b/router/httpserver/writer.go
@@ -24,12 +24,18 @@
 				c.interruptRead()
 			}
 		}
+		x.memory.Close()
 		c.pending.Add(-1)
 	}
 }
 
+// maxJoinedBodyBytes is the longest body that is copied behind the head of its response,
+// to send both in one write.
+const maxJoinedBodyBytes = 16 << 10
+
 func (c *conn) writeResponse(resp *Response, method string, closes bool) error {
-	buf := make([]byte, 0, len(resp.Body)+512)
+	joined := method != http.MethodHead && len(resp.Body) <= maxJoinedBodyBytes
+	buf := make([]byte, 0, min(len(resp.Body), maxJoinedBodyBytes)+512)
 	buf = append(buf, "HTTP/1.1 "...)
 	buf = strconv.AppendInt(buf, int64(resp.Status), 10)
 	buf = append(buf, ' ')
@@ -49,13 +55,16 @@
 		buf = append(buf, "\r\n"...)
 	}
 	buf = append(buf, "\r\n"...)
-	if method != http.MethodHead {
+	if joined {
 		buf = append(buf, resp.Body...)
 	}
 	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	_, err := c.raw.Write(buf)
+	if err == nil && !joined && method != http.MethodHead {
+		_, err = c.raw.Write(resp.Body)
+	}
 	if err != nil {
 		c.broken.Store(true)
 		c.cancel()
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"bramleyquay.example/router/memory"
 )
 
 // Client calls jsonrpc2 methods of other processes. It shares one connection per
@@ -14,6 +16,7 @@
 type Client struct {
 	dialer *Dialer
 	notify func(method string)
+	memory *memory.Pool
 
 	mu    sync.Mutex
 	conns map[string]*clientConn
@@ -32,6 +35,10 @@
 	return &Client{dialer: dialer, notify: notify, conns: map[string]*clientConn{}}
 }
 
+// LimitMemory sets the memory that answers share while they are read. A connection with an
+// answer for which there is none ends. It must be called before the first call.
+func (c *Client) LimitMemory(p *memory.Pool) { c.memory = p }
+
 // Call calls a method at addr and decodes the result into result. It blocks until
 // the response arrives or ctx ends. After an error the method may have run, unless
 // the error is a *NotLeaderError.
@@ -120,7 +127,7 @@
 		}
 		return nil, nil
 	})
-	stream := jsonrpc2.NewBufferedStream(raw, frameCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, frameCodec{memory: c.memory})
 	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 }
 
--- a/router/peer/codec.go
+++ b/router/peer/codec.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+
+	"bramleyquay.example/router/memory"
 )
 
 // maxMessageBytes bounds the size of one jsonrpc2 message. A snapshot of a table
@@ -14,7 +15,10 @@
 
 // frameCodec encodes a jsonrpc2 message as its length in four bytes, big-endian,
 // followed by the JSON.
-type frameCodec struct{}
+type frameCodec struct {
+	// memory bounds the messages that are read at the same time. Nil sets no bound.
+	memory *memory.Pool
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(w io.Writer, obj any) error {
@@ -35,7 +39,7 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
+func (c frameCodec) ReadObject(r *bufio.Reader, v any) error {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
 		return err
@@ -44,14 +48,14 @@
 	if n > maxMessageBytes {
 		return Error.New("message of %d bytes exceeds %d", n, maxMessageBytes)
 	}
-	// The buffer grows with the bytes received, so that a peer cannot allocate
-	// memory by sending a large length alone.
-	var data bytes.Buffer
-	if _, err := io.CopyN(&data, r, int64(n)); err != nil {
-		if err == io.EOF {
-			return io.ErrUnexpectedEOF
-		}
+	account := c.memory.Open()
+	defer account.Close()
+	data, err := memory.ReadAll(account, io.LimitReader(r, int64(n)), int64(n), int64(n))
+	if err == nil && len(data) < int(n) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return err
 	}
-	return json.Unmarshal(data.Bytes(), v)
+	return json.Unmarshal(data, v)
 }
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"bramleyquay.example/router/memory"
 )
 
 // Method handles calls of one jsonrpc2 method. It may retain conn to send
@@ -16,6 +18,8 @@
 // Server serves jsonrpc2 methods on authenticated connections. It is safe for
 // concurrent use.
 type Server struct {
+	memory *memory.Pool
+
 	mu      sync.RWMutex
 	methods map[string]Method
 }
@@ -23,6 +27,10 @@
 // NewServer returns a server without methods.
 func NewServer() *Server { return &Server{methods: map[string]Method{}} }
 
+// LimitMemory sets the memory that messages share while they are read. A connection with a
+// message for which there is none ends. It must be called before ServeConn.
+func (s *Server) LimitMemory(p *memory.Pool) { s.memory = p }
+
 // Handle registers a method. It replaces an earlier registration of the name.
 func (s *Server) Handle(name string, m Method) {
 	s.mu.Lock()
@@ -34,7 +42,7 @@
 // or ctx ends, and closes it in the second case.
 func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed())
-	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, frameCodec{}), handler, jsonrpc2.SetLogger(discardLogger{}))
+	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, frameCodec{memory: s.memory}), handler, jsonrpc2.SetLogger(discardLogger{}))
 	select {
 	case <-c.DisconnectNotify():
 	case <-ctx.Done():
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -8,6 +8,7 @@
 	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/router/httpclient"
 	"bramleyquay.example/router/httpserver"
+	"bramleyquay.example/router/memory"
 )
 
 const (
@@ -41,7 +42,7 @@
 	}
 	// A peer that stops sending must not keep others from sending beyond the deadline.
 	stop := context.AfterFunc(ctx, upload.Interrupt)
-	body, err := readUpload(upload)
+	body, err := readUpload(upload, req.request.Memory)
 	stop()
 	g.transfers.release(id, err == nil, dispatch.Limit{})
 	if err != nil {
@@ -53,20 +54,16 @@
 	return result{}, true
 }
 
-func readUpload(u *httpserver.Upload) ([]byte, error) {
+func readUpload(u *httpserver.Upload, account *memory.Account) ([]byte, error) {
 	r, err := u.Open()
 	if err != nil {
 		return nil, err
 	}
-	body := make([]byte, u.Length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
-	}
-	_, err = r.Read(make([]byte, 1))
-	if err == io.EOF {
-		return body, nil
+	body, err := memory.ReadAll(account, r, u.Length, u.Length)
+	if err == nil && int64(len(body)) < u.Length {
+		err = io.ErrUnexpectedEOF
 	}
-	return nil, io.ErrUnexpectedEOF
+	return body, err
 }
 
 // openSource opens a body that is passed on as it is read. It returns nil if there is
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -14,6 +14,7 @@
 	"bramleyquay.example/router/fleetagent"
 	"bramleyquay.example/router/httpclient"
 	"bramleyquay.example/router/logging"
+	"bramleyquay.example/router/memory"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -33,6 +34,8 @@
 	reasonNoConnection  = "no connection"
 	reasonAnswerBroken  = "answer broke off"
 	reasonNoSignature   = "answer without signature"
+	// reasonNoMemory says nothing about the target.
+	reasonNoMemory = "not enough memory is free"
 	// reasonQuarantined requests have ended the targets that ran them.
 	reasonQuarantined = "request has ended several targets"
 	// reasonFirstRun requests wait for a copy that is the first at the target.
@@ -218,13 +221,19 @@
 	sent := time.Now()
 	resp, err := g.client.Do(ctx, &httpclient.Request{
 		Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, Body: req.request.Body, Source: source, ID: req.id,
+		Memory: req.request.Memory,
 	})
 	var unsent *httpclient.NotSentError
 	var broken *httpclient.SourceError
+	_ = errors.As(err, &unsent) // it stays nil if the error is another one
 	switch {
 	case errors.As(err, &broken):
 		return result{outcome: unknown, reason: reasonBodyBroken + ": " + broken.Cause.Error(), reached: true}
-	case errors.As(err, &unsent):
+	case errors.Is(err, memory.ErrExhausted) && unsent != nil:
+		return refused(reasonNoMemory, defaultRetryAfter)
+	case errors.Is(err, memory.ErrExhausted):
+		return result{outcome: unknown, reason: reasonNoMemory, reached: true}
+	case unsent != nil:
 		if ctx.Err() == nil {
 			g.agent.RecordUnreachable(unsent.Refused)
 		}
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/memory"
 )
 
 const (
@@ -83,12 +84,12 @@
 	h := req.header.Clone()
 	h.Set(headerHop, encodeRouting(req, time.Now()))
 	h.Set(headerFingerprint, req.fingerprint.String())
-	out := &httpclient.Request{Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, ID: req.id}
+	out := &httpclient.Request{Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, ID: req.id, Memory: req.request.Memory}
 	hopBody(out, req.request)
 	resp, err := p.client(process).Do(ctx, out)
 	var unsent *httpclient.NotSentError
 	if errors.As(err, &unsent) {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, memory.ErrExhausted) {
 			p.avoid(process)
 		}
 		return refused("peer: "+unsent.Cause.Error(), 0)
