Carry out no drain order that was replaced while it waited

Cause: the process read an order from its socket that the operator had given up and had acknowledged elsewhere.

Change: the order has the drain revision as its base, which every acknowledged order raises. It is read before the process asks whether the operator still waits.

--- a/coord/fleet/command.go
+++ b/coord/fleet/command.go
@@ -41,6 +41,11 @@
 type SetDrain struct {
 	DataCentre string `json:"dataCentre" cbor:"1,keyasint"`
 	On         bool   `json:"on" cbor:"2,keyasint"`
+	// Base is the drain revision (Revisions.Drain) that was current while the operator
+	// waited for the answer. The command has no effect if another one is current, so
+	// that a copy which arrives after later orders changes nothing. Nil sets no
+	// condition; only commands of the first log format have no base.
+	Base *uint64 `json:"base,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // ReplaceRanges replaces all ranges of one service's key space. Ranges that do
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -121,15 +121,21 @@
 }
 
 func (st *State) setDrain(index uint64, c *SetDrain) Result {
+	if c.Base != nil && *c.Base != st.stored.DrainIndex {
+		return st.result(Conflict)
+	}
 	i, found := slices.BinarySearch(st.stored.Drained, c.DataCentre)
 	switch {
 	case c.On && !found:
 		st.stored.Drained = slices.Insert(slices.Clone(st.stored.Drained), i, c.DataCentre)
-		st.stored.DrainIndex = index
 	case !c.On && found:
 		st.stored.Drained = slices.Delete(slices.Clone(st.stored.Drained), i, i+1)
-		st.stored.DrainIndex = index
+	case c.Base == nil:
+		return st.result(Accepted)
 	}
+	// An order that changes nothing is acknowledged too: earlier ones must not be
+	// carried out after it.
+	st.stored.DrainIndex = index
 	return st.result(Accepted)
 }
 
--- a/router/fleetclient/client.go
+++ b/router/fleetclient/client.go
@@ -65,8 +65,7 @@
 
 // Drain starts (on) or ends the drain of a data centre. It is idempotent.
 func (c *Client) Drain(ctx context.Context, dataCentre string, on bool) error {
-	var result fleet.Result
-	return c.leaders.CallLeader(ctx, fleetnode.MethodPropose, fleetnode.ProposeRequest{SetDrain: &fleet.SetDrain{DataCentre: dataCentre, On: on}}, &result)
+	return SetDrain(ctx, c.leaders, dataCentre, on, func() bool { return ctx.Err() == nil })
 }
 
 // Allow ends the refusal of a request that has ended targets. It reports whether the
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -23,6 +23,7 @@
 	MethodRenew   = "fleet.renew"
 	MethodPropose = "fleet.propose"
 	MethodRead    = "fleet.read"
+	MethodDrains  = "fleet.drains"
 	MethodStatus  = "fleet.status"
 	MethodAllow   = "fleet.allow"
 	// MethodRenewNow is not a method of replicas: it is the method of the
@@ -52,6 +53,13 @@
 	Accepted bool `json:"accepted,omitempty"`
 }
 
+// DrainsReply is the newest drain state, confirmed by the leader.
+type DrainsReply struct {
+	// Revision is the base of a fleet.SetDrain.
+	Revision uint64   `json:"revision"`
+	Drained  []string `json:"drained"`
+}
+
 // ProposeRequest contains an operator's command; one of its fields is set.
 type ProposeRequest struct {
 	ApplyDocument *fleet.ApplyDocument `json:"applyDocument,omitempty"`
@@ -64,6 +72,7 @@
 	s.Handle(MethodJoin, peer.Bind(r.handleJoin))
 	s.Handle(MethodPropose, peer.Bind(r.propose))
 	s.Handle(MethodRead, peer.Bind(r.read))
+	s.Handle(MethodDrains, peer.Bind(r.drains))
 	s.Handle(MethodRenew, r.renew)
 	s.Handle(MethodStatus, peer.Bind(r.status))
 	s.Handle(MethodAllow, peer.Bind(r.allow))
@@ -234,6 +243,16 @@
 	return reply, err
 }
 
+// drains returns the newest drain state.
+func (r *Replica) drains(ctx context.Context, _ struct{}) (DrainsReply, error) {
+	var reply DrainsReply
+	err := r.doAsLeader(ctx, func() error {
+		reply = DrainsReply{Revision: r.state.Revisions().Drain, Drained: r.state.Drained()}
+		return nil
+	})
+	return reply, err
+}
+
 // LatestDocument returns the newest document, confirmed by the leader, and
 // whether the change changeID was accepted before. The leader sends the text
 // only if this replica does not have that version. It blocks until the leader
