Retain the notice of a target that stops before it is known

Cause: the process ignored the id of a target that it had not heard of, and a late announcement made the target ready. Notices were matched by id alone.

Change: fleet.Departures retains them and tells incarnations apart.

--- /dev/null
+++ b/coord/fleet/departures_test.go
@@ -0,0 +1,31 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/fleet"
+)
+
+// Guards against a notice that is forgotten, and against one that stops a later
+// incarnation of its target.
+func TestDepartures(t *testing.T) {
+	is := is.New(t)
+	var d fleet.Departures
+	is.True(!d.Includes("t", 10))
+	d.Record("t", 0, 100)
+	is.True(d.Includes("t", 10))
+	is.True(d.Includes("t", 100))
+	is.True(!d.Includes("t", 101))
+	is.True(!d.Includes("u", 10))
+	d.Record("u", 7, 100)
+	is.True(d.Includes("u", 7))
+	is.True(!d.Includes("u", 8))
+	for i := range 8 {
+		d.Record(fmt.Sprint("other", i), 0, 100)
+	}
+	is.True(!d.Includes("t", 10)) // bounded
+	is.True(d.Includes("other0", 10))
+}
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -64,6 +64,8 @@
 	mu     sync.Mutex
 	target target
 	issuer issuer
+	// departures are the notices of targets that stop.
+	departures fleet.Departures
 	// started is the time of the process's start. Grants of an earlier incarnation
 	// of the process may be in force for a lease after it.
 	started time.Duration
--- a/router/fleetagent/leaving.go
+++ b/router/fleetagent/leaving.go
@@ -1,14 +1,26 @@
 package fleetagent
 
-import "bramleyquay.example/coord/ranges"
+import (
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/timesource"
+)
 
-// TargetLeaving records that the target id has announced that it stops. The
-// target finishes the requests that it has and counts as draining.
-func (a *Agent) TargetLeaving(id string) {
+// TargetLeaving records that the target id has announced that it stops. The target
+// finishes the requests that it has and counts as draining, also if its first
+// announcement arrives later. incarnation is its start in Unix milliseconds, or zero if
+// the notice does not say it.
+func (a *Agent) TargetLeaving(id string, incarnation int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.target.id == id {
+	a.departures.Record(id, incarnation, timesource.Now().Wall.Milliseconds())
+	t := &a.target
+	switch {
+	case t.id == id && (incarnation == 0 || a.departures.Includes(id, t.incarnation)):
 		a.setLeaving("announced")
+	case t.id == id:
+		a.log.Info().Str("target", id).Int64("life", incarnation).Int64("newestLife", t.incarnation).Msg("notice ignored: it is of an earlier incarnation")
+	default:
+		a.log.Info().Str("target", id).Int64("life", incarnation).Msg("target that has not announced itself is leaving")
 	}
 }
 
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -134,9 +134,10 @@
 
 func (d *Daemon) leave(w http.ResponseWriter, r *http.Request) {
 	var a struct {
-		ID string `json:"id"`
+		ID          string `json:"id"`
+		Incarnation int64  `json:"life"`
 	}
 	if d.decodeBody(w, r, &a) {
-		d.agent.TargetLeaving(a.ID)
+		d.agent.TargetLeaving(a.ID, a.Incarnation)
 	}
 }
