Lift no refusal by a late order that the operator has not seen

Cause: `bqctl fleet allow` retries at the leader. A copy that a frozen leader carries out later, after another copy was carried out and the request has ended three targets again, lifted the new refusal.

Change: the order names the refusals that it is based on, by term and number, as drain orders name their revision. TestRequestThatEndsTargetsIsRefused now allows requests by fleetclient.Allow, the call of bqctl; it asserts the same.

Measured: TestLateOrderLiftsNoLaterRefusal; without the comparison of the base it fails.

--- a/coord/fleet/quarantine_test.go
+++ b/coord/fleet/quarantine_test.go
@@ -64,3 +64,30 @@
 	is.Equal(len(*reply.Quarantine), 1)
 	is.True((*reply.Quarantine)[0].Refused > time.Minute)
 }
+
+// Guards against an order of an operator that is carried out late, after its copy was
+// carried out elsewhere, and lifts a refusal that began since.
+func TestLateOrderLiftsNoLaterRefusal(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.addMember("a")
+	refuse := func(incarnation int64) {
+		for i := range int64(3) {
+			sim.now += time.Second
+			sim.renew(sim.crashed("a", 7, incarnation+i))
+		}
+	}
+	refuse(1)
+	base := sim.leader.AllowBase()
+	suspected, current := sim.leader.AllowRequest(clock.At(sim.now), 7, base)
+	is.True(suspected && current)
+	refuse(11)
+	_, current = sim.leader.AllowRequest(clock.At(sim.now), 7, base) // the late copy
+	is.True(!current)
+	is.True(sim.leader.Quarantine(clock.At(sim.now))[0].Refused > time.Minute)
+	base = sim.leader.AllowBase()
+	sim.leader.BecomeFollower()
+	sim.leader.BecomeLeader(clock.At(sim.now), 2)
+	_, current = sim.leader.AllowRequest(clock.At(sim.now), 7, base)
+	is.True(!current)
+}
--- a/router/fleetclient/client.go
+++ b/router/fleetclient/client.go
@@ -71,9 +71,7 @@
 // Allow ends the refusal of a request that has ended targets. It reports whether the
 // request was watched or refused. After an error Allow may be called again.
 func (c *Client) Allow(ctx context.Context, f quarantine.Fingerprint) (suspected bool, err error) {
-	var reply fleetnode.AllowReply
-	err = c.leaders.CallLeader(ctx, fleetnode.MethodAllow, fleetnode.AllowRequest{Fingerprint: f}, &reply)
-	return reply.Suspected, err
+	return Allow(ctx, c.leaders, f)
 }
 
 // Status returns the status that the leader reports or, if no leader can be
--- a/router/fleetdaemon/deadly_test.go
+++ b/router/fleetdaemon/deadly_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/fleetclient"
 	"bramleyquay.example/router/fleetnode"
 )
 
@@ -133,9 +134,9 @@
 	is.Equal(len(group.Quarantine), 2) // of the two services that send it
 	for _, e := range group.Quarantine {
 		is.True(e.Refused > 0)
-		var allowed fleetnode.AllowReply
-		is.NoErr(c.control.Leaders().CallLeader(ctx, fleetnode.MethodAllow, fleetnode.AllowRequest{Fingerprint: e.Fingerprint}, &allowed))
-		is.True(allowed.Suspected)
+		suspected, err := fleetclient.Allow(ctx, c.control.Leaders(), e.Fingerprint)
+		is.NoErr(err)
+		is.True(suspected)
 	}
 	before := len(deadly.arrivals)
 	await(t, "a request after it is allowed", func() bool {
