Attribute answers to a try, not to an id that all tries share

Cause: only the id was compared, answers without an id were accepted for any request, and requests without an id accepted any answer.

Ruled out: another target for the next try (keys have one owner), a pause (the delay of a copy has no bound), an id for each try (callers see the id).

Change: coord/correlation decides which requests a connection may carry and to which request a response belongs; targets and hops between processes use it. The gate adds the id to answers for other processes.

Two tests used answers without ids or with one id three times on a connection; their servers now echo different ids, the assertions are the same.

--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -149,7 +149,7 @@
 	d.callerServer = httpserver.New(ingress, d.callerLimits, httpLog)
 	d.gateServer = httpserver.NewForPeers(httpserver.HandlerFunc(gate.ServePeer), httpserver.DefaultLimits, httpLog)
 	d.callerServer.LimitMemory(d.requestMemory, relay.RefuseCaller)
-	d.gateServer.LimitMemory(d.requestMemory, relay.RefusePeer)
+	d.gateServer.LimitMemory(d.requestMemory, gate.RefusePeer)
 	metrics.GetOrCreateGauge("bramleyquay_target_connections_opened", func() float64 { return float64(target.ConnectionsOpened()) })
 	if err := d.callerServer.Listen(sidecar.Caller); err != nil {
 		return Error.Wrap(err)
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -22,7 +22,7 @@
 	// RequestIDHeader names the header in which responses echo the request's id.
 	// A response with another id is the late response to an earlier request: Do
 	// drops it and waits for the next one. A response without the header is
-	// accepted.
+	// accepted on a new connection only, which is then not reused.
 	RequestIDHeader string
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
@@ -52,8 +52,9 @@
 	// AwaitContinue sends the body only after the answer 100 Continue. After another
 	// answer it is not sent at all, and until then a failure is a *NotSentError.
 	AwaitContinue bool
-	// ID is the id that a response must echo; empty if any response is accepted.
-	// Do does not send it: Header must contain it under Config.RequestIDHeader.
+	// ID is the id that a response must echo. A request without one, and one whose id
+	// a connection has had before, is sent on another connection. Do does not send it:
+	// Header must contain it under Config.RequestIDHeader.
 	ID string
 	// Memory is charged with the exchange and the response. Do returns a *NotSentError
 	// if it has no room for the request, and an *IncompleteResponseError if it has none
@@ -116,8 +117,11 @@
 type Client struct {
 	cfg Config
 
-	mu     sync.Mutex
-	idle   []*persistConn // in order of last use, the most recent last
+	mu   sync.Mutex
+	idle []*persistConn // in order of last use, the most recent last
+	// spent is an idle connection that carries no request. It is kept with
+	// Config.FailOnClosedIdle only.
+	spent  *persistConn
 	opened uint64
 }
 
@@ -140,7 +144,7 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	defer r.Memory.Shrink(r.exchangeBytes())
-	pc, err := c.acquireConn(ctx)
+	pc, err := c.acquireConn(ctx, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Cause: err, Refused: isRefused(err)}
 	}
--- a/router/httpclient/client_test.go
+++ b/router/httpclient/client_test.go
@@ -77,6 +77,74 @@
 	}
 }
 
+// Guards against the late copy of a rejection that is taken for the answer to the next try
+// of the same request, or to a caller's repeat under the same id.
+func TestLateCopyOfEarlierTry(t *testing.T) {
+	is := is.New(t)
+	c := startTarget(t, func(conn, request int) (string, bool) {
+		if conn == 0 && request == 0 {
+			return response("1", "no"), false
+		}
+		if conn == 0 {
+			// The copy arrives when the answer to the second try is expected.
+			return response("1", "no") + response("1", "ran"), false
+		}
+		return response("1", "ran"), false
+	})
+	for _, want := range []string{"no", "ran"} {
+		resp, err := c.Do(context.Background(), request("1"))
+		is.NoErr(err)
+		is.Equal(string(resp.Body), want)
+	}
+	// Other requests still use the connections.
+	resp, err := c.Do(context.Background(), request("1"))
+	is.NoErr(err)
+	is.Equal(string(resp.Body), "ran")
+	is.Equal(c.ConnectionsOpened(), uint64(3))
+}
+
+// Guards against an answer without an id that is taken for the answer to a request, where
+// it may be a late copy of another one, and against a request without an id that takes
+// the late answer to another one.
+func TestAnswersWithoutID(t *testing.T) {
+	is := is.New(t)
+	const plain = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+	c := startTarget(t, func(conn, request int) (string, bool) {
+		switch {
+		case conn == 0 && request == 0:
+			return response("1", "one"), false
+		case conn == 0:
+			return plain + response("2", "two"), false
+		}
+		return plain, false
+	})
+	resp, err := c.Do(context.Background(), request("1"))
+	is.NoErr(err)
+	is.Equal(string(resp.Body), "one")
+	_, err = c.Do(context.Background(), request("2"))
+	var incomplete *httpclient.IncompleteResponseError
+	is.True(errors.As(err, &incomplete))
+	// On connections of their own, such answers are the only ones that there can be.
+	for range 2 {
+		resp, err = c.Do(context.Background(), request("3"))
+		is.NoErr(err)
+		is.Equal(string(resp.Body), "old")
+	}
+	is.Equal(c.ConnectionsOpened(), uint64(3))
+
+	c = startTarget(t, func(conn, request int) (string, bool) {
+		if conn == 0 && request == 1 {
+			return response("1", "one") + plain, false // a late copy
+		}
+		return response("1", "one"), false
+	})
+	_, err = c.Do(context.Background(), request("1"))
+	is.NoErr(err)
+	_, err = c.Do(context.Background(), &httpclient.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+	is.NoErr(err)
+	is.Equal(c.ConnectionsOpened(), uint64(2))
+}
+
 // Guards against truncated or malformed responses that are accepted, and against
 // an error which says that such a request did not run.
 func TestIncompleteResponses(t *testing.T) {
@@ -125,7 +193,7 @@
 	c := startTarget(t, func(_, request int) (string, bool) {
 		requests <- struct{}{}
 		if request == 0 {
-			return response("", "ok"), false
+			return response("1", "ok"), false
 		}
 		return "", true
 	})
--- a/router/httpclient/conn.go
+++ b/router/httpclient/conn.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
+	"bramleyquay.example/coord/correlation"
 	"bramleyquay.example/router/netopt"
 )
 
@@ -22,10 +24,14 @@
 	return nil
 }
 
-// acquireConn returns an idle connection that can be reused, or opens one.
-func (c *Client) acquireConn(ctx context.Context) (*persistConn, error) {
+// acquireConn returns an idle connection that can carry a request with the id, or opens
+// one.
+func (c *Client) acquireConn(ctx context.Context, id string) (*persistConn, error) {
+	if c.cfg.FailOnClosedIdle && c.closeSpent() {
+		return nil, errClosedIdle
+	}
 	for {
-		pc := c.popIdle()
+		pc := c.popIdle(id)
 		if pc == nil {
 			return c.dial(ctx)
 		}
@@ -43,21 +49,47 @@
 // errClosedIdle is the cause of a NotSentError with Config.FailOnClosedIdle.
 var errClosedIdle = errors.New("the server has closed an idle connection")
 
-func (c *Client) popIdle() *persistConn {
+// popIdle returns the idle connection that was used last of those that can carry a request
+// with the id, or nil.
+func (c *Client) popIdle(id string) *persistConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle) == 0 {
-		return nil
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		if pc := c.idle[i]; pc.requests.Accepts(id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return pc
+		}
+	}
+	return nil
+}
+
+// closeSpent closes the connection that is kept to notice that the server was restarted.
+// It reports whether the server had closed it early.
+func (c *Client) closeSpent() (closedEarly bool) {
+	c.mu.Lock()
+	pc := c.spent
+	c.spent = nil
+	c.mu.Unlock()
+	if pc == nil {
+		return false
 	}
-	pc := c.idle[len(c.idle)-1]
-	c.idle = c.idle[:len(c.idle)-1]
-	return pc
+	closedEarly = time.Now().Before(pc.expires) && !pc.usable()
+	_ = pc.raw.Close() // it is not used any more
+	return closedEarly
 }
 
 func (c *Client) putIdle(pc *persistConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if pc.requests.IsSpent() {
+		if c.spent != nil || !c.cfg.FailOnClosedIdle {
+			_ = pc.raw.Close() // it is not used any more
+			return
+		}
+		c.spent = pc
+		return
+	}
 	c.idle = append(c.idle, pc)
 	// The connections that have been idle longest are at the front.
 	for len(c.idle) > 0 && now.After(c.idle[0].expires) {
@@ -74,6 +106,10 @@
 		_ = pc.raw.Close() // it is not used any more
 	}
 	c.idle = nil
+	if c.spent != nil {
+		_ = c.spent.raw.Close() // it is not used any more
+		c.spent = nil
+	}
 }
 
 func (c *Client) dial(ctx context.Context) (*persistConn, error) {
@@ -98,6 +134,8 @@
 	limited *limitedReader
 	br      *bufio.Reader
 	expires time.Time
+	// requests are those that it has carried.
+	requests correlation.Connection
 }
 
 // usable reports whether an idle connection that has not expired can take a request:
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"bramleyquay.example/coord/correlation"
 	"bramleyquay.example/router/memory"
 )
 
@@ -74,6 +75,7 @@
 // receive reads responses until the final one to this request.
 func (x *exchange) receive(cfg Config) (*Response, bool, error) {
 	pc := x.pc
+	pc.requests.Start(x.request.ID)
 	pc.limited.limit(maxHeadBytes, errHeadTooLong)
 	defer pc.limited.head.End()
 	for skipped := 0; ; skipped++ {
@@ -103,15 +105,23 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if id := hr.Header.Get(cfg.RequestIDHeader); id != "" && x.request.ID != "" && id != x.request.ID {
+		switch pc.requests.Judge(x.request.ID, hr.Header.Get(cfg.RequestIDHeader)) {
+		case correlation.Unattributed:
+			return nil, false, errUnattributed
+		case correlation.Foreign:
 			x.request.Memory.Shrink(memory.HeaderBytes(hr.Header) + int64(cap(body)))
 			pc.limited.limit(maxHeadBytes, errHeadTooLong)
-			continue // a late second response to an earlier request
+			continue
+		case correlation.Accepted:
 		}
 		return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, x.reusable(cfg, hr), nil
 	}
 }
 
+// errUnattributed is the cause if a response without an id arrives where a late copy of
+// another one may arrive too.
+var errUnattributed = errors.New("the answer has no id")
+
 // errNotContinued is the result of sending a request whose body was not asked for.
 var errNotContinued = errors.New("answered before the body")
 
--- a/router/httpclient/upload_test.go
+++ b/router/httpclient/upload_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,17 +60,17 @@
 				return
 			}
 			id := r.Header.Get("X-Id")
-			if id == "refused" {
-				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			if strings.HasPrefix(id, "refused") {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 				continue // the next bytes are the next request
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 			body, _ := io.ReadAll(r.Body)
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+lengthOf(body)+"\r\n\r\n"+string(body))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nContent-Length: "+lengthOf(body)+"\r\n\r\n"+string(body))
 		}
 	})
-	for range 3 {
-		resp, err := c.Do(context.Background(), upload("refused", "body"))
+	for i := range 3 {
+		resp, err := c.Do(context.Background(), upload(fmt.Sprint("refused", i), "body"))
 		is.NoErr(err)
 		is.Equal(resp.Status, 503)
 	}
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -160,7 +160,7 @@
 				c.bodyUnread = status == http.StatusRequestEntityTooLarge || noMemory
 				if noMemory {
 					c.server.log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("request refused")
-					c.rejectAndClose(c.server.refusal())
+					c.rejectAndClose(c.server.refusal(r))
 				} else {
 					c.rejectAndClose(TextResponse(status, http.StatusText(status)))
 				}
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -23,7 +23,7 @@
 	// memory bounds what connections and requests take. Nil sets no bound. refusal
 	// returns the response to a request for which there is none.
 	memory  *memory.Pool
-	refusal func() *Response
+	refusal func(*Request) *Response
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -51,9 +51,9 @@
 
 // LimitMemory sets the memory that connections and requests share. A request for which
 // there is none is not handled: it gets the response that refusal returns, and its
-// connection is closed. A new connection is closed before anything is read from it. It
+// connection is closed. The request is nil for refusal if its head has not been read. A new connection is closed before anything is read from it. It
 // must be called before Run.
-func (s *Server) LimitMemory(p *memory.Pool, refusal func() *Response) {
+func (s *Server) LimitMemory(p *memory.Pool, refusal func(*Request) *Response) {
 	s.memory, s.refusal = p, refusal
 }
 
--- a/router/relay/refusal.go
+++ b/router/relay/refusal.go
@@ -9,16 +9,20 @@
 )
 
 // RefuseCaller returns the response to a caller's request for which there is no memory.
-func RefuseCaller() *httpserver.Response {
+func RefuseCaller(*httpserver.Request) *httpserver.Response {
 	resp := httpserver.TextResponse(http.StatusServiceUnavailable, reasonNoMemory)
 	resp.Header.Set("Retry-After", strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', 3, 64))
 	return resp
 }
 
 // RefusePeer returns the response to a request of another process's ingress for which
-// there is no memory.
-func RefusePeer() *httpserver.Response {
-	r := refused(reasonNoMemory, defaultRetryAfter)
-	r.load = &balancer.GateLoad{}
-	return &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{headerHop: {encodeResult(r)}}}
+// there is no memory. r is nil if its head has not been read either.
+func (g *Gate) RefusePeer(r *httpserver.Request) *httpserver.Response {
+	result := refused(reasonNoMemory, defaultRetryAfter)
+	result.load = &balancer.GateLoad{}
+	out := &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{headerHop: {encodeResult(result)}}}
+	if r != nil {
+		out.Header.Set(g.names.RequestID, r.Header.Get(g.names.RequestID))
+	}
+	return out
 }
--- a/router/relay/servepeer.go
+++ b/router/relay/servepeer.go
@@ -23,7 +23,9 @@
 	if res.outcome == done {
 		out.Status, out.Header, out.Body = res.response.Status, forwarded(res.response.Header), res.response.Body
 		out.Header.Del(g.names.Load)
-	} else if req.id != "" {
+	}
+	if req.id != "" {
+		// A target that echoes no id has answered on a connection of its own.
 		out.Header.Set(g.names.RequestID, req.id)
 	}
 	out.Header.Set(headerHop, encodeResult(res))
