Give grant calls ids, so that a late answer ends no other call

Cause: the calls had no id, and the answer to a release needs no handover token.

Change: calls have ids. If the target echoes them, late copies are dropped; if not, each call gets a connection of its own, by coord/correlation.

--- a/router/fleetdaemon/grantformat.go
+++ b/router/fleetdaemon/grantformat.go
@@ -30,10 +30,10 @@
 }
 
 // GrantFormat returns the format of the product's own grant calls. targetHeader names
-// the target that a call is meant for.
-func GrantFormat(targetHeader string) *grantcall.Format {
+// the target that a call is meant for, idHeader the id that the answer echoes.
+func GrantFormat(targetHeader, idHeader string) *grantcall.Format {
 	return &grantcall.Format{
-		GrantPath: PathGrant, ReleasePath: PathRelease, HandoverHeader: HeaderHandover, TargetHeader: targetHeader,
+		GrantPath: PathGrant, ReleasePath: PathRelease, HandoverHeader: HeaderHandover, TargetHeader: targetHeader, RequestIDHeader: idHeader,
 		Body: func(c grant.Call) any {
 			body := GrantRequest{Range: Range{From: c.Range.From, To: c.Range.To, Fence: c.Range.Fence, Handover: c.Range.HandoverToken}}
 			if c.Kind == grant.GrantCall {
--- a/router/fleetsettings/config.go
+++ b/router/fleetsettings/config.go
@@ -25,7 +25,7 @@
 	}
 	byRequest := s.Lease.Grants == GrantsByRequest
 	if s.IsSidecar() && byRequest {
-		cfg.Sidecar.GrantFormat = fleetdaemon.GrantFormat(relay.DefaultHeaderNames.Target)
+		cfg.Sidecar.GrantFormat = fleetdaemon.GrantFormat(relay.DefaultHeaderNames.Target, relay.DefaultHeaderNames.RequestID)
 	}
 	if s.IsReplica() {
 		cfg.Control = &fleetdaemon.ControlConfig{DataDir: s.Control.DataFolder, ToleratedFailures: s.Control.ToleratedFailures, GrantsByRequest: byRequest}
--- a/router/grantcall/client.go
+++ b/router/grantcall/client.go
@@ -7,7 +7,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"bramleyquay.example/coord/grant"
@@ -22,6 +25,10 @@
 	// HandoverHeader is the header with the handover token in the answer to a
 	// release. TargetHeader names the target that a call is meant for.
 	HandoverHeader, TargetHeader string
+	// RequestIDHeader names the header with the id of a call, which answers echo. The
+	// answers of a target that echoes none are attributed by their connections: each
+	// call gets one of its own.
+	RequestIDHeader string
 }
 
 // Client sends calls to one target. It is safe for concurrent use.
@@ -29,6 +36,9 @@
 	format  Format
 	address string
 	client  *httpclient.Client
+	// prefix and calls make the ids of calls.
+	prefix string
+	calls  atomic.Uint64
 }
 
 const (
@@ -42,8 +52,9 @@
 
 // New returns a client for the target at an address.
 func New(address string, format Format) *Client {
-	return &Client{format: format, address: address, client: httpclient.New(httpclient.Config{
-		Address: address, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxBody: maxAnswerBytes,
+	prefix := strconv.FormatUint(rand.Uint64(), 36) + "-"
+	return &Client{format: format, address: address, prefix: prefix, client: httpclient.New(httpclient.Config{
+		Address: address, RequestIDHeader: format.RequestIDHeader, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxBody: maxAnswerBytes,
 		ResetOnCancel: true, FailOnClosedIdle: true,
 	})}
 }
@@ -60,9 +71,10 @@
 	if call.Kind == grant.ReleaseCall {
 		path = c.format.ReleasePath
 	}
+	id := c.prefix + strconv.FormatUint(c.calls.Add(1), 10)
 	resp, err := c.client.Do(ctx, &httpclient.Request{
-		Method: http.MethodPost, URI: path, Host: c.address, Body: body,
-		Header: http.Header{"Content-Type": {"application/json"}, c.format.TargetHeader: {call.Target}},
+		Method: http.MethodPost, URI: path, Host: c.address, Body: body, ID: id,
+		Header: http.Header{"Content-Type": {"application/json"}, c.format.TargetHeader: {call.Target}, c.format.RequestIDHeader: {id}},
 	})
 	if err != nil {
 		return failed(ctx, err)
--- a/router/grantcall/client_test.go
+++ b/router/grantcall/client_test.go
@@ -1,6 +1,7 @@
 package grantcall_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -18,7 +19,7 @@
 )
 
 var format = grantcall.Format{
-	GrantPath: "/grant", ReleasePath: "/release", HandoverHeader: "X-Handover", TargetHeader: "X-Target",
+	GrantPath: "/grant", ReleasePath: "/release", HandoverHeader: "X-Handover", TargetHeader: "X-Target", RequestIDHeader: "X-Id",
 	Body: func(c grant.Call) any { return c.Range.From },
 }
 
@@ -108,3 +109,64 @@
 	is.Equal(result.Outcome, grant.CallNotSent)
 	is.True(result.Refused)
 }
+
+// lateTarget answers each call, and sends its answer to the first call of a connection once
+// more where the answer to the second one is expected. answer returns the bytes of the
+// answer to a call of a path with an id.
+func lateTarget(t *testing.T, answer func(path, id string) string) *grantcall.Client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in, first := bufio.NewReader(conn), ""
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text := answer(r.URL.Path, r.Header.Get("X-Id"))
+					if _, err := io.WriteString(conn, first+text); err != nil {
+						return
+					}
+					first = text
+				}
+			}()
+		}
+	}()
+	return grantcall.New(l.Addr().String(), format)
+}
+
+// Guards against the late copy of the answer to a grant that counts as the answer to the
+// next call, a release: the keys would go to another target while this one is at work on
+// them.
+func TestLateCopyOfAnswer(t *testing.T) {
+	for name, echo := range map[string]string{"with id": "X-Id: ", "without id": "X-Other: "} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := lateTarget(t, func(path, id string) string {
+				text := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + echo + id + "\r\n"
+				if path == "/release" {
+					text += "X-Handover: h\r\n"
+				}
+				return text + "\r\n"
+			})
+			is.Equal(c.CallTarget(context.Background(), call(grant.GrantCall)).Outcome, grant.CallDone)
+			for range 3 {
+				result := c.CallTarget(context.Background(), call(grant.ReleaseCall))
+				is.Equal(result.Outcome, grant.CallDone)
+				is.Equal(result.HandoverToken, "h")
+			}
+		})
+	}
+}
--- a/router/rangetarget/calls.go
+++ b/router/rangetarget/calls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyquay.example/router/fleetdaemon"
+	"bramleyquay.example/router/relay"
 )
 
 const (
@@ -25,6 +26,7 @@
 		return false
 	}
 	arrived := time.Now()
+	w.Header().Set(relay.DefaultHeaderNames.RequestID, r.Header.Get(relay.DefaultHeaderNames.RequestID))
 	var call fleetdaemon.GrantRequest
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil || call.From > call.To {
 		http.Error(w, "not a range of keys", http.StatusBadRequest)
