Test answers whose head breaks off at each of its bytes

It cannot happen here: the test passes on the code as it is, for heads with and without a length, informational ones and bare line feeds. Without a length, a body that ends in order is complete by HTTP and by the users' rules.

--- a/router/httpclient/cut_test.go
+++ b/router/httpclient/cut_test.go
@@ -79,3 +79,22 @@
 	is.NoErr(err)
 	is.Equal(string(resp.Body), "hello, world")
 }
+
+// Guards against a head that breaks off at any of its bytes and counts as a complete
+// answer with an empty or short body, where the connection ends in order.
+func TestHeadCutAtEachByte(t *testing.T) {
+	for name, head := range map[string]string{
+		"no length":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: t\r\n\r\n",
+		"length last":   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: t\r\nContent-Length: 120\r\n\r\n",
+		"length first":  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Signed: t\r\nX-Id: 1\r\n\r\n",
+		"no content":    "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n",
+		"informational": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+		"bare feeds":    "HTTP/1.1 200 OK\nX-Id: 1\nX-Signed: t\n\n",
+	} {
+		for n := range len(head) {
+			if resp, err := answerWith(t, head[:n], false); err == nil {
+				t.Errorf("%s: %q counts as an answer with status %d and %d bytes", name, head[:n], resp.Status, len(resp.Body))
+			}
+		}
+	}
+}
