Reject announcements that cannot be from a target

Here the nesting and the types were rejected before (encoding/json), but numbers were not: a start in the far future or a sequence of 2^64-1 made the process ignore its target from then on, and slots, ids and tokens without bound went to all processes.

Change: Announcement.check; the answer is 400, and a log line says why.

--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -38,6 +38,9 @@
 	// AnnounceForeign means that the announcement is not from this process's
 	// target.
 	AnnounceForeign AnnounceResult = "foreign"
+	// AnnounceMalformed means that the announcement cannot be from a target, whatever
+	// it says.
+	AnnounceMalformed AnnounceResult = "malformed"
 )
 
 // target is the announced state of the process's target. Times are readings of
@@ -123,6 +126,10 @@
 // left.
 func (a *Agent) Announce(announcement Announcement) (grant.Grant, AnnounceResult) {
 	now := timesource.BootTime()
+	if err := announcement.check(timesource.Now().Wall.Milliseconds()); err != nil {
+		a.log.Warn().Err(err).Str("address", announcement.Address).Msg("announcement ignored")
+		return grant.Grant{}, AnnounceMalformed
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := &a.target
--- /dev/null
+++ b/router/fleetagent/validate.go
@@ -0,0 +1,63 @@
+package fleetagent
+
+import (
+	"slices"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/zeebo/errs"
+
+	"bramleyquay.example/coord/ranges"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("announcement")
+
+const (
+	// maxIDBytes and maxTokenBytes bound what each process stores of a target.
+	maxIDBytes    = 256
+	maxTokenBytes = 256
+	// maxAnnouncedRanges is far above the ranges that a target may hold.
+	maxAnnouncedRanges = 4096
+	maxSlots           = 100_000
+	// maxSequence is the largest number that all JSON writers write exactly.
+	maxSequence = 1 << 53
+	maxColdTime = 24 * time.Hour
+	// maxClockLead is how far the clock of a target may be ahead: a start further in the
+	// future would make all later ones of the target count as earlier.
+	maxClockLead = time.Hour
+)
+
+// check returns why an announcement cannot be from a target. now is the wall clock in Unix
+// milliseconds.
+func (a *Announcement) check(now int64) error {
+	switch {
+	case len(a.ID) > maxIDBytes || !utf8.ValidString(a.ID) || hasControl(a.ID):
+		return Error.New("the id is not a text of at most %d bytes", maxIDBytes)
+	case a.Incarnation < 0 || a.Incarnation > now+maxClockLead.Milliseconds():
+		return Error.New("the start %d is not a time up to now in Unix milliseconds", a.Incarnation)
+	case a.Slots < 0 || a.Slots > maxSlots:
+		return Error.New("%d slots are not from 0 to %d", a.Slots, maxSlots)
+	case a.Sequence > maxSequence:
+		return Error.New("the sequence %d is above %d", a.Sequence, uint64(maxSequence))
+	case a.ColdRemaining > maxColdTime:
+		return Error.New("the cold period of %s is above %s", a.ColdRemaining, maxColdTime)
+	case len(a.Ranges.Held) > maxAnnouncedRanges || len(a.Ranges.Released) > maxAnnouncedRanges:
+		return Error.New("there are more than %d ranges", maxAnnouncedRanges)
+	case slices.ContainsFunc(a.Ranges.Held, isOddRange) || slices.ContainsFunc(a.Ranges.Released, isOddRange):
+		return Error.New("a range has no keys, or its token is longer than %d bytes", maxTokenBytes)
+	}
+	return nil
+}
+
+func hasControl(text string) bool {
+	for _, r := range text {
+		if unicode.IsControl(r) {
+			return true
+		}
+	}
+	return false
+}
+
+func isOddRange(r ranges.Range) bool { return r.From > r.To || len(r.HandoverToken) > maxTokenBytes }
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -104,9 +104,14 @@
 		return
 	}
 	granted, result := d.agent.Announce(a.toAgent())
-	if result == fleetagent.AnnounceForeign {
+	switch result {
+	case fleetagent.AnnounceForeign:
 		http.Error(w, "not the target of this process", http.StatusBadRequest)
 		return
+	case fleetagent.AnnounceMalformed:
+		http.Error(w, "not an announcement of a target", http.StatusBadRequest)
+		return
+	case fleetagent.AnnounceAccepted, fleetagent.AnnounceStale:
 	}
 	reply := AnnounceReply{HoldMs: granted.Duration.Milliseconds()}
 	for _, keyRange := range granted.Ranges {
