Send no grant to a target that may have been restarted

Cause: a restart shows in the close of an idle connection, which was looked for only on connections young enough to be used again; and only the first of several calls failed.

Ruled out: renewing more often than the connection lasts (Keep-Alive may be missing), delaying the end of each earlier incarnation (keys unserved for seconds).

Change: an open connection proves that the target goes on, however old it is; without one calls wait for the next announcement. TestRestartedTargetIsNoticed expects that too.

--- a/router/fleetagent/calls.go
+++ b/router/fleetagent/calls.go
@@ -14,6 +14,9 @@
 	// CallTarget sends one call and blocks until its end is known or ctx ends. A call
 	// that is cut off by ctx must not arrive later.
 	CallTarget(ctx context.Context, call grant.Call) grant.CallResult
+	// Resume lets calls be sent after the connection was lost: the target has announced
+	// itself since.
+	Resume()
 }
 
 // minCallPause bounds the rate at which the due calls are looked for.
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -154,6 +154,9 @@
 	if becameCold {
 		a.log.Info().Str("target", t.id).Dur("for", announcement.ColdRemaining).Uint64("sequence", announcement.Sequence).Msg("target is cold")
 	}
+	if a.cfg.Request != nil {
+		a.cfg.Request.Caller.Resume()
+	}
 	released := len(a.issuer.ReleasedRanges())
 	g := a.answerAnnouncement(now, announcement.Ranges)
 	if g.Deferred > 0 {
--- a/router/fleetagent/target_test.go
+++ b/router/fleetagent/target_test.go
@@ -108,6 +108,9 @@
 	return r.result
 }
 
+// Resume implements GrantCaller.
+func (r *grantRecorder) Resume() {}
+
 // Guards against calls to a target that may have been restarted before it has
 // announced itself: a later incarnation would get the fences of an earlier one.
 func TestNoGrantsToUnannouncedTarget(t *testing.T) {
--- a/router/grantcall/client.go
+++ b/router/grantcall/client.go
@@ -55,10 +55,14 @@
 	prefix := strconv.FormatUint(rand.Uint64(), 36) + "-"
 	return &Client{format: format, address: address, prefix: prefix, client: httpclient.New(httpclient.Config{
 		Address: address, RequestIDHeader: format.RequestIDHeader, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxBody: maxAnswerBytes,
-		ResetOnCancel: true, FailOnClosedIdle: true,
+		ResetOnCancel: true, FailOnRestart: true,
 	})}
 }
 
+// Resume lets calls be sent again after one failed because the target may have been
+// restarted.
+func (c *Client) Resume() { c.client.Resume() }
+
 // CallTarget sends a call and returns what is known about its effect. If ctx ends
 // first, the connection is reset: bytes of the call that have not arrived yet do not
 // arrive later.
--- a/router/grantcall/client_test.go
+++ b/router/grantcall/client_test.go
@@ -82,6 +82,8 @@
 	is.Equal(result.Outcome, grant.CallNotSent)
 	is.True(result.ConnectionLost)
 	is.Equal(calls.Load(), int32(1))
+	is.Equal(c.CallTarget(context.Background(), call(grant.GrantCall)).Outcome, grant.CallNotSent) // until the next announcement
+	c.Resume()
 	is.Equal(c.CallTarget(context.Background(), call(grant.GrantCall)).Outcome, grant.CallDone)
 }
 
@@ -170,3 +172,31 @@
 		})
 	}
 }
+
+// Guards against a grant that is sent to a target that was restarted between two calls,
+// although the connection of the first one was too old to be used again: its close still
+// shows the restart.
+func TestRestartAfterIdleTimeIsNoticed(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("Keep-Alive", "timeout=1")
+	})
+	c, s := newClient(t, h)
+	for range 2 {
+		is.Equal(c.CallTarget(context.Background(), call(grant.GrantCall)).Outcome, grant.CallDone)
+		time.Sleep(700 * time.Millisecond) // longer than the connection can be used
+	}
+	is.Equal(calls.Load(), int32(2))
+	s.CloseClientConnections() // the target ends, and is back at the same address
+	for range 2 {
+		result := c.CallTarget(context.Background(), call(grant.GrantCall))
+		is.Equal(result.Outcome, grant.CallNotSent)
+		is.True(result.ConnectionLost)
+	}
+	is.Equal(calls.Load(), int32(2))
+	c.Resume()
+	is.Equal(c.CallTarget(context.Background(), call(grant.GrantCall)).Outcome, grant.CallDone)
+}
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -30,12 +30,17 @@
 	// keepAliveFraction of the time-out in the server's Keep-Alive header is
 	// shorter.
 	IdleTimeout time.Duration
+	// StallTimeout is the time for which the server may leave sent bytes unread, or be
+	// unreachable. Zero is netopt.UserTimeout.
+	StallTimeout time.Duration
 	// ResetOnCancel resets the connection if ctx ends before the response, so that the
 	// bytes that are still to be sent are discarded.
 	ResetOnCancel bool
-	// FailOnClosedIdle makes Do return a *NotSentError instead of opening a connection
-	// if the server has closed an idle one early. It may then have been restarted.
-	FailOnClosedIdle bool
+	// FailOnRestart makes Do return a *NotSentError, until Resume is called, if the server
+	// may have been restarted since an earlier request: no connection is left that was
+	// open then. Idle connections prove that it goes on also after
+	// IdleTimeout.
+	FailOnRestart bool
 	// MaxBody bounds the body of a response in bytes. Do returns an
 	// *IncompleteResponseError for a longer one.
 	MaxBody int64
@@ -120,8 +125,10 @@
 	mu   sync.Mutex
 	idle []*persistConn // in order of last use, the most recent last
 	// spent is an idle connection that carries no request. It is kept with
-	// Config.FailOnClosedIdle only.
-	spent  *persistConn
+	// Config.FailOnRestart only.
+	spent *persistConn
+	// server is used with Config.FailOnRestart only.
+	server continuity
 	opened uint64
 }
 
@@ -144,6 +151,16 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	defer r.Memory.Shrink(r.exchangeBytes())
+	if err := c.begin(); err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	resp, err := c.exchange(ctx, r)
+	c.end(err == nil)
+	return resp, err
+}
+
+// exchange sends a request on a connection and receives its response.
+func (c *Client) exchange(ctx context.Context, r *Request) (*Response, error) {
 	pc, err := c.acquireConn(ctx, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Cause: err, Refused: isRefused(err)}
--- a/router/httpclient/conn.go
+++ b/router/httpclient/conn.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
-	"errors"
 	"net"
 	"slices"
 	"time"
@@ -27,28 +27,18 @@
 // acquireConn returns an idle connection that can carry a request with the id, or opens
 // one.
 func (c *Client) acquireConn(ctx context.Context, id string) (*persistConn, error) {
-	if c.cfg.FailOnClosedIdle && c.closeSpent() {
-		return nil, errClosedIdle
-	}
 	for {
 		pc := c.popIdle(id)
 		if pc == nil {
 			return c.dial(ctx)
 		}
-		expired := !time.Now().Before(pc.expires)
-		if !expired && pc.usable() {
+		if time.Now().Before(pc.expires) && pc.usable() {
 			return pc, nil
 		}
 		_ = pc.raw.Close() // it is not used any more
-		if c.cfg.FailOnClosedIdle && !expired {
-			return nil, errClosedIdle
-		}
 	}
 }
 
-// errClosedIdle is the cause of a NotSentError with Config.FailOnClosedIdle.
-var errClosedIdle = errors.New("the server has closed an idle connection")
-
 // popIdle returns the idle connection that was used last of those that can carry a request
 // with the id, or nil.
 func (c *Client) popIdle(id string) *persistConn {
@@ -63,34 +53,21 @@
 	return nil
 }
 
-// closeSpent closes the connection that is kept to notice that the server was restarted.
-// It reports whether the server had closed it early.
-func (c *Client) closeSpent() (closedEarly bool) {
-	c.mu.Lock()
-	pc := c.spent
-	c.spent = nil
-	c.mu.Unlock()
-	if pc == nil {
-		return false
-	}
-	closedEarly = time.Now().Before(pc.expires) && !pc.usable()
-	_ = pc.raw.Close() // it is not used any more
-	return closedEarly
-}
-
 func (c *Client) putIdle(pc *persistConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if pc.requests.IsSpent() {
-		if c.spent != nil || !c.cfg.FailOnClosedIdle {
-			_ = pc.raw.Close() // it is not used any more
-			return
+	switch {
+	case !pc.requests.IsSpent():
+		c.idle = append(c.idle, pc)
+	case c.cfg.FailOnRestart:
+		if c.spent != nil {
+			_ = c.spent.raw.Close() // it is not used any more
 		}
-		c.spent = pc
-		return
+		c.spent = pc // it shows that the server goes on
+	default:
+		_ = pc.raw.Close() // it is not used any more
 	}
-	c.idle = append(c.idle, pc)
 	// The connections that have been idle longest are at the front.
 	for len(c.idle) > 0 && now.After(c.idle[0].expires) {
 		_ = c.idle[0].raw.Close() // it is not used any more
@@ -115,7 +92,8 @@
 func (c *Client) dial(ctx context.Context) (*persistConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
+	stall := cmp.Or(c.cfg.StallTimeout, netopt.UserTimeout)
+	d := net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.ControlWith(stall)}
 	raw, err := d.DialContext(ctx, "tcp", c.cfg.Address)
 	if err != nil {
 		return nil, err
