Let callers and targets pause reading for more than 1.5 s

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for unreachable machines, also ends connections whose other end is reachable and does not read.

Change: it applies between processes only; callers and targets have 10 s.

--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -141,6 +141,7 @@
 	d.agent = fleetagent.New(agentConfig, d.leaders, logging.ForComponent(logs, "member"))
 	target := httpclient.New(httpclient.Config{
 		Address: sidecar.Target, RequestIDHeader: sidecar.HeaderNames.RequestID, DialTimeout: targetDialTimeout, IdleTimeout: targetIdleTimeout, MaxBody: maxAnswerBodyBytes,
+		StallTimeout: targetStallTimeout,
 	})
 	gate := relay.NewGate(d.agent, sidecar.HeaderNames, target, logging.ForComponent(logs, "gate"))
 	ingress := relay.NewIngress(relay.IngressConfig{Names: sidecar.HeaderNames, GateAddress: gateAddress(sidecar.Gate, sidecar.GatePort), Budget: sidecar.Budget},
@@ -169,6 +170,9 @@
 	// targetIdleTimeout is the time for which an idle connection to the target
 	// can be reused, unless the target's Keep-Alive header names a shorter one.
 	targetIdleTimeout = 4 * time.Second
+	// targetStallTimeout is the time for which the target may not read a body. It is on
+	// the same machine, so that an unreachable machine needs no shorter one.
+	targetStallTimeout = 10 * time.Second
 	// maxAnswerBodyBytes is the largest accepted body of a target's answer.
 	maxAnswerBodyBytes = 64 << 20
 )
--- a/router/httpclient/upload_test.go
+++ b/router/httpclient/upload_test.go
@@ -40,7 +40,7 @@
 			}()
 		}
 	}()
-	return httpclient.New(httpclient.Config{Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20})
+	return httpclient.New(httpclient.Config{Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20, StallTimeout: 10 * time.Second})
 }
 
 func upload(id, body string) *httpclient.Request {
@@ -159,3 +159,25 @@
 	<-b.release
 	return 0, io.ErrUnexpectedEOF
 }
+
+// Guards against a body that is broken off because the target pauses reading it.
+func TestTargetThatPausesReading(t *testing.T) {
+	is := is.New(t)
+	const size = 16 << 20 // more than all buffers between the two
+	c := rawTarget(t, func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		time.Sleep(2500 * time.Millisecond)
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Size: %d\r\nContent-Length: 0\r\n\r\n", n)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r := request("1")
+	r.Method, r.Body = "POST", make([]byte, size)
+	resp, err := c.Do(ctx, r)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("X-Size"), fmt.Sprint(size))
+}
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -59,7 +59,11 @@
 
 // Listen opens the TCP listener on addr. Connections wait until Run is called.
 func (s *Server) Listen(addr string) error {
-	lc := net.ListenConfig{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
+	stall := writeTimeout
+	if s.deferBodies {
+		stall = netopt.UserTimeout
+	}
+	lc := net.ListenConfig{KeepAliveConfig: netopt.KeepAlive, Control: netopt.ControlWith(stall)}
 	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return err
--- a/router/netopt/netopt.go
+++ b/router/netopt/netopt.go
@@ -10,10 +10,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// UserTimeout is the time for which sent bytes may stay unacknowledged before the
-// connection is closed (TCP_USER_TIMEOUT). It is a few round trips, so that lost
-// segments can be retransmitted, and well below the callers' shortest deadline of
-// 2 s.
+// UserTimeout is the time for which bytes that were sent to another process of the system
+// may stay unacknowledged before the connection is closed (TCP_USER_TIMEOUT). It is a few
+// round trips, so that lost segments can be retransmitted, and well below the callers'
+// shortest deadline of 2 s. It also bounds how long the process may not read; callers and
+// targets may pause longer.
 const UserTimeout = 1500 * time.Millisecond
 
 // KeepAlive closes idle connections within 2 s after the other end has become
@@ -22,13 +23,20 @@
 
 // Control sets UserTimeout on a socket. It is for the field Control of net.Dialer
 // and net.ListenConfig.
-func Control(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+func Control(network, address string, c syscall.RawConn) error {
+	return ControlWith(UserTimeout)(network, address, c)
+}
+
+// ControlWith is Control with another time-out.
+func ControlWith(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
 }
