Bound the memory of connections for the calls of targets and operators

Cause: the listeners for announcements, operators and readiness had the bounds of net/http only, 1 MiB for each head and none for connections; the bodies of calls were bounded before.

--- a/router/callconn/callconn.go
+++ b/router/callconn/callconn.go
@@ -27,6 +27,9 @@
 		return false
 	}
 	conn, ok := ctx.Value(key{}).(net.Conn)
+	if wrapped, isWrapped := conn.(interface{ NetConn() net.Conn }); isWrapped {
+		conn = wrapped.NetConn()
+	}
 	return !ok || !IsClosed(conn)
 }
 
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -8,6 +8,7 @@
 
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/callconn"
 	"bramleyquay.example/router/fleetagent"
 	"bramleyquay.example/router/memory"
 )
@@ -73,7 +74,7 @@
 	mux.HandleFunc("POST "+PathAnnounce, d.announce)
 	mux.HandleFunc("POST "+PathLeave, d.leave)
 	go func() {
-		if err := http.Serve(l, mux); err != nil {
+		if err := callconn.Serve(l, mux, d.connMemory, d.log); err != nil {
 			d.log.Error().Str("address", address).Err(err).Msg("announcements are no longer accepted")
 		}
 	}()
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -17,6 +17,7 @@
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/callconn"
 	"bramleyquay.example/router/fleetagent"
 	"bramleyquay.example/router/fleetnode"
 	"bramleyquay.example/router/grantcall"
@@ -46,7 +47,9 @@
 	// messages of processes and the calls of targets and operators, so that requests
 	// do not delay these.
 	requestMemory, callMemory *memory.Pool
-	stopping                  atomic.Bool
+	// connMemory is shared by the connections for calls of targets and operators.
+	connMemory *memory.Pool
+	stopping   atomic.Bool
 	// runCtx ends when Run returns.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -59,11 +62,13 @@
 
 const (
 	// requestMemoryShare is the share of the memory limit for requests and their
-	// responses, callMemoryShare that for messages and calls. The Go runtime needs the
+	// responses, callMemoryShare that for messages and the bodies of calls, and
+	// connMemoryShare that for the connections of calls. The Go runtime needs the
 	// rest of memoryLimitShare for the state of the process and for memory that has
 	// been used and is not collected yet.
 	requestMemoryShare = 0.25
 	callMemoryShare    = 0.15
+	connMemoryShare    = 0.1
 	// defaultMemoryBytes is the memory limit from which the shares are taken if none is
 	// set.
 	defaultMemoryBytes = 2 << 30
@@ -79,7 +84,8 @@
 	}
 	d.requestMemory = memory.NewPool(int64(requestMemoryShare * float64(limit)))
 	d.callMemory = memory.NewPool(int64(callMemoryShare * float64(limit)))
-	for name, p := range map[string]*memory.Pool{"requests": d.requestMemory, "calls": d.callMemory} {
+	d.connMemory = memory.NewPool(int64(connMemoryShare * float64(limit)))
+	for name, p := range map[string]*memory.Pool{"requests": d.requestMemory, "calls": d.callMemory, "connections": d.connMemory} {
 		metrics.GetOrCreateGauge(`bramleyquay_memory_used_bytes{of="`+name+`"}`, func() float64 { return float64(p.Used()) })
 		metrics.GetOrCreateGauge(`bramleyquay_memory_refused{of="`+name+`"}`, func() float64 { return float64(p.Refused()) })
 	}
@@ -239,6 +245,16 @@
 	return nil
 }
 
+// ServeCalls serves the calls of targets or operators at an address and blocks. If the
+// listener fails, it logs the error and the process goes on without it.
+func (d *Daemon) ServeCalls(address string, h http.Handler) {
+	l, err := net.Listen("tcp", address)
+	if err == nil {
+		err = callconn.Serve(l, h, d.connMemory, d.log)
+	}
+	d.log.Error().Str("address", address).Err(err).Msg("calls are no longer accepted")
+}
+
 // Agent returns the agent of a sidecar process, or nil in other processes.
 func (d *Daemon) Agent() *fleetagent.Agent { return d.agent }
 
--- a/router/fleetdaemon/memory_test.go
+++ b/router/fleetdaemon/memory_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/router/fleetdaemon"
 )
 
 // memoryLimit is the memory limit of each sidecar process in these tests.
@@ -184,3 +186,31 @@
 	is.True(peak() < 2*memoryLimit)
 	is.True(failed*10 < calls)
 }
+
+// Guards against a process that exceeds its memory because a target opens many connections
+// for announcements and ends no head.
+func TestCallConnectionsShareTheMemory(t *testing.T) {
+	is := is.New(t)
+	p, peak := startBoundedCluster(t, func(http.ResponseWriter, *http.Request) {})
+	announce, gate := freeAddress(t), freeAddress(t)
+	start(t, fleetdaemon.Config{
+		Cluster: "test", Peer: freeAddress(t), TrustNetwork: true, Seeds: p[0].cfg.Seeds, StopTimeout: time.Second, Lease: p[0].cfg.Lease, MemoryBytes: memoryLimit,
+		Sidecar: &fleetdaemon.Sidecar{DataCentre: "a", Caller: freeAddress(t), Gate: gate, Announce: announce, Target: freeAddress(t), Service: "plain", HeaderNames: headerNames},
+	})
+	var head strings.Builder
+	for i := 0; head.Len() < 60<<10; i++ {
+		_, _ = fmt.Fprintf(&head, "%x:\r\n", i)
+	}
+	calls, failed := callBeside(p[1], func() {
+		for range 400 {
+			conn, err := net.Dial("tcp", announce)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "POST /v1/announce HTTP/1.1\r\nHost: h\r\n%s", head.String())
+		}
+		time.Sleep(200 * time.Millisecond)
+	})
+	t.Logf("peak %d MiB; %d of %d sound requests failed", peak()>>20, failed, calls)
+	is.True(peak() < 2*memoryLimit)
+	is.True(failed*10 < calls)
+}
--- a/router/memory/memory_test.go
+++ b/router/memory/memory_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -75,3 +78,49 @@
 	a.Shrink(1)
 	a.Close()
 }
+
+// Guards against connections of a server that are not counted, or whose memory is not
+// returned after a request or a close.
+func TestListener(t *testing.T) {
+	is := is.New(t)
+	p := memory.NewPool(1 << 20)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var refused atomic.Int32
+	l := &memory.Listener{Listener: inner, Pool: p, ConnBytes: 32 << 10, HeadBytes: 4 << 10, Refused: func(net.Conn) { refused.Add(1) }}
+	seen := make(chan int64, 100)
+	server := &http.Server{ConnState: l.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		seen <- p.Used()
+	})}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	for range 3 {
+		resp, err := http.Post("http://"+inner.Addr().String(), "text/plain", bytes.NewReader(make([]byte, 1<<20)))
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.True(<-seen > 32<<10) // with the head
+	}
+	await := func(used int64) {
+		for end := time.Now().Add(10 * time.Second); p.Used() != used; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("used %d instead of %d", p.Used(), used)
+			}
+		}
+	}
+	await(32 << 10) // one idle connection
+	var conns []net.Conn
+	for range 40 {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		conns = append(conns, conn)
+	}
+	await(1 << 20)
+	for end := time.Now().Add(10 * time.Second); refused.Load() != 9; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	for _, conn := range conns {
+		is.NoErr(conn.Close())
+	}
+	await(32 << 10)
+}
