Notice silent connections to targets within 1.5 s again, and cut long causes

The text of an error in a result is cut at 200 bytes: it may quote up to 64 KiB that a target has sent, for each log line, answer and hop. TestLongCauseIsCut would fail without withCause cutting it.

--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -176,8 +176,7 @@
 	// targetIdleTimeout is the time for which an idle connection to the target
 	// can be reused, unless the target's Keep-Alive header names a shorter one.
 	targetIdleTimeout = 4 * time.Second
-	// targetStallTimeout is the time for which the target may not read a body. It is on
-	// the same machine, so that an unreachable machine needs no shorter one.
+	// targetStallTimeout is the time for which the target may pause reading a long body.
 	targetStallTimeout = 10 * time.Second
 	// maxAnswerBodyBytes is the largest accepted body of a target's answer.
 	maxAnswerBodyBytes = 64 << 20
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bramleyquay.example/router/memory"
+	"bramleyquay.example/router/netopt"
 )
 
 // Config configures a Client.
@@ -30,8 +31,9 @@
 	// keepAliveFraction of the time-out in the server's Keep-Alive header is
 	// shorter.
 	IdleTimeout time.Duration
-	// StallTimeout is the time for which the server may leave sent bytes unread, or be
-	// unreachable. Zero is netopt.UserTimeout.
+	// StallTimeout is the time for which the server may pause reading a long body. Without
+	// one, and if it is zero, an unreachable server is noticed after netopt.UserTimeout:
+	// a short request does not fill the connection.
 	StallTimeout time.Duration
 	// ResetOnCancel resets the connection if ctx ends before the response, so that the
 	// bytes that are still to be sent are discarded.
@@ -165,6 +167,12 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err, Refused: isRefused(err)}
 	}
+	if c.cfg.StallTimeout > 0 && r.hasLongBody() {
+		if err := netopt.SetUserTimeout(pc.raw, c.cfg.StallTimeout); err != nil {
+			_ = pc.raw.Close() // nothing was sent on it
+			return nil, &NotSentError{Cause: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { pc.abort(c.cfg.ResetOnCancel) })
 	x := newExchange(pc, r)
 	resp, reuse, err := x.run(c.cfg)
@@ -174,6 +182,9 @@
 			err = context.Cause(ctx)
 		}
 	}
+	if c.cfg.StallTimeout > 0 && r.hasLongBody() {
+		reuse = reuse && netopt.SetUserTimeout(pc.raw, netopt.UserTimeout) == nil
+	}
 	if err != nil || !reuse {
 		_ = pc.raw.Close() // it is not used any more
 	} else {
--- a/router/httpclient/conn.go
+++ b/router/httpclient/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -92,8 +91,7 @@
 func (c *Client) dial(ctx context.Context) (*persistConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
-	stall := cmp.Or(c.cfg.StallTimeout, netopt.UserTimeout)
-	d := net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.ControlWith(stall)}
+	d := net.Dialer{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
 	raw, err := d.DialContext(ctx, "tcp", c.cfg.Address)
 	if err != nil {
 		return nil, err
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -128,7 +128,7 @@
 // send writes the request. The server's answer may arrive before its end.
 func (x *exchange) send() error {
 	r := x.request
-	if !r.AwaitContinue && r.Source == nil && len(r.Body) <= maxJoinedBodyBytes {
+	if !r.AwaitContinue && !r.hasLongBody() {
 		_, err := x.pc.raw.Write(append(encodeHead(r), r.Body...))
 		return err
 	}
@@ -156,6 +156,9 @@
 	exchangeBytes = 8 << 10
 )
 
+// hasLongBody reports whether the body may take more than one write.
+func (r *Request) hasLongBody() bool { return r.Source != nil || len(r.Body) > maxJoinedBodyBytes }
+
 // exchangeBytes returns the memory that sending the request takes.
 func (r *Request) exchangeBytes() int64 {
 	n := int64(exchangeBytes) + memory.HeaderBytes(r.Header)
--- a/router/netopt/netopt.go
+++ b/router/netopt/netopt.go
@@ -29,14 +29,30 @@
 
 // ControlWith is Control with another time-out.
 func ControlWith(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
+	return func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, timeout) }
+}
+
+// SetUserTimeout changes the time-out of a connection. It does nothing if conn is not a
+// socket.
+func SetUserTimeout(conn net.Conn, timeout time.Duration) error {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(rc, timeout)
+}
+
+func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
 	}
+	return failed
 }
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -46,7 +46,7 @@
 	stop()
 	g.transfers.release(id, err == nil, dispatch.Limit{})
 	if err != nil {
-		return refused(reasonBodyBroken+": "+err.Error(), 0), false
+		return refused(withCause(reasonBodyBroken, err), 0), false
 	}
 	req.request.Body, req.request.Upload = body, nil
 	// Waiting here costs less than sending the body to another target.
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -216,7 +216,7 @@
 	h.Set(g.names.DeadlineMs, strconv.FormatInt(max(time.Until(req.deadline).Milliseconds(), 1), 10))
 	source, err := openSource(req.request.Upload)
 	if err != nil {
-		return refused(reasonBodyBroken+": "+err.Error(), 0)
+		return refused(withCause(reasonBodyBroken, err), 0)
 	}
 	sent := time.Now()
 	resp, err := g.client.Do(ctx, &httpclient.Request{
@@ -228,7 +228,7 @@
 	_ = errors.As(err, &unsent) // it stays nil if the error is another one
 	switch {
 	case errors.As(err, &broken):
-		return result{outcome: unknown, reason: reasonBodyBroken + ": " + broken.Cause.Error(), reached: true}
+		return result{outcome: unknown, reason: withCause(reasonBodyBroken, broken.Cause), reached: true}
 	case errors.Is(err, memory.ErrExhausted) && unsent != nil:
 		return refused(reasonNoMemory, defaultRetryAfter)
 	case errors.Is(err, memory.ErrExhausted):
@@ -237,7 +237,7 @@
 		if ctx.Err() == nil {
 			g.agent.RecordUnreachable(unsent.Refused)
 		}
-		return refused(reasonNoConnection+": "+unsent.Cause.Error(), 0)
+		return refused(withCause(reasonNoConnection, unsent.Cause), 0)
 	case err != nil:
 		// A caller that disconnects says nothing about the target; a passed deadline
 		// counts as a failure.
@@ -248,7 +248,7 @@
 			g.agent.RecordBroken(req.fingerprint, t.Incarnation, sent, g.firstRuns.recordBroken(req.fingerprint))
 			go g.probe()
 		}
-		return result{outcome: unknown, reason: reasonAnswerBroken + ": " + err.Error(), reached: true}
+		return result{outcome: unknown, reason: withCause(reasonAnswerBroken, err), reached: true}
 	}
 	g.agent.RecordSuccess()
 	n := g.notice(resp.Status, resp.Header)
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -92,10 +92,10 @@
 		if ctx.Err() == nil && !errors.Is(err, memory.ErrExhausted) {
 			p.avoid(process)
 		}
-		return refused("peer: "+unsent.Cause.Error(), 0)
+		return refused(withCause("peer", unsent.Cause), 0)
 	}
 	if err != nil {
-		return result{outcome: unknown, reason: "peer: " + err.Error(), reached: true}
+		return result{outcome: unknown, reason: withCause("peer", err), reached: true}
 	}
 	r, ok := decodeResult(resp.Header.Get(headerHop))
 	if !ok {
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -69,6 +69,18 @@
 	notice notice
 }
 
+// maxCauseBytes bounds the text of an error in a reason, which goes to logs, to the caller
+// and to other processes: it may quote what a target has sent.
+const maxCauseBytes = 200
+
+func withCause(reason string, cause error) string {
+	text := cause.Error()
+	if len(text) > maxCauseBytes {
+		text = strings.ToValidUTF8(text[:maxCauseBytes], "") + "..."
+	}
+	return reason + ": " + text
+}
+
 // refused returns the result of a request that no target received.
 func refused(reason string, after time.Duration) result {
 	return result{outcome: notRun, reason: reason, retryAfter: after}
--- a/router/relay/request_test.go
+++ b/router/relay/request_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"errors"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
@@ -22,3 +24,13 @@
 	is.True(got.reached)
 	is.Equal(*got.load, *sent.load)
 }
+
+// Guards against an answer of a target that is not HTTP and fills the logs, and the result
+// for another process, with its bytes.
+func TestLongCauseIsCut(t *testing.T) {
+	is := is.New(t)
+	reason := withCause(reasonAnswerBroken, errors.New(strings.Repeat("é", 60_000)))
+	is.True(len(reason) < 300)
+	is.True(utf8.ValidString(reason))
+	is.Equal(withCause("peer", errors.New("closed")), "peer: closed")
+}
