--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bramleyquay.example/coord/fleet"
-	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/fleetnode"
 	"bramleyquay.example/router/leaderclient"
@@ -16,30 +15,6 @@
 	"bramleyquay.example/router/timesource"
 )
 
-// Config configures an Agent.
-type Config struct {
-	// Process is the peer address of the process.
-	Process    string
-	DataCentre string
-	// Service and Address are the service and the address of the process's
-	// target.
-	Service, Address string
-	// AnnounceInterval is the usual time between two announcements of the
-	// target.
-	AnnounceInterval time.Duration
-	// Grant configures the grants in the answers to the target's announcements.
-	Grant grant.Config
-	// Request, if set, is used instead: ranges are granted by calls to the target.
-	Request *RequestConfig
-}
-
-// RequestConfig configures grants by calls to the target.
-type RequestConfig struct {
-	Grant grant.RequestConfig
-	// Caller sends the calls.
-	Caller GrantCaller
-}
-
 const (
 	// renewInterval is the time between two renewals. Several renewals may fail
 	// before a lease of some seconds ends.
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -5,9 +5,7 @@
 	"context"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,45 +53,6 @@
 	cancelRun context.CancelFunc
 }
 
-// memoryLimitShare is the share of the memory limit that is set as the soft
-// limit of the Go runtime. The rest is for stacks and unread bytes in
-// socket buffers.
-const memoryLimitShare = 0.7
-
-const (
-	// requestMemoryShare is the share of the memory limit for requests and their
-	// responses, callMemoryShare that for messages and the bodies of calls, and
-	// connMemoryShare that for the connections of calls. The Go runtime needs the
-	// rest of memoryLimitShare for the state of the process and for memory that has
-	// been used and is not collected yet.
-	requestMemoryShare = 0.25
-	callMemoryShare    = 0.15
-	connMemoryShare    = 0.1
-	// defaultMemoryBytes is the memory limit from which the shares are taken if none is
-	// set.
-	defaultMemoryBytes = 2 << 30
-)
-
-// openMemory sets the memory limit of the Go runtime and of requests and calls.
-func (d *Daemon) openMemory() {
-	limit := d.cfg.MemoryBytes
-	if limit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(limit)))
-	} else {
-		limit = defaultMemoryBytes
-	}
-	d.requestMemory = memory.NewPool(int64(requestMemoryShare * float64(limit)))
-	d.callMemory = memory.NewPool(int64(callMemoryShare * float64(limit)))
-	d.connMemory = memory.NewPool(int64(connMemoryShare * float64(limit)))
-	for name, p := range map[string]*memory.Pool{"requests": d.requestMemory, "calls": d.callMemory, "connections": d.connMemory} {
-		metrics.GetOrCreateGauge(`bramleyquay_memory_used_bytes{of="`+name+`"}`, func() float64 { return float64(p.Used()) })
-		metrics.GetOrCreateGauge(`bramleyquay_memory_refused{of="`+name+`"}`, func() float64 { return float64(p.Refused()) })
-	}
-}
-
-// CallMemory returns the memory that calls of targets and operators share.
-func (d *Daemon) CallMemory() *memory.Pool { return d.callMemory }
-
 // New opens the listeners and the data directory. It returns an error if the
 // configuration is invalid or something cannot be opened, and blocks while the
 // disk of a control replica is full. After an error the process must end,
@@ -318,47 +277,3 @@
 		d.log.Error().Str("address", d.cfg.Metrics).Err(err).Msg("metrics are not served")
 	}
 }
-
-const (
-	// drainPeriod is the time for which a stopping process still accepts
-	// requests from callers that have not noticed the stop. Requests accepted
-	// later might not be answered before the process ends.
-	drainPeriod = 2200 * time.Millisecond
-	// shutdownReserve is the part of StopTimeout that remains for the end of the
-	// process after all requests were answered or aborted.
-	shutdownReserve = 900 * time.Millisecond
-)
-
-// stop starts a transfer of leadership. A sidecar process then reports to
-// control and to callers that it stops, accepts requests for drainPeriod and
-// waits for those in progress, all until shutdownReserve before the end of
-// StopTimeout.
-func (d *Daemon) stop() {
-	d.stopping.Store(true)
-	d.log.Info().Dur("timeout", d.cfg.StopTimeout).Msg("stop requested")
-	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.StopTimeout-shutdownReserve)
-	defer cancel()
-	if d.replica != nil {
-		if err := d.replica.Transfer(ctx); err != nil {
-			d.log.Warn().Err(err).Msg("leadership was not transferred")
-		}
-	}
-	if d.agent == nil {
-		return
-	}
-	d.agent.Leave()
-	d.callerServer.Drain()
-	d.gateServer.Drain()
-	select {
-	case <-time.After(drainPeriod):
-	case <-ctx.Done():
-	}
-	d.log.Info().Int("callers", d.callerServer.InFlight()).Int("peers", d.gateServer.InFlight()).Msg("no more requests are accepted")
-	var shutdowns sync.WaitGroup
-	shutdowns.Go(func() { d.callerServer.Shutdown(ctx) })
-	shutdowns.Go(func() { d.gateServer.Shutdown(ctx) })
-	shutdowns.Wait()
-	if left := d.callerServer.InFlight() + d.gateServer.InFlight(); left > 0 {
-		d.log.Warn().Int("requests", left).Dur("timeout", d.cfg.StopTimeout).Msg("stop timeout is over; requests in progress are aborted")
-	}
-}
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -53,13 +53,6 @@
 	Accepted bool `json:"accepted,omitempty"`
 }
 
-// DrainsReply is the newest drain state, confirmed by the leader.
-type DrainsReply struct {
-	// Revision is the base of a fleet.SetDrain.
-	Revision uint64   `json:"revision"`
-	Drained  []string `json:"drained"`
-}
-
 // ProposeRequest contains an operator's command; one of its fields is set.
 type ProposeRequest struct {
 	ApplyDocument *fleet.ApplyDocument `json:"applyDocument,omitempty"`
@@ -125,34 +118,6 @@
 	return out, err
 }
 
-// AllowRequest asks the leader to no longer refuse a request that has ended targets.
-// Without a base it only asks for the current one.
-type AllowRequest struct {
-	Fingerprint quarantine.Fingerprint `json:"request"`
-	Base        *fleet.AllowBase       `json:"base,omitempty"`
-}
-
-// AllowReply says whether the order was carried out and whether the request was watched
-// or refused. Base is the current one.
-type AllowReply struct {
-	Done      bool            `json:"done"`
-	Suspected bool            `json:"suspected"`
-	Base      fleet.AllowBase `json:"base"`
-}
-
-func (r *Replica) allow(ctx context.Context, request AllowRequest) (AllowReply, error) {
-	var reply AllowReply
-	err := r.doAsLeader(ctx, func() error {
-		if request.Base != nil {
-			reply.Suspected, reply.Done = r.leader.AllowRequest(timesource.BootTime(), request.Fingerprint, *request.Base)
-			r.log.Info().Str("fingerprint", request.Fingerprint.String()).Bool("suspected", reply.Suspected).Bool("done", reply.Done).Msg("operator allows a request")
-		}
-		reply.Base = r.leader.AllowBase()
-		return nil
-	})
-	return reply, err
-}
-
 // step queues a message of another replica and does not wait for its processing.
 func (r *Replica) step(_ context.Context, m raft.Message) (struct{}, error) {
 	r.tasks.Post(func() { r.receive(m) }) // if the queue is full, the sender retries
@@ -251,16 +216,6 @@
 	return reply, err
 }
 
-// drains returns the newest drain state.
-func (r *Replica) drains(ctx context.Context, _ struct{}) (DrainsReply, error) {
-	var reply DrainsReply
-	err := r.doAsLeader(ctx, func() error {
-		reply = DrainsReply{Revision: r.state.Revisions().Drain, Drained: r.state.Drained()}
-		return nil
-	})
-	return reply, err
-}
-
 // LatestDocument returns the newest document, confirmed by the leader, and
 // whether the change changeID was accepted before. The leader sends the text
 // only if this replica does not have that version. It blocks until the leader
