Apply an abandoned deregister to targets that it must mean

A deregister whose sender had gone was ignored, so that a target that stops while its process is frozen went on getting requests. It is ambiguous only for an incarnation that has just started: a notice that may have waited for up to 30 s counts for those that started before. The decision is in fleet.Departures.

--- a/coord/fleet/departures.go
+++ b/coord/fleet/departures.go
@@ -1,5 +1,9 @@
 package fleet
 
+// maxNoticeAge is the longest time, in milliseconds, for which a notice may be on its way
+// or wait at a frozen process.
+const maxNoticeAge = 30_000
+
 // maxDepartures bounds the notices that are retained. A process has one target at a time,
 // so more are only of earlier ones.
 const maxDepartures = 8
@@ -16,15 +20,29 @@
 	last   int64
 }
 
-// Record retains the notice of a target. incarnation is the start of the target in Unix
-// milliseconds, or zero if the notice does not say it; then the notice counts for those
-// that started by nowMs.
-func (d *Departures) Record(target string, incarnation, nowMs int64) {
-	last := incarnation
-	if last == 0 {
-		last = nowMs
+// Notice says that a target stops. Times are in Unix milliseconds.
+type Notice struct {
+	Target string
+	// Incarnation is the start of the target, or zero if the notice does not say it.
+	Incarnation int64
+	// Arrived is the time at which the process has read the notice.
+	Arrived int64
+	// Abandoned says that the sender no longer waits for the answer: the notice may be
+	// old, and of an earlier incarnation if it does not name one.
+	Abandoned bool
+}
+
+// Record retains a notice. One that names no incarnation counts for those that had started
+// when it was sent.
+func (d *Departures) Record(n Notice) {
+	last := n.Arrived
+	switch {
+	case n.Incarnation != 0:
+		last = n.Incarnation
+	case n.Abandoned:
+		last -= maxNoticeAge
 	}
-	d.notices = append(d.notices, departure{target: target, last: last})
+	d.notices = append(d.notices, departure{target: n.Target, last: last})
 	if len(d.notices) > maxDepartures {
 		d.notices = d.notices[1:]
 	}
--- a/router/fleetagent/leaving.go
+++ b/router/fleetagent/leaving.go
@@ -1,26 +1,30 @@
 package fleetagent
 
 import (
+	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/timesource"
 )
 
-// TargetLeaving records that the target id has announced that it stops. The target
-// finishes the requests that it has and counts as draining, also if its first
-// announcement arrives later. incarnation is its start in Unix milliseconds, or zero if
-// the notice does not say it.
-func (a *Agent) TargetLeaving(id string, incarnation int64) {
+// TargetLeaving records that a target has announced that it stops. The target finishes
+// the requests that it has and counts as draining, also if its first announcement arrives
+// later. Arrived of the notice is set by TargetLeaving.
+func (a *Agent) TargetLeaving(n fleet.Notice) {
+	n.Arrived = timesource.Now().Wall.Milliseconds()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.departures.Record(id, incarnation, timesource.Now().Wall.Milliseconds())
+	a.departures.Record(n)
 	t := &a.target
+	// The clock of the target may be ahead.
+	current := n.Incarnation == 0 && !n.Abandoned
 	switch {
-	case t.id == id && (incarnation == 0 || a.departures.Includes(id, t.incarnation)):
+	case t.id == n.Target && (current || a.departures.Includes(n.Target, t.incarnation)):
 		a.setLeaving("announced")
-	case t.id == id:
-		a.log.Info().Str("target", id).Int64("life", incarnation).Int64("newestLife", t.incarnation).Msg("notice ignored: it is of an earlier incarnation")
+	case t.id == n.Target:
+		a.log.Warn().Str("target", n.Target).Int64("life", n.Incarnation).Int64("newestLife", t.incarnation).Bool("abandoned", n.Abandoned).
+			Msg("notice ignored: it may be of an earlier incarnation")
 	default:
-		a.log.Info().Str("target", id).Int64("life", incarnation).Msg("target that has not announced itself is leaving")
+		a.log.Info().Str("target", n.Target).Int64("life", n.Incarnation).Msg("target that has not announced itself is leaving")
 	}
 }
 
--- a/router/fleetagent/leaving_test.go
+++ b/router/fleetagent/leaving_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/fleet"
 )
 
 // Guards against a target that has announced that it stops and gets requests again: its
@@ -14,7 +16,7 @@
 	is := is.New(t)
 	a := testAgent()
 	born := time.Now().Add(-time.Minute).UnixMilli()
-	a.TargetLeaving("t", 0)
+	a.TargetLeaving(fleet.Notice{Target: "t"})
 	_, result := a.Announce(announcement("t", born, 7))
 	is.Equal(result, AnnounceAccepted)
 	at, known := a.Target()
@@ -31,10 +33,19 @@
 	is := is.New(t)
 	a := testAgent()
 	a.Announce(announcement("t", 20, 1))
-	a.TargetLeaving("t", 10)
+	a.TargetLeaving(fleet.Notice{Target: "t", Incarnation: 10})
 	at, _ := a.Target()
 	is.True(at.Accepts)
-	a.TargetLeaving("t", 20)
+	a.TargetLeaving(fleet.Notice{Target: "t", Incarnation: 20})
+	at, _ = a.Target()
+	is.True(!at.Accepts)
+	// Without an incarnation and with nobody who waits for the answer, it may be old.
+	born := time.Now().UnixMilli()
+	a.Announce(announcement("t", born, 1))
+	a.TargetLeaving(fleet.Notice{Target: "t", Abandoned: true})
+	at, _ = a.Target()
+	is.True(at.Accepts)
+	a.TargetLeaving(fleet.Notice{Target: "t"})
 	at, _ = a.Target()
 	is.True(!at.Accepts)
 }
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/callconn"
@@ -144,6 +145,6 @@
 		Incarnation int64  `json:"life"`
 	}
 	if d.decodeBody(w, r, &a) {
-		d.agent.TargetLeaving(a.ID, a.Incarnation)
+		d.agent.TargetLeaving(fleet.Notice{Target: a.ID, Incarnation: a.Incarnation, Abandoned: !callconn.IsWaiting(r.Context())})
 	}
 }
