--- a/router/harness/fleet.go
+++ b/router/harness/fleet.go
@@ -52,6 +52,8 @@
 	// LateGrants is applied late and gets no answer.
 	GrantsByRequest bool
 	LateGrants      float64
+	// LateCopies is the share of the targets' answers that are sent a second time.
+	LateCopies float64
 	// ServiceTime is the mean service time of a request.
 	ServiceTime time.Duration
 }
@@ -200,6 +202,9 @@
 	if f.Layout.GrantsByRequest {
 		args = append(args, "--grants-by-request", fmt.Sprintf("--late-grants=%g", f.Layout.LateGrants))
 	}
+	if f.Layout.LateCopies > 0 {
+		args = append(args, fmt.Sprintf("--late-copies=%g", f.Layout.LateCopies))
+	}
 	n.Target = newProcess("target-"+n.Name, f.Layout.Folder, f.Layout.Standin, args...)
 }
 
--- a/router/rangetarget/config.go
+++ b/router/rangetarget/config.go
@@ -21,6 +21,7 @@
 	// process.
 	GrantsByRequest bool    `help:"Take grants by calls instead of the answers to announcements."`
 	LateGrants      float64 `help:"Share of the grants by calls that are applied late and get no answer."`
+	LateCopies      float64 `help:"Share of the answers that are sent a second time, late."`
 	// Interval is the time between two announcements.
 	Interval time.Duration `default:"300ms" help:"Time between two announcements."`
 	Slots    int           `default:"8" help:"Requests that the target runs at once."`
--- a/router/rangetarget/target.go
+++ b/router/rangetarget/target.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(t.serve), IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(l) }() // ends with the process
+	go func() { _ = server.Serve(copyingListener{l, cfg.LateCopies}) }() // ends with the process
 	sigterm, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer cancel()
 	t.announceUntil(sigterm, func() bool { return false })
--- a/router/soak/cluster_test.go
+++ b/router/soak/cluster_test.go
@@ -25,6 +25,8 @@
 	serviceTime     = 8 * time.Millisecond
 	// lateGrants is the share of the grants by calls that targets apply late.
 	lateGrants = 0.05
+	// lateCopies is the share of the targets' answers that are sent a second time.
+	lateCopies = 0.02
 	// recoveryTimeout bounds the time until all keys are served, after the start and
 	// after the last fault: a lease, an election and the longest retry back-off.
 	recoveryTimeout = 20 * time.Second
@@ -47,7 +49,7 @@
 		Replicas: 3, ToleratedFailures: 1,
 		MemberServices: []string{"seats", "seats", "seats", "mail", "mail"}, KeyedServices: []string{"seats"},
 		AnnounceInterval: announceInterval, MaxGrantTime: maxGrantTime, ShutdownTimeout: shutdownTimeout, ServiceTime: serviceTime,
-		GrantsByRequest: grantsByRequest, LateGrants: lateGrants,
+		GrantsByRequest: grantsByRequest, LateGrants: lateGrants, LateCopies: lateCopies,
 	})
 	if err != nil {
 		t.Fatal(err)
