Compute the memory of an exchange once, and drop a copy and an unused field

Read again before the landing: Client.Do walked the header twice for the same number, the text of Retry-After was written in two places, the condition for a long body stood twice, and the leader sent a list of drained data centres that nobody read. No behaviour changes but for that field.

--- a/router/fleetnode/drains.go
+++ b/router/fleetnode/drains.go
@@ -2,18 +2,17 @@
 
 import "context"
 
-// DrainsReply is the newest drain state, confirmed by the leader.
+// DrainsReply has the current drain revision, confirmed by the leader: the base of a
+// fleet.SetDrain.
 type DrainsReply struct {
-	// Revision is the base of a fleet.SetDrain.
-	Revision uint64   `json:"revision"`
-	Drained  []string `json:"drained"`
+	Revision uint64 `json:"revision"`
 }
 
-// drains returns the newest drain state.
+// drains returns the current drain revision.
 func (r *Replica) drains(ctx context.Context, _ struct{}) (DrainsReply, error) {
 	var reply DrainsReply
 	err := r.doAsLeader(ctx, func() error {
-		reply = DrainsReply{Revision: r.state.Revisions().Drain, Drained: r.state.Drained()}
+		reply = DrainsReply{Revision: r.state.Revisions().Drain}
 		return nil
 	})
 	return reply, err
--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -149,10 +149,11 @@
 // its work. The error is a *NotSentError if the request did not run, and an
 // *IncompleteResponseError if it may have run.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	if err := r.Memory.Grow(r.exchangeBytes()); err != nil {
+	size := r.exchangeBytes()
+	if err := r.Memory.Grow(size); err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	defer r.Memory.Shrink(r.exchangeBytes())
+	defer r.Memory.Shrink(size)
 	if err := c.begin(); err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -167,7 +168,8 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err, Refused: isRefused(err)}
 	}
-	if c.cfg.StallTimeout > 0 && r.hasLongBody() {
+	mayStall := c.cfg.StallTimeout > 0 && r.hasLongBody()
+	if mayStall {
 		if err := netopt.SetUserTimeout(pc.raw, c.cfg.StallTimeout); err != nil {
 			_ = pc.raw.Close() // nothing was sent on it
 			return nil, &NotSentError{Cause: err}
@@ -182,7 +184,7 @@
 			err = context.Cause(ctx)
 		}
 	}
-	if c.cfg.StallTimeout > 0 && r.hasLongBody() {
+	if mayStall {
 		reuse = reuse && netopt.SetUserTimeout(pc.raw, netopt.UserTimeout) == nil
 	}
 	if err != nil || !reuse {
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -50,10 +50,15 @@
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
-	resp.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	setRetryAfter(resp, after)
 	return resp
 }
 
+// setRetryAfter advises the caller to retry after a time.
+func setRetryAfter(resp *httpserver.Response, after time.Duration) {
+	resp.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
 // failure returns a response with the reason of the last try.
 func (in *Ingress) failure(st *requestState, status int) *httpserver.Response {
 	resp := httpserver.TextResponse(status, st.last.reason)
--- a/router/relay/refusal.go
+++ b/router/relay/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 
 	"bramleyquay.example/coord/balancer"
 	"bramleyquay.example/router/httpserver"
@@ -11,7 +10,7 @@
 // RefuseCaller returns the response to a caller's request for which there is no memory.
 func RefuseCaller(*httpserver.Request) *httpserver.Response {
 	resp := httpserver.TextResponse(http.StatusServiceUnavailable, reasonNoMemory)
-	resp.Header.Set("Retry-After", strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', 3, 64))
+	setRetryAfter(resp, defaultRetryAfter)
 	return resp
 }
 
