--- a/coord/routes/document.go
+++ b/coord/routes/document.go
@@ -32,6 +32,8 @@
 	Limits   Limits    `json:"limits" cbor:"2,keyasint"`
 	Routes   []Route   `json:"routes" cbor:"3,keyasint"`
 	Services []Service `json:"services" cbor:"4,keyasint"`
+	// Accounts are the client accounts. Without any, requests need no key.
+	Accounts []Account `json:"accounts,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Limits bound what callers may send. Zero selects the default of the process.
@@ -66,6 +68,8 @@
 	Attempts int `json:"attempts" cbor:"8,keyasint"`
 	// Destinations are the services that the requests are divided among.
 	Destinations []WeightedService `json:"parts" cbor:"9,keyasint"`
+	// Public routes need no key. It has no meaning without accounts.
+	Public bool `json:"public,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // WeightedService is a service that gets a fraction of a route's requests.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -27,6 +27,8 @@
 	key     uint16
 	// caller is the service whose sidecar accepted the request.
 	caller string
+	// account is the name of the client account, empty without one.
+	account string
 	// objective is the end of the latency objective; deadline is when the caller
 	// stops waiting.
 	objective, deadline time.Time
