Send requests to other data centres while the targets in the same one are full

Seen: on a loaded deployment targets of a service in one data centre ran at 0.63 of their slots while 34,000 and 33,000 tries were refused for lack of a slot in the two others, within 16 s; calls of running requests ended at their deadline there.

Cause: a request tries up to four targets without waiting, those in its data centre first, and queues at one of the four. With seven or more targets there it never reaches another data centre. Reports and refusals of single targets are forgotten after 100 ms, less than the time between two requests of a process to one target.

Change: the balancer keeps the shares of recent tries that were refused, in its data centre and in the others. As many requests go to others first as keep them equal, up to a tolerance of 0.25.

--- a/coord/balancer/balancer.go
+++ b/coord/balancer/balancer.go
@@ -24,6 +24,7 @@
 	picks    uint64 // calls of Pick, PickWithoutProbe and Order
 	ejection bool
 	counters Counters
+	room     room
 }
 
 // Indexes of the latency quantiles, and the quantiles in percent.
@@ -106,6 +107,9 @@
 	if r.Kind == Refused {
 		s.recordRefusal(now, b.config.ReportAge)
 	}
+	if r.NoWait && r.Kind != Cancelled {
+		b.room.record(now.Mono, b.sameDataCentre(s), r.Kind == Refused)
+	}
 	switch {
 	case r.Kind != Refused && slowLatency > 0 && r.Latency > verySlowFactor*slowLatency:
 		s.suspect.addEvidence(2, b.config.SuspectThreshold)
--- a/coord/balancer/order.go
+++ b/coord/balancer/order.go
@@ -11,7 +11,9 @@
 // Order returns the eligible targets in the order in which a request tries them
 // for a free slot: first those in the same data centre, because answers from
 // another one cost network traffic, then the others, then suspects, each group
-// by expected delay. A suspect that is due for a probe comes first. Load reports
+// by expected delay. While tries in the same data centre are refused more often, the
+// others come first for a part of the requests. A suspect that is due for a probe
+// comes first. Load reports
 // from other data centres arrive late; trying targets in turn finds a free slot
 // without them.
 //
@@ -26,6 +28,7 @@
 	}
 	var list []entry
 	probe := false
+	farFirst := b.room.farFirst(now.Mono, len(exclude) > 0, b.random.Float64())
 	for _, i := range b.random.Perm(len(b.targets)) {
 		s := b.targets[i]
 		slowLatency := b.slowLatency(s)
@@ -40,6 +43,8 @@
 			probe, e.tier = true, probeTier
 		case s.suspect.active && b.ejection:
 			e.tier = suspectTier
+		case b.sameDataCentre(s) && farFirst:
+			e.tier = busyTier
 		case b.sameDataCentre(s):
 			e.tier = nearTier
 		}
@@ -60,5 +65,6 @@
 	probeTier = iota
 	nearTier
 	farTier
+	busyTier // in the same data centre, without room
 	suspectTier
 )
--- a/coord/balancer/selector.go
+++ b/coord/balancer/selector.go
@@ -54,6 +54,8 @@
 	// Load is the gate's report, or nil if the answer had none. It may be late or
 	// wrong.
 	Load *GateLoad
+	// NoWait says that the request was to start at once or to be refused.
+	NoWait bool
 }
 
 // Selector selects the target of each request. Its methods do not block.
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -138,7 +138,7 @@
 	if c == nil {
 		return
 	}
-	r := balancer.Result{Latency: took, Kind: balancer.OK, Load: st.last.load}
+	r := balancer.Result{Latency: took, Kind: balancer.OK, Load: st.last.load, NoWait: st.request.noWait}
 	switch {
 	case st.last.outcome == notRun:
 		r.Kind = balancer.Refused
