End the search for a free slot where it takes longer than the wait

Seen: on a loaded deployment calls with a service time of 59 ms took 369 ms at the median: four tries without waiting, each refused after 37 ms on links that bodies of 60 KB fill, and then a wait of 27 ms.

Cause: each request tried four targets without waiting, whatever a try costs and how rarely it found a slot (1 in 10).

Change: after a refusal the next try without waiting is made only if the share of tries that find a slot times the expected wait exceeds the time of a try.

TestWorthTrying failed with the check replaced by true.

--- a/coord/balancer/balancer.go
+++ b/coord/balancer/balancer.go
@@ -108,7 +108,7 @@
 		s.recordRefusal(now, b.config.ReportAge)
 	}
 	if r.NoWait && r.Kind != Cancelled {
-		b.room.record(now.Mono, b.sameDataCentre(s), r.Kind == Refused)
+		b.room.record(now.Mono, b.sameDataCentre(s), r.Kind == Refused, r.Latency)
 	}
 	switch {
 	case r.Kind != Refused && slowLatency > 0 && r.Latency > verySlowFactor*slowLatency:
--- a/coord/balancer/room.go
+++ b/coord/balancer/room.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"bramleyquay.example/coord/clock"
 )
 
 // room estimates whether targets have free slots, in this data centre and in the
@@ -12,6 +14,8 @@
 // together show sooner that a data centre has no room.
 type room struct {
 	near, far refusalShare
+	// roundTrip is the moving mean of the time from a try to its refusal.
+	roundTrip time.Duration
 }
 
 const (
@@ -24,6 +28,8 @@
 	// request goes to another one first: answers that cross cost network traffic and
 	// a longer round trip.
 	nearTolerance = 0.25
+	// roundTripWeight is the weight of the newest round trip in the moving mean.
+	roundTripWeight = 0.1
 )
 
 // refusalShare is the share of recent tries that were refused.
@@ -54,8 +60,12 @@
 	return s.refused / max(s.tries, minRoomTries)
 }
 
-// record counts a try that started at once or was refused.
-func (r *room) record(now time.Duration, near, refused bool) {
+// record counts a try that started at once or was refused. took is the time until its
+// end.
+func (r *room) record(now time.Duration, near, refused bool, took time.Duration) {
+	if refused {
+		r.roundTrip += time.Duration(roundTripWeight * float64(took-r.roundTrip))
+	}
 	if near {
 		r.near.record(now, refused)
 	} else {
@@ -80,3 +90,18 @@
 	}
 	return draw < (excess-nearTolerance)/(1-nearTolerance)
 }
+
+// worthTrying reports whether another try without waiting is expected to save time, for
+// a request that would wait for a slot where it was refused. On busy links a round trip
+// can take longer than the wait.
+func (r *room) worthTrying(now, wait time.Duration) bool {
+	found := 1 - min(r.near.share(now), r.far.share(now))
+	return found*float64(wait) > float64(r.roundTrip)
+}
+
+// WorthTrying reports whether a request that was refused for lack of a slot should try
+// another target without waiting, rather than wait at one of those that refused it. wait
+// is the expected wait there.
+func (b *Balancer) WorthTrying(now clock.Reading, wait time.Duration) bool {
+	return b.room.worthTrying(now.Mono, wait)
+}
--- a/coord/balancer/room_test.go
+++ b/coord/balancer/room_test.go
@@ -113,3 +113,29 @@
 	return last
 }
 func (q *eventQueue) add(at time.Duration, run func(time.Duration)) { heap.Push(q, event{at, run}) }
+
+// Guards against tries that find no free slot and take longer than the wait that they
+// are to save, as on links that bodies fill.
+func TestWorthTrying(t *testing.T) {
+	is := is.New(t)
+	b := balancer.New(balancer.Config{DataCentre: "a"}, rand.New(rand.NewPCG(1, 1)))
+	b.SetTargets(clock.At(0), []balancer.Target{{ID: "near", DataCentre: "a", Slots: 4}, {ID: "far", DataCentre: "b", Slots: 4}})
+	now := clock.At(time.Second)
+	is.True(b.WorthTrying(now, 50*time.Millisecond)) // nothing is known
+	try := func(kind balancer.ResultKind, took time.Duration) {
+		for range 50 {
+			for _, id := range []table.MemberID{"near", "far"} {
+				b.Started(now, id)
+				b.Finished(now, id, balancer.Result{Kind: kind, Latency: took, NoWait: true})
+			}
+		}
+	}
+	try(balancer.Refused, 40*time.Millisecond)
+	is.True(!b.WorthTrying(now, 50*time.Millisecond))
+	is.True(!b.WorthTrying(now, 10*time.Second)) // no slot is found
+	now = clock.At(8 * time.Second)              // the tries are forgotten
+	is.True(b.WorthTrying(now, 50*time.Millisecond))
+	is.True(!b.WorthTrying(now, 30*time.Millisecond)) // shorter than a round trip
+	try(balancer.OK, 40*time.Millisecond)
+	is.True(b.WorthTrying(now, 50*time.Millisecond))
+}
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"bramleyquay.example/coord/balancer"
+	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/table"
@@ -58,8 +60,8 @@
 }
 
 // pickTarget returns the process of the next target to try. The first
-// maxNoWaitTargets targets are tried without waiting; if none can start the request
-// at once, it queues at the target with the shortest expected wait, then at the
+// maxNoWaitTargets targets are tried without waiting, as long as that is expected to
+// save time; if none can start the request at once, it queues at the target with the shortest expected wait, then at the
 // next one. pickTarget returns false if no target is left; in the first try it then
 // sets st.last to the refusal.
 func (in *Ingress) pickTarget(_ context.Context, st *requestState) (string, bool) {
@@ -69,7 +71,7 @@
 	defer in.mu.Unlock()
 	c := in.balancerFor(st.request.service, st.view)
 	now := timesource.Now()
-	if len(st.exclude) < maxNoWaitTargets {
+	if len(st.exclude) < maxNoWaitTargets && st.searches(c.balancer, now) {
 		for _, id := range c.balancer.Order(now, st.exclude...) {
 			st.exclude = append(st.exclude, id)
 			if !in.peers.isAvoided(string(id)) {
@@ -106,6 +108,16 @@
 	}
 }
 
+// searches reports whether the request tries another target without waiting. After a
+// refusal for lack of a slot that depends on what the tries cost and find.
+func (st *requestState) searches(b *balancer.Balancer, now clock.Reading) bool {
+	if len(st.busyTargets) == 0 {
+		return true
+	}
+	shortest := slices.MinFunc(st.busyTargets, func(x, y busyTarget) int { return cmp.Compare(x.wait, y.wait) })
+	return b.WorthTrying(now, shortest.wait)
+}
+
 // takeShortestWait removes and returns the busy target with the shortest expected
 // wait. It returns false if there is none.
 func (st *requestState) takeShortestWait() (string, bool) {
