End pending requests before a planned stop closes their connections

Cause: responses are written in the order of the requests. A process that stops waited for the requests in progress until 0.9 s before the end of StopTimeout (5.1 s after SIGTERM with 6 s) and then ended with what was left. A request that was still running then got no response, and neither did the requests behind it on its connection, also those whose runs had ended long before. Callers saw the connection close without an answer about 5 s after the signal.

Change: at the last sixth of StopTimeout Server.EndRequests cancels the contexts of all requests with the cause ErrStopping. Handlers then return what is true: 503 if the request has run nowhere, else 502. So each response can be written, with Connection: close in the last one; 0.4 s remain for that with 6 s, and 0.6 s for the end of the process. The cause is not taken for a caller that has left, and says nothing about the target.

Ruled out: refusing earlier, since targets work on requests until the last sixth, and answering out of order.

Tests: TestPipelineBehindSlowRequestInStop and TestQueuedRequestsInStop (fleetdaemon) failed before at their read deadline at the end of StopTimeout (3 s): no answer of the connection had arrived.

--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -79,10 +79,12 @@
 	lease   fleetdaemon.LeaseConfig
 	// memory is the memory limit of the sidecar processes, in bytes. Zero sets none.
 	memory int64
+	// stopTimeout is the grace time of the sidecar processes.
+	stopTimeout time.Duration
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, lease: fleetdaemon.LeaseConfig{AnnounceInterval: 100 * time.Millisecond, MaxHold: 10 * time.Second}}
+	c := &cluster{t: t, stopTimeout: 8 * time.Second, lease: fleetdaemon.LeaseConfig{AnnounceInterval: 100 * time.Millisecond, MaxHold: 10 * time.Second}}
 	peer := freeAddress(t)
 	c.control = start(t, fleetdaemon.Config{
 		Cluster: "test", Peer: peer, TrustNetwork: true, Seeds: []string{peer}, StopTimeout: time.Second, Lease: c.lease,
@@ -145,7 +147,7 @@
 	memberAddresses.Unlock()
 	member.process = start(c.t, fleetdaemon.Config{
 		Cluster: "test", Peer: net.JoinHostPort(ip, portOf(freeAddress(c.t))), TrustNetwork: true,
-		Seeds: []string{c.control.cfg.Peer}, StopTimeout: 8 * time.Second, Lease: c.lease, MemoryBytes: c.memory,
+		Seeds: []string{c.control.cfg.Peer}, StopTimeout: c.stopTimeout, Lease: c.lease, MemoryBytes: c.memory,
 		Sidecar: &fleetdaemon.Sidecar{
 			DataCentre: "dc-" + name, Caller: freeAddress(c.t), Gate: net.JoinHostPort(ip, port),
 			Target: member.server.Listener.Addr().String(), Service: service, HeaderNames: headerNames,
--- a/router/fleetdaemon/config.go
+++ b/router/fleetdaemon/config.go
@@ -38,9 +38,9 @@
 	// Metrics is the address on which metrics are served. If it is empty, they
 	// are not served.
 	Metrics string
-	// StopTimeout is the time limit of a planned stop. With less than drainPeriod
-	// plus shutdownReserve a sidecar process stops accepting requests sooner;
-	// with less than shutdownReserve it aborts the requests in progress.
+	// StopTimeout is the time limit of a planned stop (the grace time). Requests in
+	// progress are ended at its last sixth. If that begins before the end of
+	// drainPeriod, a sidecar process stops accepting requests sooner.
 	StopTimeout time.Duration
 	// MemoryBytes is the memory limit of the process. The garbage collector is
 	// set to stay below it, and requests, responses and messages share parts of it.
--- /dev/null
+++ b/router/fleetdaemon/stop_test.go
@@ -0,0 +1,161 @@
+package fleetdaemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// stopTimeout is the grace time of the processes that these tests stop.
+	stopTimeout = 3 * time.Second
+	// stopTolerance covers the delays of a busy machine.
+	stopTolerance = 700 * time.Millisecond
+)
+
+// startStopCluster starts a cluster with two targets of a service, where each request to
+// a path with "slow" outlasts the stop of its process and one with "medium" does not.
+func startStopCluster(t *testing.T) [2]*target {
+	t.Helper()
+	c := newCluster(t)
+	c.stopTimeout = stopTimeout
+	c.apply(document(1))
+	p := [2]*target{c.addMember("p1", "plain"), c.addMember("p2", "plain")}
+	await(t, "service", func() bool {
+		status, _, _ := p[0].call("GET", "/safe/x", "w", nil)
+		return status == 200 && len(p[0].Agent().View().Members) == 2
+	})
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	for _, m := range p {
+		m.behave = func(_ http.ResponseWriter, r *http.Request) bool {
+			wait := map[string]time.Duration{"/safe/slow": 2 * stopTimeout, "/safe/medium": 1500 * time.Millisecond}[r.URL.Path]
+			select {
+			case <-time.After(wait):
+			case <-ended:
+			}
+			return false
+		}
+	}
+	return p
+}
+
+// pipeline is a caller's connection on which requests follow each other without waiting.
+type pipeline struct {
+	conn net.Conn
+	sent int
+}
+
+func (t *target) openPipeline(test *testing.T) *pipeline {
+	test.Helper()
+	c, err := net.Dial("tcp", t.cfg.Sidecar.Caller)
+	if err != nil {
+		test.Fatal(err)
+	}
+	test.Cleanup(func() { _ = c.Close() }) // the test has read what it needs
+	return &pipeline{conn: c}
+}
+
+func (p *pipeline) send(kinds ...string) error {
+	text := ""
+	for _, k := range kinds {
+		text += fmt.Sprintf("GET /safe/%s HTTP/1.1\r\nHost: h\r\nX-Id: %s-%d\r\nX-Deadline-Ms: 20000\r\n\r\n", k, p.conn.LocalAddr(), p.sent)
+		p.sent++
+	}
+	_, err := io.WriteString(p.conn, text)
+	return err
+}
+
+// answers reads until the end of the connection and returns the statuses, the time of
+// the first answer and whether the last one had Connection: close.
+func (p *pipeline) answers() (statuses []int, first time.Time, closes bool, err error) {
+	br := bufio.NewReader(p.conn)
+	for {
+		if _, err := br.Peek(1); err != nil {
+			return statuses, first, closes, err
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return statuses, first, closes, err
+		}
+		if want := fmt.Sprintf("%s-%d", p.conn.LocalAddr(), len(statuses)); resp.Header.Get("X-Id") != want {
+			return statuses, first, closes, fmt.Errorf("answer to %q instead of %q", resp.Header.Get("X-Id"), want)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return statuses, first, closes, err
+		}
+		if len(statuses) == 0 {
+			first = time.Now()
+		}
+		statuses, closes = append(statuses, resp.StatusCode), resp.Close
+	}
+}
+
+// Guards against ready answers that are lost in a planned stop because an earlier request
+// of their connection still runs, against an answer of the process in place of a run that
+// may go on, and against a connection that ends without Connection: close.
+func TestPipelineBehindSlowRequestInStop(t *testing.T) {
+	is := is.New(t)
+	p := startStopCluster(t)
+	behindSlow, behindMedium := p[0].openPipeline(t), p[0].openPipeline(t)
+	is.NoErr(behindSlow.send("slow", "fast", "fast"))
+	is.NoErr(behindMedium.send("medium", "fast"))
+	time.Sleep(300 * time.Millisecond) // the requests are read
+	begun := time.Now()
+	is.NoErr(behindSlow.conn.SetReadDeadline(begun.Add(stopTimeout))) // the process would have ended
+	p[0].stop()
+	is.NoErr(behindSlow.send("fast", "fast"))
+	is.NoErr(behindMedium.send("fast"))
+	statuses, _, closes, err := behindMedium.answers()
+	is.Equal(err, io.EOF)
+	is.Equal(statuses, []int{200, 200, 200})
+	is.True(closes)
+	statuses, first, closes, err := behindSlow.answers()
+	is.Equal(err, io.EOF)
+	is.Equal(statuses, []int{502, 200, 200, 200, 200})
+	is.True(closes)
+	is.True(first.Sub(begun) >= stopTimeout*5/6) // the target works until then
+	is.NoErr(<-p[0].done)
+	is.True(time.Since(begun) < stopTimeout+stopTolerance)
+}
+
+// Guards against requests that wait in queues, of this process or of another one that
+// stops too, and get no answer, and against one that has not run and is not refused.
+func TestQueuedRequestsInStop(t *testing.T) {
+	is := is.New(t)
+	p := startStopCluster(t)
+	var pipelines []*pipeline
+	for range 12 { // more than the slots of both targets
+		pl := p[0].openPipeline(t)
+		is.NoErr(pl.send("slow", "fast"))
+		pipelines = append(pipelines, pl)
+	}
+	time.Sleep(300 * time.Millisecond)
+	begun := time.Now()
+	for _, m := range p {
+		m.stop()
+	}
+	refused := 0
+	for _, pl := range pipelines {
+		is.NoErr(pl.conn.SetReadDeadline(begun.Add(stopTimeout)))
+		statuses, _, closes, err := pl.answers()
+		is.Equal(err, io.EOF)
+		is.Equal(len(statuses), 2)
+		is.True(closes)
+		for _, s := range statuses {
+			is.True(slices.Contains([]int{200, 502, 503, 504}, s))
+			if s == 503 {
+				refused++
+			}
+		}
+	}
+	t.Logf("%d requests refused", refused)
+	is.True(refused >= 4) // the slots of both targets are 8
+}
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -91,7 +91,7 @@
 func newConn(s *Server, raw net.Conn, account *memory.Account) *conn {
 	c := &conn{server: s, raw: raw, memory: account, limited: &limitReader{inner: raw}, queue: make(chan exchange, maxPipelined)}
 	c.br = bufio.NewReaderSize(c.limited, readBufferBytes)
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(s.requests)
 	return c
 }
 
--- a/router/httpserver/message.go
+++ b/router/httpserver/message.go
@@ -48,7 +48,7 @@
 
 // Handler answers requests. It is called concurrently, also for requests of the
 // same connection. ctx is cancelled when the caller closes the connection or a
-// response cannot be written. Serve must not return nil and must not panic: unlike
+// response cannot be written, and by Server.EndRequests with the cause ErrStopping. Serve must not return nil and must not panic: unlike
 // net/http the server does not recover, so a panic ends the process.
 type Handler interface {
 	Serve(ctx context.Context, r *Request) *Response
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -24,6 +24,9 @@
 	// returns the response to a request for which there is none.
 	memory  *memory.Pool
 	refusal func(*Request) *Response
+	// requests is the parent of the contexts of all connections.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -37,7 +40,9 @@
 // New returns a server that does not listen yet. limits is called for each request
 // and must be safe for concurrent use.
 func New(h Handler, limits func() Limits, log logging.Logger) *Server {
-	return &Server{handler: h, limits: limits, log: log, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+	s := &Server{handler: h, limits: limits, log: log, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
+	return s
 }
 
 // NewForPeers returns a server like New that hands over requests before their bodies
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -136,7 +136,7 @@
 		}
 	}
 	if ok && ctx.Err() != nil {
-		r, ok = refused(reasonCallerLeft, 0), false
+		r, ok = refused(endReason(ctx), 0), false
 	}
 	if !ok {
 		g.queue.release(id, false, dispatch.Limit{})
@@ -192,7 +192,7 @@
 		case <-time.After(max(wait, 0) + grantSlack):
 			return refused(reasonNotGranted, minRetryAfter), false
 		case <-ctx.Done():
-			return refused(reasonCallerLeft, 0), false
+			return refused(endReason(ctx), 0), false
 		}
 	}
 }
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -96,7 +96,7 @@
 		in.budgets.countRequest(st.request.service, len(st.view.Members))
 		in.run(runCtx, st)
 		cancel()
-		resp = in.answer(st, ctx.Err() != nil)
+		resp = in.answer(st, ctx.Err() != nil && !isStopping(ctx))
 	}
 	in.finish(r, st, resp)
 	return resp
@@ -156,8 +156,7 @@
 
 // run tries targets until shouldRetry allows no further try, no target is left, or
 // ctx ends. st.last is then the result of the last try, or the refusal if no target
-// was found for the first one. If ctx has ended before, run makes no try and
-// st.last stays empty.
+// was found for the first one, or if ctx has ended before.
 func (in *Ingress) run(ctx context.Context, st *requestState) {
 	var pick func(context.Context, *requestState) (string, bool)
 	if st.request.sharded {
@@ -189,6 +188,9 @@
 			return
 		}
 	}
+	if st.picks == 0 {
+		st.last = refused(endReason(ctx), 0)
+	}
 }
 
 // refuseQuarantined ends a request that has ended targets. After an earlier try its
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -43,7 +43,7 @@
 		case <-time.After(wait):
 		case <-ctx.Done():
 			if st.picks == 0 {
-				st.last = refused(reasonCallerLeft, 0)
+				st.last = refused(endReason(ctx), 0)
 			}
 			return "", false
 		}
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -70,7 +70,7 @@
 		delete(w.waiters, id)
 		w.deliver(w.queue.Cancel(timesource.Now(), id))
 	}
-	return id, dispatch.Action{ID: id, Reason: reasonCallerLeft}
+	return id, dispatch.Action{ID: id, Reason: endReason(ctx)}
 }
 
 // targetLimits are the limits that the target's state sets for the queue.
--- a/router/soak/cluster_test.go
+++ b/router/soak/cluster_test.go
@@ -17,10 +17,10 @@
 	// (fleetdaemon.LeaseConfig.Duration).
 	announceInterval = 300 * time.Millisecond
 	maxGrantTime     = 4 * time.Second
-	// shutdownTimeout leaves 2.9 s for requests in progress after a stopping process
+	// shutdownTimeout leaves 2.8 s for requests in progress after a stopping process
 	// no longer accepts new ones: 6 s less the 2.2 s for which it still accepts them
-	// and the 0.9 s for its end (drainPeriod and shutdownReserve of package
-	// fleetdaemon).
+	// and the last sixth, in which requests are ended (drainPeriod and lastShare of
+	// package fleetdaemon).
 	shutdownTimeout = 6 * time.Second
 	serviceTime     = 8 * time.Millisecond
 	// lateGrants is the share of the grants by calls that targets apply late.
