Do not end connections of callers while requests are pending or being read

Cause, three related ways to lose an answer on a pipelined connection: - The idle time-out ran while requests of the connection were in progress and was not counted from the last response. A connection ended as idle right after a slow response, and the next request on it was lost. - After a header time-out the connection ended behind the last response without Connection: close in it. - While the server drains, the response that leaves no other request pending closes the connection. A request that was being received at that moment got no response. Once the server closes, a deadline set by the reader could replace that of Shutdown, and a request that was never sent whole kept its connection for 10 or 30 s.

Change: a connection is idle from its last response on and only while nothing is pending.

--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,7 +24,7 @@
 	if hr.Body == nil || hr.Body == http.NoBody {
 		return 0, nil
 	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := c.setReadDeadline(bodyTimeout); err != nil {
 		return 0, err
 	}
 	if expects := hr.Header.Get("Expect") == "100-continue"; expects && c.server.deferBodies {
@@ -118,6 +117,5 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(time.Millisecond)) // a failure shows at the read
 	c.limited.remaining = readBufferBytes
 	_, err := c.br.Peek(1)
-	var timeout net.Error
-	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	return err != nil && !isTimeout(err)
 }
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -60,6 +60,12 @@
 	// closeDecided is set once a response has been chosen after which the server
 	// closes the connection.
 	closeDecided bool
+	// reading is set while a request has been received in part, readEnded once no further
+	// one is read. mu guards both; readingChanged is signalled at changes.
+	reading, readEnded bool
+	readingChanged     *sync.Cond
+	// written is the time at which the last response was written.
+	written atomic.Pointer[time.Time]
 	// bodyUnread is set if the last request was answered before its body was read. Only
 	// the reader's goroutine uses it.
 	bodyUnread bool
@@ -90,6 +96,7 @@
 
 func newConn(s *Server, raw net.Conn, account *memory.Account) *conn {
 	c := &conn{server: s, raw: raw, memory: account, limited: &limitReader{inner: raw}, queue: make(chan exchange, maxPipelined)}
+	c.readingChanged = sync.NewCond(&c.mu)
 	c.br = bufio.NewReaderSize(c.limited, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(s.requests)
 	return c
@@ -100,6 +107,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); c.writeResponses() }()
 	callerDisconnected := c.readRequests()
+	c.endReading()
 	if callerDisconnected {
 		// Nobody receives the responses of the requests that still run.
 		c.cancel()
@@ -166,8 +174,7 @@
 				}
 				return false
 			}
-			var timeout net.Error
-			if errors.As(err, &timeout) && timeout.Timeout() {
+			if isTimeout(err) {
 				// The idle, header or body time-out has passed, or interruptRead
 				// was called: the pending responses are written, and then the
 				// connection is closed.
@@ -178,7 +185,7 @@
 		}
 		last := r.Header.Get("Connection") == "close"
 		x := exchange{response: make(chan *Response, 1), method: r.Method, last: last, upload: r.Upload, memory: r.Memory}
-		if !c.admit() {
+		if !c.admit(r.Upload == nil && c.br.Buffered() > 0) {
 			r.Memory.Close()
 			return false // the last response is already decided; this request is not handled
 		}
@@ -201,59 +208,15 @@
 	}
 }
 
-// awaitResponses waits until the pending responses have been written or the
-// caller closes the connection, and reports the latter. It reads no request.
-func (c *conn) awaitResponses() (callerDisconnected bool) {
-	for c.pending.Load() > 0 {
-		_ = c.raw.SetReadDeadline(time.Now().Add(disconnectCheckInterval)) // a failure shows at the read
-		c.limited.remaining = readBufferBytes
-		_, err := c.br.Peek(c.br.Buffered() + 1)
-		var timeout net.Error
-		switch {
-		case err == nil, errors.Is(err, bufio.ErrBufferFull):
-			time.Sleep(disconnectCheckInterval) // bytes after the last request stay unread
-		case errors.As(err, &timeout) && timeout.Timeout():
-		default:
-			c.broken.Store(true)
-			return true
-		}
-	}
-	return false
-}
-
 // disconnectCheckInterval is the time between two checks whether the caller has
 // closed the connection or the last response has been written.
 const disconnectCheckInterval = 50 * time.Millisecond
 
-// admit counts a request as pending. It reports false if the response that
-// closes the connection has been chosen already.
-func (c *conn) admit() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closeDecided {
-		return false
-	}
-	c.pending.Add(1)
-	return true
-}
-
-// decideClose reports whether the next response closes the connection: it
-// answers the last request, or the server drains and no other request is
-// pending. Once it has returned true, admit accepts no request.
-func (c *conn) decideClose(last bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if last || (c.server.isDraining() && c.pending.Load() == 1) {
-		c.closeDecided = true
-	}
-	return c.closeDecided
-}
-
 // rejectAndClose queues an error response after which the connection is closed.
 func (c *conn) rejectAndClose(resp *Response) {
 	x := exchange{response: make(chan *Response, 1), last: true}
 	x.response <- resp
-	if c.admit() {
+	if c.admit(false) {
 		c.queue <- x
 	}
 }
--- a/router/httpserver/readrequest.go
+++ b/router/httpserver/readrequest.go
@@ -15,24 +15,17 @@
 func (c *conn) readRequest() (*Request, int, error) {
 	limits := c.server.limits()
 	c.limited.remaining = limits.HeaderBytes
-	if err := c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
-		return nil, 0, err
-	}
-	if c.readingEnded() {
-		// The deadline set above may have replaced that of interruptRead.
-		c.interruptRead()
-	}
 	defer c.limited.head.End()
 	err := c.limited.head.Start(c.memory, c.br.Buffered())
 	if err == nil {
-		_, err = c.br.Peek(1)
+		err = c.awaitFirstByte(limits.IdleTimeout)
 	}
 	if errors.Is(err, memory.ErrExhausted) {
 		return nil, http.StatusServiceUnavailable, err
 	} else if err != nil {
 		return nil, 0, err
 	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	if err := c.setReadDeadline(limits.HeaderTimeout); err != nil {
 		return nil, 0, err
 	}
 	hr, err := http.ReadRequest(c.br)
--- a/router/httpserver/writer.go
+++ b/router/httpserver/writer.go
@@ -18,6 +18,8 @@
 			last := x.endsConnection(c.server.deferBodies)
 			closes := c.decideClose(last)
 			finished = c.writeResponse(resp, x.method, closes) != nil || closes
+			now := time.Now()
+			c.written.Store(&now)
 			if closes && !last {
 				// The reader waits for a further request, which would not be
 				// answered.
