--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -66,7 +66,7 @@
 		delete(w.waiters, id)
 		w.deliver(w.queue.Cancel(timesource.Now(), id))
 	}
-	return id, dispatch.Action{ID: id, Reason: reasonCallerLeft}
+	return id, dispatch.Action{ID: id, Reason: endReason(ctx)}
 }
 
 // offer returns the request as the queue gets it.
