Index, validate and patch client accounts

Cause: the routing document has the types of accounts, and nothing reads them.

Change: a table finds accounts by key and by name. A key that no header can carry hashes to zero, so that validation finds it without the plain text. Patches carry changed accounts and names of removed ones. A document without accounts is encoded as before.

--- a/coord/routes/account.go
+++ b/coord/routes/account.go
@@ -1,5 +1,7 @@
 package routes
 
+import "crypto/subtle"
+
 // Account is a client account: the customer on whose behalf callers send requests.
 type Account struct {
 	// Name is what targets are told. It is unique.
@@ -19,5 +21,59 @@
 	Weight float64 `json:"weight,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
-// KeyHash is the first 16 bytes of the SHA-256 hash of a key.
-type KeyHash [16]byte
+// maxAccountNameBytes bounds the name of an account, which each request to a target and
+// each log line carries.
+const maxAccountNameBytes = 128
+
+// isAccountName reports whether a name can be the value of a header and of a metric's
+// label: 1 to maxAccountNameBytes characters of printable ASCII without spaces.
+func isAccountName(name string) bool {
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxAccountNameBytes
+}
+
+// accountIndex finds accounts by key and by name.
+type accountIndex struct {
+	byHash map[KeyHash]hashedKey
+	byName map[string]*Account
+}
+
+// hashedKey is one key of an account.
+type hashedKey struct {
+	hash    KeyHash
+	account *Account
+}
+
+func newAccountIndex(accounts []Account) accountIndex {
+	x := accountIndex{byHash: map[KeyHash]hashedKey{}, byName: map[string]*Account{}}
+	for i := range accounts {
+		a := &accounts[i]
+		x.byName[a.Name] = a
+		for _, h := range a.KeyHashes {
+			x.byHash[h] = hashedKey{hash: h, account: a}
+		}
+	}
+	return x
+}
+
+// HasAccounts reports whether requests need a key, except those of public routes.
+func (t *Table) HasAccounts() bool { return len(t.doc.Accounts) > 0 }
+
+// Account returns the account of a name, or nil if the document does not have it.
+func (t *Table) Account(name string) *Account { return t.accounts.byName[name] }
+
+// AccountOf returns the account that a key belongs to.
+func (t *Table) AccountOf(key string) (*Account, bool) {
+	hash := HashKey(key)
+	entry, ok := t.accounts.byHash[hash]
+	// The time that the map takes depends on the hash; the comparison decides and
+	// takes the same time for all hashes.
+	if !ok || hash == (KeyHash{}) || subtle.ConstantTimeCompare(entry.hash[:], hash[:]) != 1 {
+		return nil, false
+	}
+	return entry.account, true
+}
--- a/coord/routes/patch.go
+++ b/coord/routes/patch.go
@@ -6,7 +6,7 @@
 )
 
 // Patch is the difference between two documents. It does not preserve the order of
-// routes and services, which has no meaning.
+// routes, services and accounts, which has no meaning.
 type Patch struct {
 	// BaseVersion is the version that the patch applies to, Version the one after it.
 	BaseVersion uint64 `json:"from"`
@@ -18,6 +18,9 @@
 	// RemovedRoutes and RemovedServices are names.
 	RemovedRoutes   []string `json:"removedRoutes,omitempty"`
 	RemovedServices []string `json:"removedServices,omitempty"`
+	// Accounts are those that are new or changed, RemovedAccounts are names.
+	Accounts        []Account `json:"accounts,omitempty"`
+	RemovedAccounts []string  `json:"removedAccounts,omitempty"`
 }
 
 // Diff returns the patch from one valid document to another.
@@ -25,6 +28,7 @@
 	p := &Patch{BaseVersion: from.Version, Version: to.Version, Limits: to.Limits}
 	p.Routes, p.RemovedRoutes = diff(from.Routes, to.Routes, func(r Route) string { return r.Name })
 	p.Services, p.RemovedServices = diff(from.Services, to.Services, func(s Service) string { return s.Name })
+	p.Accounts, p.RemovedAccounts = diff(from.Accounts, to.Accounts, func(a Account) string { return a.Name })
 	return p
 }
 
@@ -34,11 +38,15 @@
 	if d == nil || d.Version != p.BaseVersion {
 		return nil, false
 	}
-	return &Document{
+	out := &Document{
 		Version: p.Version, Limits: p.Limits,
 		Routes:   apply(d.Routes, p.Routes, p.RemovedRoutes, func(r Route) string { return r.Name }),
 		Services: apply(d.Services, p.Services, p.RemovedServices, func(s Service) string { return s.Name }),
-	}, true
+	}
+	if accounts := apply(d.Accounts, p.Accounts, p.RemovedAccounts, func(a Account) string { return a.Name }); len(accounts) > 0 {
+		out.Accounts = accounts
+	}
+	return out, true
 }
 
 // diff returns the items of to that are new or changed, and the sorted names of
--- a/coord/routes/table.go
+++ b/coord/routes/table.go
@@ -11,13 +11,14 @@
 	doc      *Document
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]*Service
+	accounts accountIndex
 	// pickers are the weighted round-robins of routes with several destinations.
 	pickers map[*Route]*weightedRoundRobin
 }
 
 // NewTable indexes a valid document, which must not change afterwards.
 func NewTable(d *Document) *Table {
-	t := &Table{doc: d, hosts: map[string][]*Route{}, services: map[string]*Service{}, pickers: map[*Route]*weightedRoundRobin{}}
+	t := &Table{doc: d, hosts: map[string][]*Route{}, services: map[string]*Service{}, pickers: map[*Route]*weightedRoundRobin{}, accounts: newAccountIndex(d.Accounts)}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
--- a/coord/routes/validate.go
+++ b/coord/routes/validate.go
@@ -28,6 +28,7 @@
 	for i := range d.Routes {
 		v.route(&d.Routes[i])
 	}
+	v.accounts(d.Accounts)
 	return v.findings
 }
 
