--- a/router/relay/headers.go
+++ b/router/relay/headers.go
@@ -40,12 +40,20 @@
 	Limit string
 	// Leaving marks the answers of a target that stops.
 	Leaving string
+	// Authorization carries the key of the caller's account, after
+	// AuthorizationScheme and a space. It is not passed on while the routing document
+	// has accounts.
+	Authorization, AuthorizationScheme string
+	// Account tells the target the name of the account. While the document has
+	// accounts, only the ingress sets it.
+	Account string
 }
 
 // DefaultHeaderNames are the names that the product's own targets and callers use.
 var DefaultHeaderNames = HeaderNames{
 	RequestID: "Bq-Request-Id", DeadlineMs: "Bq-Timeout-Ms", Key: "Bq-Key", Target: "Bq-Target", CallerService: "Bq-Caller",
 	NotRun: "Bq-Not-Run", Signature: "Bq-Signature", Load: "Bq-Load", Limit: "Bq-Limit", Leaving: "Bq-Leaving",
+	Authorization: "Authorization", AuthorizationScheme: "Bearer", Account: "Bq-Account",
 }
 
 // headerHop carries the routing decision from an ingress to the gate of another
