Authenticate callers at the ingress

Cause: a document with accounts requires a key of each request, except on public routes, and targets are told the account.

Change: after the match of the route the ingress authenticates the request against the current document; 401 names the scheme and contacts no target. While the document has accounts, the ingress removes the key's header and what the caller set as the account's name, and sets the name itself. Over a hop the name travels in Bq-Account-Name, which the ingress never takes from a caller; Bq-Hop is unchanged, so that older processes read it. The gate removes and sets the same headers again, because an ingress of an earlier version does not. The account's priority replaces the route's. Fingerprints of the quarantine contain the account, if there is one. Log lines of requests with an account name it.

Shown to fail first: TestUnauthorizedRequests without the answer 401 and without WWW-Authenticate; TestTargetsGetTheAccount without the removal of Bq-Account-Name, of the key or of the account's header, and without the header over the hop; TestGateRemovesWhatCallersSet without setAccount in the gate; TestNoAccountsChangeNoHeaders with the removal also without accounts; TestAccountOfRequest without the account's priority and without the account in the fingerprint; TestRevokedKeyOnOpenConnection without the answer 401.

--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
@@ -28,7 +30,8 @@
 const waitTimeout = 60 * time.Second
 
 var headerNames = relay.HeaderNames{RequestID: "X-Id", DeadlineMs: "X-Deadline-Ms", Key: "X-Key", Target: "X-Target",
-	CallerService: "X-Caller", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving"}
+	CallerService: "X-Caller", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
+	Authorization: "Authorization", AuthorizationScheme: "Key", Account: "X-Account"}
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -50,7 +53,12 @@
 
 func start(t *testing.T, cfg fleetdaemon.Config) *process {
 	t.Helper()
-	d, err := fleetdaemon.New(cfg, logging.New(io.Discard, "error", false))
+	return startLogging(t, cfg, logging.New(io.Discard, "error", false))
+}
+
+func startLogging(t *testing.T, cfg fleetdaemon.Config, logs *log.Logger) *process {
+	t.Helper()
+	d, err := fleetdaemon.New(cfg, logs)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,15 +87,21 @@
 	lease   fleetdaemon.LeaseConfig
 	// memory is the memory limit of the sidecar processes, in bytes. Zero sets none.
 	memory int64
+	// newLogs returns the logger of a process.
+	newLogs func() *log.Logger
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, lease: fleetdaemon.LeaseConfig{AnnounceInterval: 100 * time.Millisecond, MaxHold: 10 * time.Second}}
+	return newLoggingCluster(t, func() *log.Logger { return logging.New(io.Discard, "error", false) })
+}
+
+func newLoggingCluster(t *testing.T, newLogs func() *log.Logger) *cluster {
+	c := &cluster{t: t, newLogs: newLogs, lease: fleetdaemon.LeaseConfig{AnnounceInterval: 100 * time.Millisecond, MaxHold: 10 * time.Second}}
 	peer := freeAddress(t)
-	c.control = start(t, fleetdaemon.Config{
+	c.control = startLogging(t, fleetdaemon.Config{
 		Cluster: "test", Peer: peer, TrustNetwork: true, Seeds: []string{peer}, StopTimeout: time.Second, Lease: c.lease,
 		Control: &fleetdaemon.ControlConfig{DataDir: t.TempDir(), InitialVoters: []string{peer}},
-	})
+	}, newLogs())
 	return c
 }
 
@@ -143,7 +157,7 @@
 	}
 	port = memberAddresses.gatePort
 	memberAddresses.Unlock()
-	member.process = start(c.t, fleetdaemon.Config{
+	member.process = startLogging(c.t, fleetdaemon.Config{
 		Cluster: "test", Peer: net.JoinHostPort(ip, portOf(freeAddress(c.t))), TrustNetwork: true,
 		Seeds: []string{c.control.cfg.Peer}, StopTimeout: 8 * time.Second, Lease: c.lease, MemoryBytes: c.memory,
 		Sidecar: &fleetdaemon.Sidecar{
@@ -151,7 +165,7 @@
 			Target: member.server.Listener.Addr().String(), Service: service, HeaderNames: headerNames,
 			Budget: relay.RetryBudgetConfig{Ratio: 1, Burst: 1000},
 		},
-	})
+	}, c.newLogs())
 	ctx, cancel := context.WithCancel(context.Background())
 	c.t.Cleanup(cancel)
 	go member.announce(ctx, service, c.lease.AnnounceInterval)
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -76,7 +76,7 @@
 	if resp.Status >= http.StatusInternalServerError {
 		e = in.log.Warn()
 	}
-	e.Str("request", req.id).Str("host", r.Host).Str("path", r.Path).Str("route", req.route).Str("service", req.service)
+	withAccount(e, req).Str("request", req.id).Str("host", r.Host).Str("path", r.Path).Str("route", req.route).Str("service", req.service)
 	if req.sharded {
 		owned, _ := st.view.Owner(req.service, req.key)
 		e.Uint16("key", req.key).Str("owner", owned.Holder.Target).Uint64("fence", owned.Fence)
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -211,6 +211,7 @@
 // with a status of 200 to 299 has no signature; and done otherwise.
 func (g *Gate) send(ctx context.Context, req *routedRequest, t fleetagent.Target) result {
 	h := req.header.Clone()
+	g.names.setAccount(h, g.agent.View().Routes, req.account)
 	h.Set(g.names.CallerService, req.caller)
 	h.Set(g.names.Target, t.ID)
 	h.Set(g.names.DeadlineMs, strconv.FormatInt(max(time.Until(req.deadline).Milliseconds(), 1), 10))
@@ -278,7 +279,7 @@
 		status = r.response.Status
 	}
 	t, _ := g.agent.Target()
-	e.Str("request", req.id).Str("service", req.service).Str("route", req.route).Int("rank", req.priority).Str("target", t.ID).Str("outcome", string(r.outcome)).
+	withAccount(e, req).Str("request", req.id).Str("service", req.service).Str("route", req.route).Int("rank", req.priority).Str("target", t.ID).Str("outcome", string(r.outcome)).
 		Int("status", status).Str("reason", r.reason).Bool("reached", r.reached).Dur("retryAfter", r.retryAfter).
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -68,6 +68,9 @@
 	request *routedRequest
 	route   *routes.Route
 	view    *fleetagent.View
+	// account is nil for requests of public routes without a key and if the document
+	// has no accounts.
+	account *routes.Account
 	// reached counts the tries in which the request may have arrived at a target,
 	// picks all tries.
 	reached int
@@ -102,8 +105,8 @@
 	return resp
 }
 
-// prepare finds the route, service and key of a request and sets its deadlines.
-// If the request cannot be routed, it returns the answer for the caller.
+// prepare finds the route, account, service and key of a request and sets its deadlines.
+// If the request cannot be routed or is unauthorized, it returns the answer for the caller.
 func (in *Ingress) prepare(r *httpserver.Request) (*requestState, *httpserver.Response) {
 	view := in.agent.View()
 	st := &requestState{view: view, request: &routedRequest{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), version: view.Version()}}
@@ -117,12 +120,16 @@
 		return st, httpserver.TextResponse(http.StatusNotFound, "no route")
 	}
 	req := st.request
+	req.route = st.route.Name
+	if resp := in.authenticate(st); resp != nil {
+		return st, resp
+	}
 	in.mu.Lock() // PickService is not safe for concurrent use
 	req.service = view.Routes.PickService(st.route)
 	in.mu.Unlock()
-	req.route, req.priority = st.route.Name, st.route.Priority
 	req.header = forwarded(r.Header)
 	req.removeInternalHeaders()
+	in.setAccount(st)
 	req.setFingerprint()
 	if s := view.Routes.Service(req.service); s != nil && s.Sharded {
 		key, ok := parseKey(r.Header.Get(in.names.Key))
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -124,7 +124,7 @@
 		return nil, false
 	}
 	req := &routedRequest{
-		request: r, header: forwarded(r.Header), id: id, service: f[0], route: f[1], priority: priority, caller: f[4],
+		request: r, header: forwarded(r.Header), id: id, service: f[0], route: f[1], priority: priority, caller: f[4], account: r.Header.Get(headerAccount),
 		objective: r.Received.Add(time.Duration(objective) * time.Millisecond),
 		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version, noWait: noWait,
 	}
@@ -146,6 +146,7 @@
 func (r *routedRequest) removeInternalHeaders() {
 	delete(r.header, headerHop)
 	delete(r.header, headerFingerprint)
+	delete(r.header, headerAccount)
 }
 
 // setFingerprint computes the fingerprint. A body that is passed on as it is read
@@ -155,7 +156,13 @@
 	if u := r.request.Upload; u != nil {
 		length = u.Length
 	}
-	r.fingerprint = quarantine.NewFingerprint(r.request.Body, r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10))
+	parts := []string{r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10)}
+	if r.account != "" {
+		// Targets are told the account, so the same request of another account is
+		// another one, and no account can have the requests of others refused.
+		parts = append(parts, r.account)
+	}
+	r.fingerprint = quarantine.NewFingerprint(r.request.Body, parts...)
 }
 
 // encodeResult encodes a result without the response, waited and ran, as fields
