Take requests from the limits of their accounts

Cause: the agent has the calls of limits, which no request uses.

Change: the ingress takes one request of the limit of an account with a rate, after the request is authorized and valid and before its first try.

--- a/router/explain/explain.go
+++ b/router/explain/explain.go
@@ -25,6 +25,7 @@
 	Reason    string    `json:"reason"`
 	Target    string    `json:"target"`
 	Service   string    `json:"service"`
+	Account   string    `json:"account"`
 	// Text is the JSON text of the line, without a collector's prefix.
 	Text string `json:"-"`
 }
@@ -135,6 +136,9 @@
 	default:
 		fmt.Fprintf(&s, "answered %d, it may have run: %s", answer.Status, answer.Reason)
 	}
+	if answer.Account != "" {
+		fmt.Fprintf(&s, "; account %s", answer.Account)
+	}
 	if gate != nil {
 		fmt.Fprintf(&s, "; last at target %s, process %s", gate.Target, gate.Process)
 	} else if answer.Status >= 500 {
--- a/router/explain/explain_test.go
+++ b/router/explain/explain_test.go
@@ -17,15 +17,16 @@
 {"time":"2026-12-04T08:00:01.050Z","level":"warn","process":"p1","part":"member","message":"control lost"}
 not a line
 {"time":"2026-12-04T09:00:02.000Z","level":"warn","process":"p1","part":"ingress","request":"b1","status":502,"outcome":"unknown","reason":"answer broke off","message":"request answered"}
+{"time":"2026-12-04T09:00:03.000Z","level":"info","process":"p1","part":"ingress","account":"north","request":"c1","status":429,"outcome":"not-run","reason":"account is over its limit","message":"request answered"}
 `
 
-// Guards against an explanation that leaves out the event that caused a failure,
-// or that includes one from long before.
+// Guards against an explanation that leaves out the event that caused a failure or the
+// account, or that includes an event from long before.
 func TestRequest(t *testing.T) {
 	is := is.New(t)
 	lines, err := explain.Read(strings.NewReader(logs))
 	is.NoErr(err)
-	is.Equal(len(lines), 6)
+	is.Equal(len(lines), 7)
 	r, err := explain.ExplainRequest("a1", lines)
 	is.NoErr(err)
 	is.Equal(len(r.Lines), 3)
@@ -34,6 +35,9 @@
 	r, err = explain.ExplainRequest("b1", lines)
 	is.NoErr(err)
 	is.True(strings.HasPrefix(r.Cause, "answered 502, it may have run: answer broke off"))
+	r, err = explain.ExplainRequest("c1", lines)
+	is.NoErr(err)
+	is.Equal(r.Cause, "refused 429 at the entry: account is over its limit; account north")
 	_, err = explain.ExplainRequest("none", lines)
 	is.True(err != nil)
 }
--- a/router/relay/account.go
+++ b/router/relay/account.go
@@ -20,6 +20,7 @@
 	values := req.request.Header.Values(in.names.Authorization)
 	account, refusal := st.view.Routes.Authenticate(st.route, in.names.AuthorizationScheme, values)
 	if refusal != "" {
+		countUnauthorized()
 		st.last.reason = string(refusal)
 		resp := in.failure(st, http.StatusUnauthorized)
 		resp.Header.Set("WWW-Authenticate", in.names.AuthorizationScheme)
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -39,7 +39,10 @@
 	names   HeaderNames
 	peers   *peers
 	budgets *retryBudgets
-	log     logging.Logger
+	// quota has the limits of accounts, accounts their counters.
+	quota    quota
+	accounts accountCounters
+	log      logging.Logger
 
 	mu        sync.Mutex
 	balancers map[string]*serviceBalancer
@@ -58,7 +61,7 @@
 // process.
 func NewIngress(cfg IngressConfig, agent *fleetagent.Agent, gate *Gate, log logging.Logger) *Ingress {
 	return &Ingress{
-		agent: agent, gate: gate, names: cfg.Names, log: log,
+		agent: agent, quota: agent, gate: gate, names: cfg.Names, log: log,
 		peers: newPeers(cfg.Names, cfg.GateAddress), budgets: newRetryBudgets(cfg.Budget), balancers: map[string]*serviceBalancer{},
 	}
 }
@@ -95,16 +98,26 @@
 func (in *Ingress) Serve(ctx context.Context, r *httpserver.Request) *httpserver.Response {
 	st, resp := in.prepare(r)
 	if resp == nil {
-		runCtx, cancel := context.WithDeadline(ctx, st.request.deadline)
-		in.budgets.countRequest(st.request.service, len(st.view.Members))
-		in.run(runCtx, st)
-		cancel()
-		resp = in.answer(st, ctx.Err() != nil)
+		resp = in.execute(ctx, st)
 	}
 	in.finish(r, st, resp)
 	return resp
 }
 
+// execute takes a prepared request from the limit of its account, runs it, and returns
+// the answer for the caller.
+func (in *Ingress) execute(ctx context.Context, st *requestState) *httpserver.Response {
+	runCtx, cancel := context.WithDeadline(ctx, st.request.deadline)
+	defer cancel()
+	if resp := in.takeQuota(runCtx, st); resp != nil {
+		return resp
+	}
+	in.budgets.countRequest(st.request.service, len(st.view.Members))
+	in.run(runCtx, st)
+	in.settleQuota(st)
+	return in.answer(st, ctx.Err() != nil)
+}
+
 // prepare finds the route, account, service and key of a request and sets its deadlines.
 // If the request cannot be routed or is unauthorized, it returns the answer for the caller.
 func (in *Ingress) prepare(r *httpserver.Request) (*requestState, *httpserver.Response) {
@@ -114,6 +127,7 @@
 		st.last = refused("no document is known yet", defaultRetryAfter)
 		return st, in.refusal(st)
 	}
+	in.accounts.setTable(view.Routes)
 	st.route = view.Routes.Match(r.Host, r.Path)
 	if st.route == nil {
 		st.last.reason = "no route"
