Read accounts in the product's routing documents

Cause: operators write accounts with plain keys and public routes in the document that bqctl fleet apply sends.

Change: routefile has accounts and public, and hashes the keys when it reads them: the plain text stays only in the operator's own text, which goes to the control group and which bqctl fleet document prints. examples/ranges/accounts.hujson is an example; routes.hujson stays without accounts, because the demo uses it.

Result: go test of routefile, bqctl and fleetsettings pass.

--- a/router/bqctl/fleet_test.go
+++ b/router/bqctl/fleet_test.go
@@ -74,8 +74,17 @@
 	code, out = run("apply", "../../examples/ranges/routes.hujson")
 	is.Equal(code, ExitInvalid) // the version must rise
 	is.True(strings.Contains(out, "above 1"))
+	code, out = run("apply", "../../examples/ranges/accounts.hujson")
+	is.Equal(code, ExitDone)
+	is.True(!strings.Contains(out, "example-key"))
+	code, out = run("document")
+	is.Equal(code, ExitDone)
+	is.True(strings.Contains(out, "example-key-3")) // operators read what they wrote
+	code, out = run("status", "--json")
+	is.Equal(code, ExitDone)
+	is.True(!strings.Contains(out, "example-key"))
 	wrong := filepath.Join(folder, "wrong")
-	is.NoErr(os.WriteFile(wrong, []byte(`{"version": 2, "rules": []}`), 0o600))
+	is.NoErr(os.WriteFile(wrong, []byte(`{"version": 3, "rules": []}`), 0o600))
 	code, out = run("apply", wrong)
 	is.Equal(code, ExitInvalid)
 	is.True(strings.Contains(out, "rules"))
--- a/router/routefile/file.go
+++ b/router/routefile/file.go
@@ -22,6 +22,7 @@
 	} `json:"limits"`
 	Routes   []route   `json:"routes"`
 	Services []service `json:"services"`
+	Accounts []account `json:"accounts"`
 }
 
 type route struct {
@@ -34,6 +35,7 @@
 	TimeoutMs          int64             `json:"timeoutMs"`
 	Attempts           int               `json:"attempts"`
 	Destinations       []weightedService `json:"parts"`
+	Public             bool              `json:"public"`
 }
 
 type weightedService struct {
@@ -76,7 +78,7 @@
 	for _, r := range f.Routes {
 		out := routes.Route{
 			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: routes.Kind(r.Kind), Priority: r.Priority,
-			LatencyObjective: ms(r.LatencyObjectiveMs), Timeout: ms(r.TimeoutMs), Attempts: r.Attempts,
+			LatencyObjective: ms(r.LatencyObjectiveMs), Timeout: ms(r.TimeoutMs), Attempts: r.Attempts, Public: r.Public,
 		}
 		for _, p := range r.Destinations {
 			out.Destinations = append(out.Destinations, routes.WeightedService(p))
@@ -89,5 +91,8 @@
 			Sharded: s.Sharded, Warmup: ms(s.WarmupMs),
 		})
 	}
+	for i := range f.Accounts {
+		d.Accounts = append(d.Accounts, f.Accounts[i].account())
+	}
 	return d
 }
