Check uploads without a key, and measure authentication

Cause: an upload whose body is not read before the answer could get no answer, and the cost of the lookup for each request is not known.

Change: TestUnauthorizedUpload sends bodies of 100 KiB and 2 MiB, with a length and in chunks; BenchmarkAuthenticate measures Table.Authenticate with 76 accounts of two keys.

--- a/coord/routes/authenticate_test.go
+++ b/coord/routes/authenticate_test.go
@@ -1,6 +1,7 @@
 package routes_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -109,3 +110,21 @@
 		}
 	})
 }
+
+// BenchmarkAuthenticate measures the cost for one request at 76 accounts of two keys, for
+// docs/CAPACITY.md.
+func BenchmarkAuthenticate(b *testing.B) {
+	d := document()
+	for i := range 76 {
+		keys := []string{fmt.Sprintf("key-%d-first-0123456789", i), fmt.Sprintf("key-%d-second-0123456789", i)}
+		d.Accounts = append(d.Accounts, routes.Account{Name: fmt.Sprint("account", i), KeyHashes: routes.HashKeys(keys), Rate: 5, Burst: 5})
+	}
+	table, values := routes.NewTable(d), []string{"Token key-40-second-0123456789"}
+	route := table.Match("a.example", "/")
+	b.ReportAllocs()
+	for b.Loop() {
+		if a, _ := table.Authenticate(route, "Token", values); a == nil {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/router/fleetdaemon/account_test.go
+++ b/router/fleetdaemon/account_test.go
@@ -242,3 +242,18 @@
 		is.Equal(seen.header(at.name).Get("Bq-Account-Name"), "")
 	}
 }
+
+// Guards against an upload without a valid key that gets no answer or reaches a target,
+// for bodies that are read before and after the request is authorized.
+func TestUnauthorizedUpload(t *testing.T) {
+	is := is.New(t)
+	plain, _, seen := startAccountCluster(t)
+	for _, n := range []int64{100 << 10, 2 << 20} {
+		for _, chunked := range []bool{false, true} {
+			id := fmt.Sprint("upload", n, chunked)
+			status, _ := plain[0].upload(id, n, chunked)
+			is.Equal(status, http.StatusUnauthorized)
+			is.Equal(seen.header(id), nil)
+		}
+	}
+}
