--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -39,7 +39,10 @@
 	names   HeaderNames
 	peers   *peers
 	budgets *retryBudgets
-	log     logging.Logger
+	// quota has the limits of accounts, accounts their counters.
+	quota    quota
+	accounts accountCounters
+	log      logging.Logger
 
 	mu        sync.Mutex
 	balancers map[string]*serviceBalancer
@@ -58,7 +61,7 @@
 // process.
 func NewIngress(cfg IngressConfig, agent *fleetagent.Agent, gate *Gate, log logging.Logger) *Ingress {
 	return &Ingress{
-		agent: agent, gate: gate, names: cfg.Names, log: log,
+		agent: agent, quota: agent, gate: gate, names: cfg.Names, log: log,
 		peers: newPeers(cfg.Names, cfg.GateAddress), budgets: newRetryBudgets(cfg.Budget), balancers: map[string]*serviceBalancer{},
 	}
 }
@@ -68,6 +71,9 @@
 	request *routedRequest
 	route   *routes.Route
 	view    *fleetagent.View
+	// account is nil for requests of public routes without a key and if the document
+	// has no accounts.
+	account *routes.Account
 	// reached counts the tries in which the request may have arrived at a target,
 	// picks all tries.
 	reached int
@@ -92,18 +98,28 @@
 func (in *Ingress) Serve(ctx context.Context, r *httpserver.Request) *httpserver.Response {
 	st, resp := in.prepare(r)
 	if resp == nil {
-		runCtx, cancel := context.WithDeadline(ctx, st.request.deadline)
-		in.budgets.countRequest(st.request.service, len(st.view.Members))
-		in.run(runCtx, st)
-		cancel()
-		resp = in.answer(st, ctx.Err() != nil && !isStopping(ctx))
+		resp = in.execute(ctx, st)
 	}
 	in.finish(r, st, resp)
 	return resp
 }
 
-// prepare finds the route, service and key of a request and sets its deadlines.
-// If the request cannot be routed, it returns the answer for the caller.
+// execute takes a prepared request from the limit of its account, runs it, and returns
+// the answer for the caller.
+func (in *Ingress) execute(ctx context.Context, st *requestState) *httpserver.Response {
+	runCtx, cancel := context.WithDeadline(ctx, st.request.deadline)
+	defer cancel()
+	if resp := in.takeQuota(runCtx, st); resp != nil {
+		return resp
+	}
+	in.budgets.countRequest(st.request.service, len(st.view.Members))
+	in.run(runCtx, st)
+	in.settleQuota(st)
+	return in.answer(st, ctx.Err() != nil && !isStopping(ctx))
+}
+
+// prepare finds the route, account, service and key of a request and sets its deadlines.
+// If the request cannot be routed or is unauthorized, it returns the answer for the caller.
 func (in *Ingress) prepare(r *httpserver.Request) (*requestState, *httpserver.Response) {
 	view := in.agent.View()
 	st := &requestState{view: view, request: &routedRequest{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), version: view.Version()}}
@@ -111,18 +127,23 @@
 		st.last = refused("no document is known yet", defaultRetryAfter)
 		return st, in.refusal(st)
 	}
+	in.accounts.setTable(view.Routes)
 	st.route = view.Routes.Match(r.Host, r.Path)
 	if st.route == nil {
 		st.last.reason = "no route"
 		return st, httpserver.TextResponse(http.StatusNotFound, "no route")
 	}
 	req := st.request
+	req.route = st.route.Name
+	if resp := in.authenticate(st); resp != nil {
+		return st, resp
+	}
 	in.mu.Lock() // PickService is not safe for concurrent use
 	req.service = view.Routes.PickService(st.route)
 	in.mu.Unlock()
-	req.route, req.priority = st.route.Name, st.route.Priority
 	req.header = forwarded(r.Header)
 	req.removeInternalHeaders()
+	in.setAccount(st)
 	req.setFingerprint()
 	if s := view.Routes.Service(req.service); s != nil && s.Sharded {
 		key, ok := parseKey(r.Header.Get(in.names.Key))
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -124,7 +124,7 @@
 		return nil, false
 	}
 	req := &routedRequest{
-		request: r, header: forwarded(r.Header), id: id, service: f[0], route: f[1], priority: priority, caller: f[4],
+		request: r, header: forwarded(r.Header), id: id, service: f[0], route: f[1], priority: priority, caller: f[4], account: r.Header.Get(headerAccount),
 		objective: r.Received.Add(time.Duration(objective) * time.Millisecond),
 		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version, noWait: noWait,
 	}
@@ -146,10 +146,12 @@
 func (r *routedRequest) removeInternalHeaders() {
 	delete(r.header, headerHop)
 	delete(r.header, headerFingerprint)
+	delete(r.header, headerAccount)
 }
 
 // setFingerprint computes the fingerprint. A body that is passed on as it is read
-// counts by its length only.
+// counts by its length only. The account is no part of it, like the other headers: a
+// request that ends targets and comes from many accounts would end three for each.
 func (r *routedRequest) setFingerprint() {
 	length := int64(len(r.request.Body))
 	if u := r.request.Upload; u != nil {
