Do not break off bodies in progress when a server shuts down

Cause: Shutdown ended each connection's read by a deadline in the past, also the read of a body that a handler passes on. An upload in progress 2.2 s after SIGTERM ended with 502 ("body broke off") although its target was at work on it.

Change: Shutdown interrupts only the wait for requests and the reading of requests that have not been admitted. Bodies in progress end by themselves or by EndRequests.

Test: TestUploadDuringShutdown failed before (262144 of 524288 bytes, i/o timeout). Package httpserver passes, its tests of stops three times with -race.

--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -86,8 +86,9 @@
 // receiveUpload lets the handler read the body and waits until it has returned. It
 // reports whether the caller closed the connection before.
 func (c *conn) receiveUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
-	c.limited.remaining = math.MaxInt64                       // Upload bounds the body
-	err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)) // a failure shows at the read
+	c.limited.remaining = math.MaxInt64 // Upload bounds the body
+	err := c.beginUpload()
+	defer c.endUpload()
 	if c.server.deferBodies && err == nil {
 		_, err = io.WriteString(c.raw, continueResponse)
 	}
--- a/router/httpserver/closing.go
+++ b/router/httpserver/closing.go
@@ -84,6 +84,29 @@
 	return nil
 }
 
+// endIdle ends the wait for a request, and the reading of one that has not been admitted.
+func (c *conn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.uploading {
+		c.interruptRead()
+	}
+}
+
+// beginUpload lets a handler read a body. Until endUpload, endIdle does not interrupt it.
+func (c *conn) beginUpload() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uploading = true
+	return c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
+}
+
+func (c *conn) endUpload() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uploading = false
+}
+
 // awaitFirstByte waits until a request begins. The connection is idle while no request is
 // pending, from the time of the last response on.
 func (c *conn) awaitFirstByte(idle time.Duration) error {
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -64,6 +64,8 @@
 	// one is read. mu guards both; readingChanged is signalled at changes.
 	reading, readEnded bool
 	readingChanged     *sync.Cond
+	// uploading is set while a handler reads a body from the connection. mu guards it.
+	uploading bool
 	// written is the time at which the last response was written.
 	written atomic.Pointer[time.Time]
 	// bodyUnread is set if the last request was answered before its body was read. Only
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -173,11 +175,12 @@
 	s.Drain()
 	s.mu.Lock()
 	s.closing = true
-	for c := range s.conns {
-		c.interruptRead()
-	}
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.signalIfAllClosed()
 	s.mu.Unlock()
+	for _, c := range conns { // without mu, which connections take while they hold theirs
+		c.endIdle()
+	}
 	select {
 	case <-s.allClosed:
 	case <-ctx.Done():
--- a/router/httpserver/stop_test.go
+++ b/router/httpserver/stop_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"bramleyquay.example/router/httpserver"
 )
 
@@ -88,3 +90,33 @@
 	}
 	t.Logf("%d requests handled", total)
 }
+
+// Guards against a body that is being passed on and broken off by the stop of the server,
+// before the time in which requests are ended.
+func TestUploadDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	const size = 2 * httpserver.InlineBodyBytes
+	s := start(t, func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		body, err := r.Upload.Open()
+		if err != nil {
+			return httpserver.TextResponse(500, err.Error())
+		}
+		n, err := io.Copy(io.Discard, body)
+		return httpserver.TextResponse(200, fmt.Sprint(n, err))
+	})
+	c, br := dial(t, s)
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, make([]byte, size/2))
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond) // the handler waits for the rest
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); s.Shutdown(t.Context()) }()
+	time.Sleep(100 * time.Millisecond)
+	_, err = c.Write(make([]byte, size/2))
+	is.NoErr(err)
+	paths, closes, err := readAll(c, br)
+	is.Equal(err, io.EOF)
+	is.Equal(paths, []string{fmt.Sprint(size, " <nil>")})
+	is.True(closes)
+	is.NoErr(c.Close())
+	<-stopped
+}
