Give targets that reject or fail requests fewer of them

Cause: in fleet mode a rejection by the target itself is reported to the balancer like a full queue, whose effect ends after 100 ms, and a status of 500 makes a target a suspect at one ingress only, until three good answers.

Change: coord/quality.Meter derives a weight of 8, 4, 2 or 1 eighths from the moving share of rejected and failed requests. Balancer.Order takes a target of low weight first with the probability of its share of the weights in its data centre, and later tries prefer others; if all are bad, all count alike. OrderByCapacity ignores the weights, for requests that would wait long.

Tried and taken out: a weight from service times.

Checks shown to fail: TestQuality and TestOrderByWeight without the return in Balancer.yields; TestQuality with Order instead of OrderByCapacity; TestOrderByWeight with a directory weight that always applies; TestAlternation without HoldTime; TestWeight without QuietTime.

--- a/coord/balancer/order.go
+++ b/coord/balancer/order.go
@@ -10,14 +10,24 @@
 
 // Order returns the eligible targets in the order in which a request tries them
 // for a free slot: first those in the same data centre, because answers from
-// another one cost network traffic, then the others, then suspects, each group
-// by expected delay. A suspect that is due for a probe comes first. Load reports
+// another one cost network traffic, then the others, then targets that yield because
+// of their weight, then suspects, each group by expected delay. A suspect that is due for a probe comes first. Load reports
 // from other data centres arrive late; trying targets in turn finds a free slot
 // without them.
 //
 // Order counts as one pick, and a suspect that comes first counts as probed, so the
 // caller should send the request to the first target.
 func (b *Balancer) Order(now clock.Reading, exclude ...table.MemberID) []table.MemberID {
+	return b.order(now, true, exclude)
+}
+
+// OrderByCapacity is Order without regard to weights. It is for requests that would
+// wait long at the targets of higher weight: the capacity of the others is needed.
+func (b *Balancer) OrderByCapacity(now clock.Reading, exclude ...table.MemberID) []table.MemberID {
+	return b.order(now, false, exclude)
+}
+
+func (b *Balancer) order(now clock.Reading, byWeight bool, exclude []table.MemberID) []table.MemberID {
 	b.picks++
 	type entry struct {
 		id   table.MemberID
@@ -26,6 +36,7 @@
 	}
 	var list []entry
 	probe := false
+	weights := b.totalWeights()
 	for _, i := range b.random.Perm(len(b.targets)) {
 		s := b.targets[i]
 		slowLatency := b.slowLatency(s)
@@ -40,6 +51,8 @@
 			probe, e.tier = true, probeTier
 		case s.suspect.active && b.ejection:
 			e.tier = suspectTier
+		case byWeight && b.yields(s, weights, len(exclude) == 0):
+			e.tier = yieldingTier
 		case b.sameDataCentre(s):
 			e.tier = nearTier
 		}
@@ -60,5 +73,6 @@
 	probeTier = iota
 	nearTier
 	farTier
+	yieldingTier
 	suspectTier
 )
--- a/coord/balancer/selector.go
+++ b/coord/balancer/selector.go
@@ -22,6 +22,9 @@
 	Slots int
 	// Draining targets get no new requests.
 	Draining bool
+	// Weight is the last known weight of the target's quality, in eighths; 0 means 8.
+	// A weight in a later report of its gate replaces it.
+	Weight int
 }
 
 // ResultKind states how a request to a target ended.
@@ -38,12 +41,18 @@
 	// Cancelled is a request that this process cancelled, such as the slower one
 	// of a hedged pair.
 	Cancelled
+	// Rejected is a response of the target that it has not run the request. At a
+	// target of full weight it counts as a refusal; at one of lower weight it says
+	// nothing about free capacity.
+	Rejected
 )
 
 // GateLoad is the load that a gate reports in its answers, in requests. Limit is
-// the number that it lets run at once.
+// the number that it lets run at once. Weight is the weight of the target's quality, in
+// eighths; 0 means 8.
 type GateLoad struct {
 	Running, Limit, Queued int
+	Weight                 int
 }
 
 // Result describes the end of one request.
--- a/coord/balancer/target.go
+++ b/coord/balancer/target.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/quality"
 )
 
 // targetState is the balancer's state of one target. Times are monotonic.
@@ -22,6 +23,8 @@
 	refusals  float64
 	refusedAt time.Duration // time of the last refusal
 	suspect   suspicion
+	// weight is the last known weight in eighths, from the directory or from the gate.
+	weight int
 }
 
 // removeStart removes the request in progress that ended with the given latency.
@@ -44,6 +47,7 @@
 	s.otherRequests = max(load.Running+load.Queued-len(s.starts), 0)
 	s.reportedAt = now.Mono
 	s.limit, s.queued = load.Limit, load.Queued
+	s.weight = quality.Normalize(load.Weight)
 }
 
 // queueFactor returns the factor by which the queue at the gate raises the slow
