Feed and carry the weights of targets in fleet mode

Passed deadlines and callers that left do not count, nor rejections of a target that leaves or that does not own the key. The ingress passes rejections of the target to the balancer as such, and the last try without waiting may go to a target of low weight if the wait is long. ranges.Candidate.Weight multiplies the capacity. bqctl fleet status shows the weight of each member.

Tests: go test ./relay ./fleetagent ./bqctl pass.

--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -35,6 +35,8 @@
 	Condition   Condition `json:"condition,omitempty"`
 	// Leaving is set while the process shuts down.
 	Leaving bool `json:"leaving,omitempty"`
+	// Weight is the weight of the target's quality, in eighths; 0 means 8.
+	Weight int `json:"weight,omitempty"`
 }
 
 // Holder returns m's target as a holder of key ranges, zero without a target.
--- a/coord/fleet/plan.go
+++ b/coord/fleet/plan.go
@@ -125,7 +125,7 @@
 			slices.Contains(drained, m.DataCentre) || l.lossProposed[h] || l.ended[h] {
 			continue
 		}
-		c := ranges.Candidate{Holder: h, Slots: m.Slots}
+		c := ranges.Candidate{Holder: h, Slots: m.Slots, Weight: m.Weight}
 		if r := l.members[m.Process]; r != nil {
 			c.Capacity, c.Utilization = r.capacity, r.utilization
 		}
--- a/coord/ranges/plan.go
+++ b/coord/ranges/plan.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"bramleyquay.example/coord/quality"
 )
 
 // Candidate is a holder that ranges may be assigned to.
@@ -15,6 +17,9 @@
 	Capacity float64
 	// Utilization is the fraction of the target's slots in use.
 	Utilization float64
+	// Weight is the weight of the target's quality, in eighths; 0 means 8. The capacity
+	// counts in proportion to it.
+	Weight int
 }
 
 // capacities returns the capacity of each candidate relative to the others. A
@@ -38,6 +43,7 @@
 		if c.Capacity <= 0 {
 			out[i] = perSlot * float64(max(c.Slots, 1))
 		}
+		out[i] *= float64(quality.Normalize(c.Weight)) / quality.Full
 	}
 	return out
 }
--- a/router/bqctl/fleet.go
+++ b/router/bqctl/fleet.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/quality"
 	"bramleyquay.example/coord/raft"
 	"bramleyquay.example/router/fleetclient"
 	"bramleyquay.example/router/fleetnode"
@@ -89,13 +90,13 @@
 	for _, id := range st.Learners {
 		add(id, "learner")
 	}
-	members := [][]string{{"PROCESS", "DATA CENTRE", "SERVICE", "TARGET", "SLOTS", "CONDITION"}}
+	members := [][]string{{"PROCESS", "DATA CENTRE", "SERVICE", "TARGET", "SLOTS", "WEIGHT", "CONDITION"}}
 	for _, m := range st.Members {
 		condition := string(m.Condition)
 		if m.Leaving {
 			condition += ", stopping"
 		}
-		members = append(members, []string{m.Process, m.DataCentre, m.Service, m.Target, fmt.Sprint(m.Slots), condition})
+		members = append(members, []string{m.Process, m.DataCentre, m.Service, m.Target, fmt.Sprint(m.Slots), fmt.Sprintf("%d/%d", quality.Normalize(m.Weight), quality.Full), condition})
 	}
 	return summary + "\n\n" + table(replicas) + "\n\n" + table(members) + quarantineText(st.Quarantine)
 }
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/coord/quality"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/fleetnode"
 	"bramleyquay.example/router/leaderclient"
@@ -188,6 +189,9 @@
 	if a.usage != nil {
 		u := a.usage()
 		renewal.Utilization, renewal.Capacity = math.Round(100*u.Utilization)/100, math.Round(100*u.Capacity)/100
+		if u.Weight != quality.Full && u.Target == renewal.Member.Holder() {
+			renewal.Member.Weight = u.Weight
+		}
 		if u.Limit.Known && u.Target == renewal.Member.Holder() {
 			renewal.Limit = &u.Limit.Rate
 		}
--- a/router/fleetagent/usage.go
+++ b/router/fleetagent/usage.go
@@ -13,6 +13,8 @@
 	// Limit is the limit that Target, an incarnation of the target, names.
 	Limit  dispatch.Limit
 	Target ranges.Holder
+	// Weight is the weight of that incarnation's quality, in eighths.
+	Weight int
 }
 
 // SetUsage sets the function that returns the target's load for renewals. f is
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -69,6 +69,7 @@
 	// transfers orders the bodies that peers wait to send.
 	transfers *blockingQueue
 	firstRuns *firstRuns
+	quality   targetQuality
 	probing   atomic.Bool
 	log       logging.Logger
 }
@@ -78,7 +79,7 @@
 // target's load.
 func NewGate(agent *fleetagent.Agent, names HeaderNames, client *httpclient.Client, log logging.Logger) *Gate {
 	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), log: log}
-	agent.SetUsage(g.queue.usage)
+	agent.SetUsage(g.usage)
 	return g
 }
 
@@ -88,6 +89,9 @@
 func (g *Gate) do(ctx context.Context, req *routedRequest) result {
 	r := g.run(ctx, req)
 	r.load = g.queue.load()
+	if t, ok := g.agent.Target(); ok {
+		r.load.Weight = g.quality.weight(t.Incarnation)
+	}
 	g.logTry(req, r)
 	return r
 }
@@ -144,7 +148,8 @@
 	}
 	begun := time.Now()
 	r = g.send(ctx, req, t)
-	r.waited, r.ran = waited, time.Since(begun)
+	r.waited, r.ran, r.ended = waited, time.Since(begun), ctx.Err() != nil
+	g.recordQuality(t, &r)
 	g.queue.release(id, r.outcome == done, r.notice.limit)
 	return r
 }
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -20,6 +20,18 @@
 	metrics.GetOrCreateGauge("bramleyquay_target_limit", nil).Set(rate)
 }
 
+// countQuality increments bramleyquay_target_quality_total: the requests that the
+// process's target ended, good, rejected or failed by itself.
+func countQuality(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_target_quality_total{result=%q}`, result)).Inc()
+}
+
+// setTargetWeight sets bramleyquay_target_weight: the weight of the process's target,
+// in eighths.
+func setTargetWeight(weight int) {
+	metrics.GetOrCreateGauge("bramleyquay_target_weight", nil).Set(float64(weight))
+}
+
 // observe records the latency of one answer to a caller by service and class of
 // status.
 func observe(service string, status int, took time.Duration) {
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return result{outcome: unknown, reason: withCause("peer", err), reached: true}
 	}
-	r, ok := decodeResult(resp.Header.Get(headerHop))
+	r, ok := decodeHop(resp.Header.Values(headerHop))
 	if !ok {
 		return result{outcome: unknown, reason: "peer: answer without outcome", reached: true}
 	}
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -70,7 +70,11 @@
 	c := in.balancerFor(st.request.service, st.view)
 	now := timesource.Now()
 	if len(st.exclude) < maxNoWaitTargets {
-		for _, id := range c.balancer.Order(now, st.exclude...) {
+		order := c.balancer.Order
+		if st.needsCapacity() {
+			order = c.balancer.OrderByCapacity
+		}
+		for _, id := range order(now, st.exclude...) {
 			st.exclude = append(st.exclude, id)
 			if !in.peers.isAvoided(string(id)) {
 				st.request.noWait = true
@@ -140,6 +144,8 @@
 	}
 	r := balancer.Result{Latency: took, Kind: balancer.OK, Load: st.last.load}
 	switch {
+	case st.last.outcome == notRun && st.last.reached:
+		r.Kind = balancer.Rejected
 	case st.last.outcome == notRun:
 		r.Kind = balancer.Refused
 	case st.last.outcome == unknown && time.Until(st.request.deadline) > 0:
@@ -171,7 +177,7 @@
 	for _, m := range view.Members {
 		listed[m.Process] = true
 		if m.Service == service && m.Condition == fleet.Ready && !view.IsDrained(m.DataCentre) {
-			targets = append(targets, balancer.Target{ID: table.MemberID(m.Process), DataCentre: m.DataCentre, Slots: m.Slots, Draining: m.Leaving})
+			targets = append(targets, balancer.Target{ID: table.MemberID(m.Process), DataCentre: m.DataCentre, Slots: m.Slots, Draining: m.Leaving, Weight: m.Weight})
 		}
 	}
 	c.balancer.SetTargets(timesource.Now(), targets)
--- /dev/null
+++ b/router/relay/quality.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleyquay.example/coord/quality"
+	"bramleyquay.example/coord/ranges"
+	"bramleyquay.example/router/fleetagent"
+	"bramleyquay.example/router/timesource"
+)
+
+// targetQuality measures the quality of the gate's target. Each incarnation starts
+// with full weight. Its methods may be called concurrently.
+type targetQuality struct {
+	mu     sync.Mutex
+	meter  *quality.Meter
+	target ranges.Holder
+}
+
+// record counts one request that ended at an incarnation of the target. It returns the
+// new weight and the share of bad responses, and true if the weight changed.
+func (q *targetQuality) record(target ranges.Holder, o quality.Outcome) (weight int, badShare float64, changed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.meter == nil || q.target != target {
+		q.meter, q.target = quality.NewMeter(quality.DefaultConfig()), target
+	}
+	changed = q.meter.Record(timesource.Now(), o)
+	return q.meter.Weight(), q.meter.BadShare(), changed
+}
+
+// weight returns the weight of an incarnation of the target in eighths.
+func (q *targetQuality) weight(target ranges.Holder) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.meter == nil || q.target != target {
+		return quality.Full
+	}
+	return q.meter.Weight()
+}
+
+// recordQuality counts the end of a request at the target. A change of the weight is
+// logged and reported to control at once.
+func (g *Gate) recordQuality(t fleetagent.Target, r *result) {
+	o, counts := r.quality()
+	if !counts {
+		return
+	}
+	countQuality(o.String())
+	weight, badShare, changed := g.quality.record(t.Incarnation, o)
+	setTargetWeight(weight)
+	if !changed {
+		return
+	}
+	g.log.Warn().Str("target", t.ID).Int("eighths", weight).Float64("badShare", badShare).Str("outcome", o.String()).Msg("weight of the target changed")
+	g.agent.RenewNow()
+}
+
+// quality returns what a result says about the quality of the target, or false if it
+// says nothing: the caller disconnected or its deadline passed, the target stops or
+// does not own the key, or the fault is this process's. A target that cannot be
+// connected to is not ready anyway.
+func (r *result) quality() (quality.Outcome, bool) {
+	switch {
+	case r.outcome == done && r.response.Status >= http.StatusInternalServerError:
+		return quality.Failed, true
+	case r.outcome == done:
+		return quality.Good, true
+	case r.outcome == notRun && r.reached && !r.notice.leaving && r.reason != misdirected:
+		return quality.Rejected, true
+	case r.outcome == unknown && (strings.HasPrefix(r.reason, reasonAnswerBroken) && !r.ended || r.reason == reasonNoSignature):
+		return quality.Failed, true
+	}
+	return 0, false
+}
+
+// misdirected is the reason of a target that does not own the key of a request.
+var misdirected = reasonTargetRefused + " with " + strconv.Itoa(http.StatusMisdirectedRequest)
+
+// usage returns the load and the weight of the target.
+func (g *Gate) usage() fleetagent.Usage {
+	u := g.queue.usage()
+	u.Weight = g.quality.weight(u.Target)
+	return u
+}
+
+// weightPrefix starts the second value of headerHop, which has the target's weight in
+// eighths. An earlier version reads only the first value. It is left out at full
+// weight.
+const weightPrefix = "weight="
+
+// hopValues returns the values of headerHop for a result.
+func hopValues(r result) []string {
+	values := []string{encodeResult(r)}
+	if r.load != nil && quality.Normalize(r.load.Weight) != quality.Full {
+		values = append(values, weightPrefix+strconv.Itoa(r.load.Weight))
+	}
+	return values
+}
+
+// decodeHop decodes the values of headerHop from another process's gate. It returns
+// false if the first is malformed. Others that it does not know are ignored.
+func decodeHop(values []string) (result, bool) {
+	if len(values) == 0 {
+		return result{}, false
+	}
+	r, ok := decodeResult(values[0])
+	if !ok {
+		return result{}, false
+	}
+	for _, v := range values[1:] {
+		if text, found := strings.CutPrefix(v, weightPrefix); found {
+			weight, err := strconv.Atoi(text)
+			if err != nil {
+				weight = quality.Full // as from an earlier version
+			}
+			r.load.Weight = weight
+		}
+	}
+	return r, true
+}
+
+// needsCapacity reports whether the last try without waiting may go to a target of low
+// weight: the earlier ones found no free slot, and the request would wait at least a
+// capacityWaitDivisor-th of its latency objective.
+func (st *requestState) needsCapacity() bool {
+	if st.reached > 0 || len(st.exclude) != maxNoWaitTargets-1 || len(st.busyTargets) == 0 {
+		return false
+	}
+	wait := st.busyTargets[0].wait
+	for _, b := range st.busyTargets {
+		wait = min(wait, b.wait)
+	}
+	objective := st.request.objective.Sub(st.request.request.Received)
+	return wait > min(objective/capacityWaitDivisor, maxCapacityWait)
+}
+
+const (
+	// capacityWaitDivisor was measured in coord/internal/loadsim: with an eighth, more
+	// requests fail near the capacity of all targets; with a thirty-second, half again
+	// as many need a second try.
+	capacityWaitDivisor = 16
+	// maxCapacityWait bounds the wait of requests without a latency objective, whose
+	// deadline counts instead.
+	maxCapacityWait = 200 * time.Millisecond
+)
--- a/router/relay/refusal.go
+++ b/router/relay/refusal.go
@@ -19,7 +19,10 @@
 func (g *Gate) RefusePeer(r *httpserver.Request) *httpserver.Response {
 	result := refused(reasonNoMemory, defaultRetryAfter)
 	result.load = &balancer.GateLoad{}
-	out := &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{headerHop: {encodeResult(result)}}}
+	if t, ok := g.agent.Target(); ok {
+		result.load.Weight = g.quality.weight(t.Incarnation)
+	}
+	out := &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{headerHop: hopValues(result)}}
 	if r != nil {
 		out.Header.Set(g.names.RequestID, r.Header.Get(g.names.RequestID))
 	}
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -67,6 +67,8 @@
 	// waited and ran are the times spent in the gate's queue and at the target. They
 	// are zero in the result of another process.
 	waited, ran time.Duration
+	// ended says that the caller had disconnected or its deadline had passed.
+	ended bool
 	// notice is what the target's answer says about its state.
 	notice notice
 }
--- a/router/relay/servepeer.go
+++ b/router/relay/servepeer.go
@@ -28,6 +28,6 @@
 		// A target that echoes no id has answered on a connection of its own.
 		out.Header.Set(g.names.RequestID, req.id)
 	}
-	out.Header.Set(headerHop, encodeResult(res))
+	out.Header[headerHop] = hopValues(res)
 	return out
 }
