--- a/coord/ranges/plan.go
+++ b/coord/ranges/plan.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"bramleyquay.example/coord/quality"
 )
 
 // Candidate is a holder that ranges may be assigned to.
@@ -18,7 +16,7 @@
 	// Utilization is the fraction of the target's slots in use.
 	Utilization float64
 	// Weight is the weight of the target's quality, in eighths; 0 means 8. The capacity
-	// counts in proportion to it.
+	// for ranges that the target gets counts in proportion to it; it moves none away.
 	Weight int
 }
 
@@ -43,7 +41,6 @@
 		if c.Capacity <= 0 {
 			out[i] = perSlot * float64(max(c.Slots, 1))
 		}
-		out[i] *= float64(quality.Normalize(c.Weight)) / quality.Full
 	}
 	return out
 }
@@ -235,12 +232,12 @@
 		if to < 0 {
 			break
 		}
-		overloaded := candidates[from].Utilization >= cfg.MinUtilization && loads.load[from] >= cfg.ImbalanceThreshold*loads.capacityFraction[from]
+		overloaded := candidates[from].Utilization >= cfg.MinUtilization && loads.load[from] >= cfg.ImbalanceThreshold*loads.retainedFraction[from]
 		empty := loads.load[to] < emptyFraction*loads.capacityFraction[to]
 		if !overloaded && !empty {
 			break
 		}
-		movable := min(loads.load[from]-loads.capacityFraction[from], loads.capacityFraction[to]-loads.load[to])
+		movable := min(loads.load[from]-loads.retainedFraction[from], loads.capacityFraction[to]-loads.load[to])
 		i, cut, moved := pickRange(out, candidates[from].Holder, movable, weights, cfg.maySplit(len(out), len(candidates)))
 		if i < 0 {
 			break
