Keep the order of data centres among targets of low weight

If all targets of a data centre have a low weight, the others come first also there, and among targets that yield the near ones come first. Tests that the weight reaches the directory, the plan of key ranges and the renewals.

--- a/coord/balancer/order.go
+++ b/coord/balancer/order.go
@@ -52,7 +52,10 @@
 		case s.suspect.active && b.ejection:
 			e.tier = suspectTier
 		case byWeight && b.yields(s, weights, len(exclude) == 0):
-			e.tier = yieldingTier
+			e.tier = yieldingFarTier
+			if b.sameDataCentre(s) {
+				e.tier = yieldingNearTier
+			}
 		case b.sameDataCentre(s):
 			e.tier = nearTier
 		}
@@ -73,6 +76,7 @@
 	probeTier = iota
 	nearTier
 	farTier
-	yieldingTier
+	yieldingNearTier
+	yieldingFarTier
 	suspectTier
 )
--- a/coord/balancer/order_test.go
+++ b/coord/balancer/order_test.go
@@ -62,7 +62,10 @@
 	is.True(n > 20 && n < 160)
 	is.Equal(first("near1", "near2"), 0) // a retry goes to the other data centre
 	is.Equal(b.OrderByCapacity(clock.At(0), "near2")[0], table.MemberID("near1"))
-	targets[1].Weight, targets[2].Weight = 1, 1
+	targets[1].Weight = 1
+	b.SetTargets(clock.At(0), targets)
+	is.True(first("far") > 700) // both near targets are bad
+	targets[2].Weight = 1
 	b.SetTargets(clock.At(0), targets)
 	is.True(first("near1") > 400 && first("far") == 0)
 	// The gate's report is newer than the directory, whose entry has not changed.
--- a/coord/fleet/leader_test.go
+++ b/coord/fleet/leader_test.go
@@ -272,3 +272,24 @@
 		is.Equal(keyRange.Holder.Incarnation, int64(2))
 	}
 }
+
+// Guards against a weight that does not reach the directory or the plan of key ranges,
+// and against one that changes the directory without need.
+func TestWeightOfMember(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t)
+	for _, p := range []string{"a", "b", "c"} {
+		sim.addMember(p)
+	}
+	r := sim.renewals["a"]
+	r.Member.Weight = 1
+	sim.renewals["a"] = r
+	sim.run(5 * time.Second)
+	is.Equal(sim.leader.Members()[0].Weight, 1)
+	a, _ := sim.heldRanges("a")
+	b, _ := sim.heldRanges("b")
+	is.True(a > 0 && a < b/4)
+	before := sim.leader.DirectoryRevision()
+	sim.run(time.Second)
+	is.Equal(sim.leader.DirectoryRevision(), before)
+}
--- a/router/fleetagent/target_test.go
+++ b/router/fleetagent/target_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/coord/grant"
+	"bramleyquay.example/coord/quality"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/leaderclient"
 	"bramleyquay.example/router/logging"
@@ -143,3 +144,18 @@
 	a.Announce(announcement("t", 1, 2))
 	is.Equal((<-caller.calls).Range.Fence, uint64(5))
 }
+
+// Guards against a weight that is reported for another incarnation of the target, and
+// against a directory entry that changes at full weight.
+func TestWeightInRenewal(t *testing.T) {
+	is := is.New(t)
+	a := testAgent()
+	a.Announce(announcement("t", 10, 1))
+	usage := Usage{Target: ranges.Holder{Target: "t", Incarnation: 10, Process: "p"}, Weight: 2}
+	a.SetUsage(func() Usage { return usage })
+	is.Equal(a.renewal(timesource.BootTime().Mono).Member.Weight, 2)
+	usage.Weight = quality.Full
+	is.Equal(a.renewal(timesource.BootTime().Mono).Member.Weight, 0)
+	usage.Weight, usage.Target.Incarnation = 2, 9
+	is.Equal(a.renewal(timesource.BootTime().Mono).Member.Weight, 0)
+}
