--- a/coord/ranges/plan.go
+++ b/coord/ranges/plan.go
@@ -15,6 +15,9 @@
 	Capacity float64
 	// Utilization is the fraction of the target's slots in use.
 	Utilization float64
+	// Weight is the weight of the target's quality, in eighths; 0 means 8. The capacity
+	// for ranges that the target gets counts in proportion to it; it moves none away.
+	Weight int
 }
 
 // capacities returns the capacity of each candidate relative to the others. A
@@ -229,12 +232,12 @@
 		if to < 0 {
 			break
 		}
-		overloaded := candidates[from].Utilization >= cfg.MinUtilization && loads.load[from] >= cfg.ImbalanceThreshold*loads.capacityFraction[from]
+		overloaded := candidates[from].Utilization >= cfg.MinUtilization && loads.load[from] >= cfg.ImbalanceThreshold*loads.retainedFraction[from]
 		empty := loads.load[to] < emptyFraction*loads.capacityFraction[to]
 		if !overloaded && !empty {
 			break
 		}
-		movable := min(loads.load[from]-loads.capacityFraction[from], loads.capacityFraction[to]-loads.load[to])
+		movable := min(loads.load[from]-loads.retainedFraction[from], loads.capacityFraction[to]-loads.load[to])
 		i, cut, moved := pickRange(out, candidates[from].Holder, movable, weights, cfg.maySplit(len(out), len(candidates)))
 		if i < 0 {
 			break
