Divide the limits of accounts at the leader, and take tokens at processes

The leader answers the report on limits in a renewal (Renewal.Quota) with changes only; the reply as such extends everything that the process holds. RegisterQuota records in the replicated state which processes may hold allotments, Tick proposes it, and removes those that were silent for 30 s. A removal names the index of its registration, so that a late one does not end a registration made since. Agent.TakeQuota renews early, at most once in 50 ms, while a request waits for a token. Without accounts with limits, messages and the state are as before.

--- a/coord/fleet/command.go
+++ b/coord/fleet/command.go
@@ -20,6 +20,7 @@
 	ApplyDocument *ApplyDocument `cbor:"1,keyasint,omitempty"`
 	SetDrain      *SetDrain      `cbor:"2,keyasint,omitempty"`
 	ReplaceRanges *ReplaceRanges `cbor:"3,keyasint,omitempty"`
+	RegisterQuota *RegisterQuota `cbor:"4,keyasint,omitempty"`
 }
 
 // ApplyDocument replaces the routing document.
--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -7,6 +7,7 @@
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/quarantine"
+	"bramleyquay.example/coord/quota"
 	"bramleyquay.example/coord/ranges"
 )
 
@@ -41,6 +42,8 @@
 	Ranges ranges.Config
 	// Quarantine configures the refusal of requests that end targets.
 	Quarantine quarantine.Config
+	// Quota configures the division of the limits of accounts.
+	Quota quota.Config
 }
 
 const (
@@ -57,7 +60,7 @@
 		Lease: lease, LeaseMargin: lease/driftMarginDivisor + timerMargin,
 		MemberTimeout: 2500 * time.Millisecond, MemberGracePeriod: 2 * time.Second,
 		StallThreshold: 500 * time.Millisecond, BalanceInterval: time.Second,
-		Ranges: ranges.DefaultConfig(), Quarantine: quarantine.DefaultConfig(),
+		Ranges: ranges.DefaultConfig(), Quarantine: quarantine.DefaultConfig(), Quota: quota.DefaultConfig(),
 	}
 }
 
@@ -94,6 +97,7 @@
 	notices  targetNotices
 	// quarantine counts the crashes that processes report.
 	quarantine *quarantine.Registry
+	quota      quotaLeader
 }
 
 type member struct {
@@ -163,6 +167,7 @@
 		entries := l.quarantine.Entries(now)
 		reply.Quarantine = &entries
 	}
+	reply.Quota = l.renewQuota(now, st, r)
 	if h := r.Member.Holder(); !h.IsZero() && !l.lossProposed[h] && !l.ended[h] {
 		l.lastGrant[h] = now
 		reply.Lease = l.cfg.Lease
@@ -246,16 +251,17 @@
 		// Renewals that arrived during the stall may not be handled yet, so the
 		// time after which a holder counts as lost starts again.
 		l.observedSince = now
+		l.updateQuota(now, st).RecordStall(now.Mono)
 	}
 	l.lastTick = now
 	l.removeTimedOutMembers(now)
 	l.notices.prune(now)
 	l.quarantine.Prune(now)
+	out := l.quotaCommands(now, st)
 	doc, _ := st.Document()
 	if doc == nil {
-		return nil
+		return out
 	}
-	var out []Command
 	for _, s := range doc.Services {
 		if s.Sharded {
 			if c, ok := l.plan(now, st, s.Name); ok {
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleyquay.example/coord/quarantine"
+	"bramleyquay.example/coord/quota"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/coord/routes"
 )
@@ -71,6 +72,8 @@
 	Limit *float64 `json:"limit,omitempty"`
 	// Quarantine is nil if the process has nothing to report.
 	Quarantine *QuarantineReport `json:"quarantine,omitempty"`
+	// Quota is nil if the process's document has no accounts with limits.
+	Quota *quota.Report `json:"quota,omitempty"`
 }
 
 // QuarantineReport is what a process knows about requests that end targets. All parts
@@ -126,6 +129,8 @@
 	Members    *MembersUpdate            `json:"members,omitempty"`
 	// Quarantine lists the requests to watch or refuse.
 	Quarantine *[]quarantine.Entry `json:"quarantine,omitempty"`
+	// Quota answers the renewal's report. It is applied after the document.
+	Quota *quota.Reply `json:"quota,omitempty"`
 
 	// MembersComplete is set once the leader's grace period has passed, in which
 	// every running process is expected to have renewed. The directory then counts
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -37,7 +37,8 @@
 	Drained       []string            `cbor:"8,keyasint,omitempty"`
 	Keyspaces     map[string]Keyspace `cbor:"9,keyasint,omitempty"`
 	// Fence is the highest fencing token that was allocated.
-	Fence uint64 `cbor:"10,keyasint"`
+	Fence uint64        `cbor:"10,keyasint"`
+	Quota quotaRegistry `cbor:"11,keyasint,omitzero"`
 }
 
 // Keyspace is the key space of one service.
@@ -94,6 +95,8 @@
 		return st.setDrain(index, c.SetDrain), nil
 	case c.ReplaceRanges != nil:
 		return st.replaceRanges(index, c.ReplaceRanges), nil
+	case c.RegisterQuota != nil:
+		return st.registerQuota(index, c.RegisterQuota), nil
 	}
 	return Result{}, Error.New("the command has no content")
 }
--- a/coord/quota/ledger.go
+++ b/coord/quota/ledger.go
@@ -65,7 +65,6 @@
 	short      bool      // processes need more than they have, or the reserve is used up
 	dirty      bool
 	plannedAt  time.Duration
-	refused    uint64
 }
 
 // budget returns what may be in force at all processes and in the reserve together.
--- a/coord/quota/simulation_test.go
+++ b/coord/quota/simulation_test.go
@@ -60,7 +60,6 @@
 	to     *process // nil for the leader
 	from   *process
 	sent   time.Duration
-	term   uint64
 	report Report
 	reply  Reply
 	limits map[string]Limit
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -35,6 +35,7 @@
 	view         atomic.Pointer[View]
 	renewNow     chan struct{}
 	rates        *rateMeter
+	quota        *quotaState
 
 	mu     sync.Mutex
 	target target
@@ -58,7 +59,7 @@
 func New(cfg Config, leaderClient *leaderclient.Client, log logging.Logger) *Agent {
 	a := &Agent{
 		cfg: cfg, leaderClient: leaderClient, log: log, renewNow: make(chan struct{}, 1), rates: newRateMeter(), changed: make(chan struct{}),
-		started: timesource.BootTime().Mono,
+		started: timesource.BootTime().Mono, quota: newQuotaState(),
 	}
 	a.view.Store(&View{})
 	return a
@@ -127,6 +128,7 @@
 	defer cancel()
 	sent := timesource.BootTime()
 	renewal := a.renewal(sent.Mono)
+	renewal.Quota = a.quota.report(sent.Mono, a.View())
 	var reply fleet.RenewalReply
 	if err := a.leaderClient.CallAt(ctx, addr, fleetnode.MethodRenew, renewal, &reply); err != nil {
 		a.handleRenewalError(addr, err)
@@ -138,6 +140,9 @@
 	}
 	a.leaderClient.SetReplicas(reply.Replicas)
 	a.apply(renewal, reply)
+	if a.quota.apply(sent.Mono, reply.Quota, a.View()) {
+		a.RenewNow()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.confirmQuarantineReport(reply.Revisions.Term)
@@ -167,6 +172,7 @@
 	wasConnected := a.connected
 	a.connected = false
 	a.mu.Unlock()
+	a.quota.disconnect()
 	if wasConnected {
 		a.log.Warn().Str("address", addr).Err(err).Msg("contact with control lost")
 	}
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -96,6 +96,10 @@
 	if now.MonoSince(r.lastLeaseCheck) >= leaseInterval {
 		r.lastLeaseCheck = now
 		for _, c := range r.leader.Tick(now, r.state) {
+			if c.RegisterQuota != nil {
+				r.proposeQuota(c)
+				continue
+			}
 			r.proposeRanges(c)
 		}
 	}
