--- a/coord/quota/holder.go
+++ b/coord/quota/holder.go
@@ -29,15 +29,17 @@
 
 // account is what the process holds of one limit.
 type account struct {
-	allotted   Allotment
-	bucket     bucket // the allotment, bounded by the limit in the process's view
-	tokens     float64
-	quick      float64 // usable until quickUntil
-	quickUntil time.Duration
-	returned   float64
-	demand     meter
-	lastUse    time.Duration
-	waiting    int
+	allotted     Allotment
+	bucket       bucket // the allotment, bounded by the limit in the process's view
+	tokens       float64
+	quick        float64 // usable until quickUntil
+	quickUntil   time.Duration
+	returned     float64
+	demand       meter
+	lastUse      time.Duration
+	waiting      int
+	refused      uint64
+	refusedSince time.Duration // first refusal that was not reported, zero without one
 	// known is what the leader knows of the account.
 	known Item
 	// noTokenUntil is the time before which the leader expects to have no token.
@@ -123,7 +125,7 @@
 		if due {
 			r.Items = append(r.Items, item)
 		}
-		if item == (Item{Name: name, Returned: a.returned}) && a.known == item && a.allotted.IsZero() {
+		if !due && item == (Item{Name: name, Returned: a.returned}) && a.known == item && a.allotted.IsZero() {
 			h.forget(name, a)
 		}
 	}
@@ -134,11 +136,15 @@
 // forget removes an account without demand. The count of returned tokens must be
 // retained, because the leader compares it with the last one.
 func (h *Holder) forget(name string, a *account) {
-	if a.returned == 0 && a.returns.last < a.lastUse+maxRetry {
+	if a.returned == 0 && a.refusedSince == 0 && a.returns.last < a.lastUse+maxRetry {
 		delete(h.accounts, name)
 	}
 }
 
+// refusedInterval is the longest time after which refusals are reported. They are for
+// operators only.
+const refusedInterval = 5 * time.Second
+
 // demandStep is the relative change of a demand that is reported. Smaller ones are within
 // the headroom of the division.
 const demandStep = 0.25
@@ -155,6 +161,7 @@
 	}
 	item := Item{Name: name, Demand: demand, Waiting: a.waiting, Tokens: a.tokens, Returned: a.returned}
 	due := a.waiting > 0 || item != a.known
+	due = due || a.refusedSince > 0 && now-a.refusedSince > refusedInterval
 	if h.full {
 		due = item != Item{Name: name}
 		if !a.allotted.IsZero() {
@@ -162,6 +169,9 @@
 			item.Allotted, due = &allotted, true
 		}
 	}
+	if due {
+		item.Refused, a.refusedSince = a.refused, 0
+	}
 	return item, due
 }
 
@@ -186,7 +196,7 @@
 	h.validUntil = until
 	h.full = h.expiredSince
 	for _, item := range h.reported {
-		item.Waiting, item.Allotted = 0, nil
+		item.Waiting, item.Refused, item.Allotted = 0, 0, nil
 		h.account(item.Name).known = item
 	}
 	for _, g := range reply.Grants {
--- a/coord/quota/ledger.go
+++ b/coord/quota/ledger.go
@@ -21,6 +21,7 @@
 	tokens, sentTokens float64
 	sentFill           float64 // tokens for the bucket of the last reply's allotment
 	returned           float64
+	refused            uint64
 	target             Allotment
 	// turn orders the shares by the tokens that they got; wantedAt is the last time at
 	// which requests waited that got none, zero if they have got theirs.
@@ -65,6 +66,7 @@
 	short      bool      // processes need more than they have, or the reserve is used up
 	dirty      bool
 	plannedAt  time.Duration
+	refused    uint64 // by all processes, in this term
 }
 
 // budget returns what may be in force at all processes and in the reserve together.
--- a/coord/quota/message.go
+++ b/coord/quota/message.go
@@ -31,6 +31,9 @@
 	Tokens float64 `json:"x,omitempty"`
 	// Returned counts the tokens that this incarnation has given back since its start.
 	Returned float64 `json:"b,omitempty"`
+	// Refused counts the requests that this incarnation has refused. It is sent with other
+	// changes, or after refusedInterval.
+	Refused uint64 `json:"r,omitempty"`
 	// Allotted is set in full reports if the process has an allotment.
 	Allotted *Allotment `json:"h,omitempty"`
 }
--- a/coord/quota/session.go
+++ b/coord/quota/session.go
@@ -108,6 +108,12 @@
 		sh.ledger.dirty = true
 	}
 	sh.waiting = item.Waiting
+	if item.Refused > sh.refused {
+		if !full {
+			sh.ledger.refused += item.Refused - sh.refused
+		}
+		sh.refused = item.Refused
+	}
 	if item.Tokens < sh.tokens {
 		sh.ledger.change(now, sh, func() { sh.tokens = max(item.Tokens, 0) })
 	}
--- a/coord/quota/status.go
+++ b/coord/quota/status.go
@@ -22,6 +22,8 @@
 	ReserveTokens float64 `json:"reserveTokens"`
 	// Processes is the number of processes with demand or an allotment.
 	Processes int `json:"processes"`
+	// Refused counts the requests that were refused in this term.
+	Refused uint64 `json:"refused"`
 	// Restricted is set while processes that have not reported to this leader may hold
 	// parts of the limit.
 	Restricted bool `json:"restricted,omitempty"`
@@ -37,7 +39,7 @@
 		l.reserve.advance(now)
 		st := LimitStatus{
 			Name: l.name, Rate: l.limit.Rate, Burst: l.limit.Burst, Allotted: l.counted.Rate, AllottedBurst: l.counted.Burst,
-			ReserveRate: l.reserve.Rate, ReserveTokens: l.reserve.tokens, Processes: len(l.shares), Restricted: l.restricted,
+			ReserveRate: l.reserve.Rate, ReserveTokens: l.reserve.tokens, Refused: l.refused, Processes: len(l.shares), Restricted: l.restricted,
 		}
 		for _, s := range l.shares {
 			st.Demand += s.demand
--- a/coord/quota/take.go
+++ b/coord/quota/take.go
@@ -55,9 +55,13 @@
 func (h *Holder) AddWaiting(name string, n int) { h.account(name).waiting += n }
 
 // RetryAfter returns the time after which a refused request is to return. It takes the
-// times into account that were given to others.
+// times into account that were given to others. It must be called once for each refusal.
 func (h *Holder) RetryAfter(now time.Duration, name string) time.Duration {
 	a, limit := h.account(name), h.limits[name]
+	a.refused++
+	if a.refusedSince == 0 {
+		a.refusedSince = now
+	}
 	first, rate := max(a.noTokenUntil-now, 0), limit.Rate
 	if a.bucket.Rate > 0 {
 		rate = a.bucket.Rate
--- a/router/bqctl/fleet.go
+++ b/router/bqctl/fleet.go
@@ -26,6 +26,7 @@
 	Drain    fleetDrainCommand    `cmd:"" help:"Take a data centre out of service."`
 	Return   fleetReturnCommand   `cmd:"" help:"Return a data centre to service."`
 	Allow    fleetAllowCommand    `cmd:"" help:"No longer refuse a request that has ended targets."`
+	Accounts fleetAccountsCommand `cmd:"" help:"Show how the limits of accounts are divided."`
 }
 
 // newClient returns a client, a context with the command's timeout, and a
--- a/router/bqctl/fleet_test.go
+++ b/router/bqctl/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/coord/quarantine"
+	"bramleyquay.example/coord/quota"
 	"bramleyquay.example/router/fleetdaemon"
 	"bramleyquay.example/router/fleetnode"
 	"bramleyquay.example/router/logging"
@@ -105,3 +106,32 @@
 		is.True(strings.Contains(out.String(), want))
 	}
 }
+
+// Guards against a division of limits that operators cannot see, or that shows figures in
+// the wrong column.
+func TestFleetAccounts(t *testing.T) {
+	is := is.New(t)
+	const secret = "0123456789abcdef"
+	secretFile := filepath.Join(t.TempDir(), "secret")
+	is.NoErr(os.WriteFile(secretFile, []byte(secret), 0o600))
+	replica := startFleetReplica(t, secret)
+	var out bytes.Buffer
+	args := []string{"--secret-file", secretFile, "fleet", "--replica", replica, "accounts"}
+	var code int
+	for range 100 {
+		out.Reset()
+		code = Run(context.Background(), args, Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" }})
+		if code == ExitDone {
+			break
+		}
+		time.Sleep(50 * time.Millisecond) // no leader yet
+	}
+	is.Equal(code, ExitDone)
+	is.True(strings.Contains(out.String(), "no account has a limit"))
+	text := fleetAccountsText(fleetnode.Status{Leader: "a/1", Term: 3, Accounts: []quota.LimitStatus{{
+		Name: "acme", Rate: 50, Burst: 40, Demand: 30, Allotted: 20, ReserveRate: 12, ReserveTokens: 8, Processes: 6, Refused: 7, Restricted: true,
+	}}})
+	is.True(strings.Contains(text, "a/1 divides the limits, term 3"))
+	row := strings.Fields(text[strings.LastIndex(text, "acme"):])
+	is.Equal(row[:9], []string{"acme", "50.0", "40.0", "30.0", "20.0", "12.0", "8.0", "7", "6"})
+}
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -8,6 +8,7 @@
 
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/quarantine"
+	"bramleyquay.example/coord/quota"
 	"bramleyquay.example/coord/raft"
 	"bramleyquay.example/router/peer"
 	"bramleyquay.example/router/raftdriver"
@@ -92,6 +93,8 @@
 	// Quarantine are the requests that processes watch or refuse because they end
 	// targets; set on the leader only.
 	Quarantine []quarantine.Entry `json:"quarantine,omitempty"`
+	// Accounts is the division of the limits of accounts; set on the leader only.
+	Accounts []quota.LimitStatus `json:"accounts,omitempty"`
 }
 
 func (r *Replica) status(ctx context.Context, _ struct{}) (Status, error) {
@@ -107,6 +110,7 @@
 			out.Active = []raft.ID{st.ID}
 		}
 		if r.leader.IsLeader() {
+			out.Accounts = r.leader.QuotaStatus(timesource.BootTime())
 			out.Quarantine = r.leader.Quarantine(timesource.BootTime())
 		}
 		for id, p := range st.Progress {
