--- a/coord/quota/tokens_test.go
+++ b/coord/quota/tokens_test.go
@@ -135,3 +135,47 @@
 	}
 	is.Equal(p.leader.Status(p.now)[0].Refused, uint64(3))
 }
+
+// Guards against small accounts that are refused for seconds after a change of the leader,
+// because a process that ended with it does not report.
+func TestSmallLimitAfterLeaderChange(t *testing.T) {
+	is := is.New(t)
+	p := newPair(2)
+	registered := []Registration{
+		{Process: Process{Address: "0", Incarnation: 1 << 32}, Index: 1},
+		{Process: Process{Address: "1", Incarnation: 2 << 32}, Index: 1},
+	}
+	p.leader.Start(p.now, 2, registered)
+	p.leader.SetLimits(p.now, map[string]Limit{"a": {Rate: 10, Burst: 5}})
+	p.renew(0)
+	p.renew(0)
+	is.True(p.leader.Status(p.now)[0].Restricted)
+	for range 10 {
+		p.now += 200 * time.Millisecond
+		p.ask(0, 1)
+		is.True(p.holders[0].Take(p.now, "a"))
+	}
+	is.True(p.leader.Status(p.now)[0].Restricted)
+}
+
+// Guards against processes that together hold all tokens of a small account: requests at
+// others would wait for them, and a new leader would have none to hand over.
+func TestSomeTokensAreKept(t *testing.T) {
+	is := is.New(t)
+	p := newPair(2)
+	for range 10 {
+		p.now += 100 * time.Millisecond
+		p.ask(0, 5)
+	}
+	for range 5 {
+		p.now += 200 * time.Millisecond
+		p.renew(0)
+	}
+	is.Equal(p.leader.Status(p.now)[0].AllottedBurst, 1.0) // for the next request
+	for range 10 {
+		p.ask(1, 4) // more than there are
+		p.now += 300 * time.Millisecond
+		p.renew(1)
+		is.True(p.leader.Status(p.now)[0].AllottedBurst <= 5-quickPart(Limit{Rate: 10})-2)
+	}
+}
