Count the requests of all accounts in the document

Accounts without a limit have bramleyquay_account_requests too. Metrics of accounts that a document no longer has are removed, so that their number is bounded. Shown to fail first by removing UnregisterMetric.

--- a/router/fleetagent/quota.go
+++ b/router/fleetagent/quota.go
@@ -53,6 +53,7 @@
 	start := timesource.BootTime().Mono
 	q.update(start, a.View())
 	if !q.holder.HasLimit(account) {
+		q.metrics.count(account, "admitted")
 		return true, 0
 	}
 	q.holder.Request(start, account)
@@ -132,9 +133,8 @@
 		return
 	}
 	q.routes = v.Routes
-	limits := fleet.QuotaLimits(v.document())
-	q.holder.SetLimits(now, limits)
-	q.metrics.setAccounts(q, limits)
+	q.holder.SetLimits(now, fleet.QuotaLimits(v.document()))
+	q.metrics.setAccounts(q, v.document())
 }
 
 // report returns the part of a renewal that concerns limits, nil without any.
--- a/router/fleetagent/quotametrics.go
+++ b/router/fleetagent/quotametrics.go
@@ -5,12 +5,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"bramleyquay.example/coord/quota"
+	"bramleyquay.example/coord/routes"
 	"bramleyquay.example/router/timesource"
 )
 
-// quotaMetrics are the metrics of the accounts with limits in the process's document.
-// Those of other accounts are removed, so that their number is bounded by the document.
+// quotaMetrics are the metrics of the accounts in the process's document. Those of other
+// accounts are removed, so that their number is bounded by the document.
 type quotaMetrics map[string]accountMetrics
 
 type accountMetrics struct {
@@ -29,10 +29,17 @@
 	return fmt.Sprintf(`bramleyquay_account_requests{account=%q,result=%q}`, account, result)
 }
 
-// setAccounts adds the metrics of new accounts and removes those of others.
-func (m quotaMetrics) setAccounts(q *quotaState, limits map[string]quota.Limit) {
+// setAccounts adds the metrics of new accounts of a document, which may be nil, and
+// removes those of others.
+func (m quotaMetrics) setAccounts(q *quotaState, d *routes.Document) {
+	current := map[string]bool{}
+	if d != nil {
+		for _, account := range d.Accounts {
+			current[account.Name] = true
+		}
+	}
 	for account, a := range m {
-		if _, ok := limits[account]; ok {
+		if current[account] {
 			continue
 		}
 		for result := range a.results {
@@ -41,7 +48,7 @@
 		metrics.UnregisterMetric(a.allotment)
 		delete(m, account)
 	}
-	for account := range limits {
+	for account := range current {
 		if _, ok := m[account]; ok {
 			continue
 		}
