Merge the metrics of accounts, and give up limits at a planned stop

Cause: a new leader gives nothing out until all registered processes have reported or 8.5 s have passed. Processes that had been taken away in planned stops during the 18 s before were still registered: a registration was removed 30 s after the last report.

Change: a process that stops gives up what it holds with a last report, and its registration is removed at once; without one it is removed after 10 s, when nothing of it can be in force.

Requests of accounts are counted by the ingress only: both packages counted them in the same metric.

--- a/coord/quota/allocator.go
+++ b/coord/quota/allocator.go
@@ -27,6 +27,8 @@
 	sessions map[string]*session // by process
 	hellos   map[string]hello    // by process
 	ledgers  map[string]*ledger  // by name of the limit
+	// left are the incarnations that have ended by themselves, by process.
+	left map[string]uint64
 	// limitsSet is set after the first SetLimits of the term.
 	limitsSet   bool
 	lastExpired time.Duration
@@ -42,7 +44,7 @@
 func (a *Allocator) Start(now time.Duration, term uint64, registered []Registration) {
 	*a = Allocator{
 		cfg: a.cfg, term: term, started: now, observedSince: now, awaited: map[string]uint64{},
-		sessions: map[string]*session{}, hellos: map[string]hello{}, ledgers: map[string]*ledger{}, countSentOnly: a.countSentOnly,
+		sessions: map[string]*session{}, hellos: map[string]hello{}, ledgers: map[string]*ledger{}, left: map[string]uint64{}, countSentOnly: a.countSentOnly,
 	}
 	a.SetRegistered(registered)
 	for _, r := range registered {
@@ -90,7 +92,13 @@
 // Renew handles the report of a process. It returns nil if the report is old.
 func (a *Allocator) Renew(now time.Duration, process string, r Report) *Reply {
 	a.expire(now)
+	if a.left[process] == r.Incarnation {
+		return nil // a late report
+	}
 	s := a.sessions[process]
+	if r.Left {
+		return a.recordLeft(now, process, s, r)
+	}
 	if s == nil || s.incarnation != r.Incarnation {
 		h := a.hellos[process]
 		if h.incarnation == r.Incarnation && r.Seq <= h.seq {
--- a/coord/quota/config.go
+++ b/coord/quota/config.go
@@ -26,7 +26,8 @@
 	// Margin is added to Validity by the allocator. It covers the drift of clocks.
 	Margin time.Duration
 	// SilentAfter is the time without a report after which a registration is removed. It
-	// is longer than Validity and Margin.
+	// is longer than Validity and Margin. A new leader waits for the reports of all
+	// registered processes, so registrations of lost ones should not remain.
 	SilentAfter time.Duration
 	// ReturnAfter is the time without a request after which a process returns tokens that
 	// were handed over to it.
@@ -44,7 +45,7 @@
 		Validity: validity,
 		// Clocks run up to 2% slow, doubled because two take part; timers add some time.
 		Margin:      validity/25 + 200*time.Millisecond,
-		SilentAfter: 30 * time.Second,
+		SilentAfter: validity + 2*time.Second,
 		ReturnAfter: 5 * time.Second,
 		CentralRate: 20,
 	}
--- a/coord/quota/holder.go
+++ b/coord/quota/holder.go
@@ -25,6 +25,9 @@
 	expiredSince bool
 	// reported are the items of the last report.
 	reported []Item
+	// left is set once the process has given up everything, leftReported in the reports
+	// after it, and leftKnown once the leader has got one.
+	left, leftReported, leftKnown bool
 }
 
 // account is what the process holds of one limit.
@@ -75,6 +78,9 @@
 // IsActive reports whether the process has anything to report: there are limits, or it
 // holds allotments of earlier ones.
 func (h *Holder) IsActive(now time.Duration) bool {
+	if h.left {
+		return !h.leftKnown
+	}
 	return len(h.limits) > 0 || h.term > 0 && now < h.validUntil
 }
 
@@ -98,6 +104,16 @@
 	return a
 }
 
+// Leave gives up everything that the process holds, because it stops. The leader learns of
+// it from the next report.
+func (h *Holder) Leave() {
+	h.left = true
+	clear(h.accounts)
+}
+
+// HasLeft reports whether the leader knows that the process has left.
+func (h *Holder) HasLeft() bool { return h.leftKnown }
+
 // expire ends everything that the process holds once its validity has passed.
 func (h *Holder) expire(now time.Duration) {
 	if h.term == 0 || now < h.validUntil {
@@ -117,6 +133,10 @@
 func (h *Holder) Report(now time.Duration) Report {
 	h.expire(now)
 	h.seq++
+	if h.left {
+		h.leftReported = true
+		return Report{Incarnation: h.incarnation, Seq: h.seq, Left: true}
+	}
 	h.expiredSince = false
 	r := Report{Incarnation: h.incarnation, Seq: h.seq, Term: h.term, Applied: h.applied, Full: h.full}
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
@@ -178,6 +198,10 @@
 // Apply applies the reply to a renewal that was sent at the time sent. It reports whether
 // the process should renew at once, because the leader asks for a full report.
 func (h *Holder) Apply(now, sent time.Duration, reply Reply) (renewNow bool) {
+	if h.left {
+		h.leftKnown = h.leftKnown || h.leftReported && reply.Seq == h.seq
+		return false
+	}
 	until := sent + h.cfg.Validity
 	if reply.Seq != h.seq || reply.Seq <= h.applied || reply.Term < h.term || now >= until {
 		return false
--- a/coord/quota/message.go
+++ b/coord/quota/message.go
@@ -18,6 +18,9 @@
 	// what has changed since the last report whose reply was applied.
 	Full  bool   `json:"f,omitempty"`
 	Items []Item `json:"l,omitempty"`
+	// Left is set in the last report of a process that stops: it holds nothing any more,
+	// and uses nothing of later replies.
+	Left bool `json:"e,omitempty"`
 }
 
 // Item is the part of a report that concerns one limit.
--- a/coord/quota/registration.go
+++ b/coord/quota/registration.go
@@ -61,8 +61,30 @@
 	return out
 }
 
-// Silent returns the registrations of processes that have not renewed for a long time.
-// They are to be removed: they get nothing from now on until they are registered anew.
+// recordLeft ends what an incarnation holds that has ended by itself. It does not depend
+// on earlier reports: the incarnation uses nothing of the replies to them.
+func (a *Allocator) recordLeft(now time.Duration, process string, s *session, r Report) *Reply {
+	if s != nil && s.incarnation != r.Incarnation {
+		return nil // of an earlier incarnation
+	}
+	a.left[process] = r.Incarnation
+	delete(a.hellos, process)
+	if s != nil {
+		s.end(now)
+		for _, sh := range s.shares {
+			s.forget(sh)
+		}
+		delete(a.sessions, process)
+	}
+	if a.awaited[process] == r.Incarnation {
+		delete(a.awaited, process)
+		a.release(now)
+	}
+	return &Reply{Term: a.term, Seq: r.Seq}
+}
+
+// Silent returns the registrations of processes that have left, or have not renewed for
+// so long that nothing of their allotments can be in force. They are to be removed: they get nothing from now on until they are registered anew.
 func (a *Allocator) Silent(now time.Duration) []Registration {
 	var out []Registration
 	for address, r := range a.registrations.known {
@@ -70,7 +92,7 @@
 		if s := a.sessions[address]; s != nil {
 			last = max(last, s.lastReply)
 		}
-		if now-last > a.cfg.SilentAfter {
+		if now-last > a.cfg.SilentAfter || a.left[address] == r.Incarnation {
 			a.registrations.removing[r] = true
 			out = append(out, r)
 		}
--- a/coord/quota/schedule_test.go
+++ b/coord/quota/schedule_test.go
@@ -24,6 +24,13 @@
 		if sim.chance(perSecond) {
 			p.holder, p.upAt = nil, sim.now+sim.duration(3*time.Second)
 		}
+		if p.holder != nil && sim.chance(perSecond) {
+			p.holder.Leave()
+			p.endsAt = sim.now + sim.duration(500*time.Millisecond)
+		}
+		if p.endsAt > 0 && sim.now >= p.endsAt {
+			p.holder, p.upAt, p.endsAt = nil, sim.now+sim.duration(3*time.Second), 0
+		}
 		for _, name := range names {
 			if sim.chance(0.25) {
 				p.traffic[name] = []float64{0, 0, 3, 50, 500, 500}[sim.rng.IntN(6)]
@@ -66,7 +73,7 @@
 }
 
 // Guards against processes that together admit more than a limit in any window of time:
-// with frozen, cut off and restarted processes, changed leaders and limits, and messages
+// with frozen, cut off, restarted and leaving processes, changed leaders and limits, and messages
 // that are lost, late, repeated and reordered.
 func TestLimitHolds(t *testing.T) {
 	perCheck, admitted := max(*scheduleCount/100, 1), 0
--- a/coord/quota/simulation_test.go
+++ b/coord/quota/simulation_test.go
@@ -45,6 +45,7 @@
 	frozenUntil time.Duration
 	cutUntil    time.Duration
 	upAt        time.Duration
+	endsAt      time.Duration // of a process that has left, zero otherwise
 	nextRenewal time.Duration
 	inFlight    time.Duration // end of the wait for the reply to the last renewal
 	sent        time.Duration // of the last renewal, on the process's clock
--- a/coord/quota/take.go
+++ b/coord/quota/take.go
@@ -21,7 +21,7 @@
 	}
 	h.expire(now)
 	a := h.accounts[name]
-	if a == nil {
+	if a == nil || h.left {
 		return false
 	}
 	if a.quick >= 1 && now <= a.quickUntil {
--- a/router/fleetagent/quota.go
+++ b/router/fleetagent/quota.go
@@ -57,10 +57,8 @@
 	}
 	q.holder.Request(start, account)
 	if q.holder.Take(start, account) || q.mayWait(start, account) && a.awaitQuota(ctx, account, start+maxWait) {
-		q.metrics.count(account, "admitted")
 		return true, 0
 	}
-	q.metrics.count(account, "over_quota")
 	return false, q.holder.RetryAfter(timesource.BootTime().Mono, account)
 }
 
@@ -122,7 +120,29 @@
 	defer q.mu.Unlock()
 	if q.holder.HasLimit(account) {
 		q.holder.Refund(timesource.BootTime().Mono, account)
-		q.metrics.count(account, "refunded")
+	}
+}
+
+// LeaveQuota gives up what the process may admit of the limits of accounts, and waits until
+// control knows it or ctx ends. It is for the end of a planned stop: control gives the part
+// of a process that is lost to no one else until it has expired.
+func (a *Agent) LeaveQuota(ctx context.Context) {
+	q := a.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.holder.IsActive(timesource.BootTime().Mono) {
+		return
+	}
+	q.holder.Leave()
+	for !q.holder.HasLeft() && ctx.Err() == nil {
+		replied := q.replied
+		q.mu.Unlock()
+		a.RenewNow()
+		select {
+		case <-replied:
+		case <-ctx.Done():
+		}
+		q.mu.Lock()
 	}
 }
 
@@ -132,9 +152,8 @@
 		return
 	}
 	q.routes = v.Routes
-	limits := fleet.QuotaLimits(v.document())
-	q.holder.SetLimits(now, limits)
-	q.metrics.setAccounts(q, limits)
+	q.holder.SetLimits(now, fleet.QuotaLimits(v.document()))
+	q.metrics.setAccounts(q, v.document())
 }
 
 // report returns the part of a renewal that concerns limits, nil without any.
--- a/router/fleetdaemon/stop.go
+++ b/router/fleetdaemon/stop.go
@@ -24,6 +24,8 @@
 	// transferTimeout bounds the wait for the start of a transfer of leadership, for
 	// which the replica may have to wait for its disk.
 	transferTimeout = 300 * time.Millisecond
+	// leaveTimeout bounds the wait for the reply to the last renewal.
+	leaveTimeout = 200 * time.Millisecond
 )
 
 // stopSchedule divides StopTimeout.
@@ -67,11 +69,19 @@
 		shutdowns.Go(func() { s.Shutdown(ctx) })
 	}
 	shutdowns.Wait()
+	d.leaveQuota()
 	if left := d.callerServer.InFlight() + d.gateServer.InFlight(); left > 0 {
 		d.log.Warn().Int("requests", left).Dur("timeout", d.cfg.StopTimeout).Msg("stop timeout is over; requests in progress are aborted")
 	}
 }
 
+// leaveQuota gives up the process's part of the limits of accounts.
+func (d *Daemon) leaveQuota() {
+	ctx, cancel := context.WithTimeout(context.Background(), min(leaveTimeout, d.cfg.StopTimeout/(2*shutdownShare)))
+	defer cancel()
+	d.agent.LeaveQuota(ctx)
+}
+
 func (d *Daemon) transferLeadership() {
 	if d.replica == nil {
 		return
