Tell peers that a request which crossed a close was not read

Cause: a process that stops closes the connections between processes that are idle, 2.2 s after SIGTERM. A request that its peer sent in the same millisecond was discarded unread, but the peer saw only the end of the connection, took the request for one that may have run, and answered 502 for requests that may run once at most.

Change: a server for peers ends such a connection with a response that answers no request (503, Bq-Unread): it has run nothing since its last response and will not. The client takes it as not sent, so the request goes to another process. A target cannot claim it, because the gate removes the header. Older processes see a response without a result, which is unknown, as before.

Tests: TestPeerLearnsThatRequestWasNotRead failed without the response (unexpected EOF), TestServerClosesBeforeRequest without the client's case (no NotSentError). Packages httpserver, httpclient and relay pass.

--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -38,6 +39,10 @@
 	// ResetOnCancel resets the connection if ctx ends before the response, so that the
 	// bytes that are still to be sent are discarded.
 	ResetOnCancel bool
+	// UnreadHeader, if set, marks a response that answers no request: the server says that
+	// it closes the connection and has not run the request that was sent last. Do returns a
+	// *NotSentError.
+	UnreadHeader string
 	// FailOnRestart makes Do return a *NotSentError, until Resume is called, if the server
 	// may have been restarted since an earlier request: no connection is left that was
 	// open then. Idle connections prove that it goes on also after
@@ -94,7 +99,8 @@
 	Body   []byte
 }
 
-// NotSentError means that no byte of the request was sent, so it did not run.
+// NotSentError means that no byte of the request was sent, or that the server has said
+// that it does not run it.
 type NotSentError struct {
 	Cause error
 	// Refused says that the connection was refused (ECONNREFUSED): no process
@@ -193,7 +199,7 @@
 		c.putIdle(pc)
 	}
 	switch {
-	case err != nil && r.AwaitContinue && !x.continued():
+	case err != nil && (r.AwaitContinue && !x.continued() || errors.Is(err, errUnread)):
 		return nil, &NotSentError{Cause: err}
 	case err != nil:
 		return nil, &IncompleteResponseError{Cause: err}
--- a/router/httpclient/client_test.go
+++ b/router/httpclient/client_test.go
@@ -33,7 +33,7 @@
 		}
 	}()
 	return httpclient.New(httpclient.Config{
-		Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20,
+		Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20, UnreadHeader: "Unread",
 	})
 }
 
@@ -217,3 +217,15 @@
 	is.True(errors.As(err, &unsent))
 	is.True(unsent.Refused)
 }
+
+// Guards against a request that counts as one that may have run although the server says
+// that it closed the connection before it read the request.
+func TestServerClosesBeforeRequest(t *testing.T) {
+	is := is.New(t)
+	c := startTarget(t, func(int, int) (string, bool) {
+		return "HTTP/1.1 503 Service Unavailable\r\nUnread: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true
+	})
+	_, err := c.Do(t.Context(), &httpclient.Request{Method: "GET", URI: "/", Host: "h", ID: "1"})
+	var unsent *httpclient.NotSentError
+	is.True(errors.As(err, &unsent))
+}
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -117,6 +117,7 @@
 	close(c.queue)
 	<-done
 	c.cancel()
+	c.writeUnread()
 	c.lingeringClose()
 }
 
--- a/router/httpserver/stop_test.go
+++ b/router/httpserver/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpserver"
+	"bramleyquay.example/router/logging"
 )
 
 // stopRound sends pipelined requests on several connections around the moment at which
@@ -120,3 +121,28 @@
 	is.NoErr(c.Close())
 	<-stopped
 }
+
+// Guards against a request of another process that arrives while its connection is closed
+// as idle, and whose sender cannot tell that it was not read.
+func TestPeerLearnsThatRequestWasNotRead(t *testing.T) {
+	is := is.New(t)
+	s := httpserver.NewForPeers(httpserver.HandlerFunc(echo), httpserver.DefaultLimits, logging.ForComponent(logging.New(io.Discard, "error", false), "edge"))
+	is.NoErr(s.Listen("127.0.0.1:0"))
+	go s.Run()
+	c, br := dial(t, s)
+	_, err := io.WriteString(c, get("/a"))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	go s.Shutdown(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, get("/b"))
+	is.NoErr(err)
+	resp, err = http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(httpserver.HeaderUnread), "1")
+	is.True(resp.Close)
+}
--- a/router/httpserver/stopping.go
+++ b/router/httpserver/stopping.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"time"
 )
 
 // ErrStopping is the cause with which EndRequests cancels the contexts of requests. It
@@ -14,3 +16,23 @@
 // the responses behind them on their connections are written after theirs. It does not
 // block.
 func (s *Server) EndRequests() { s.endRequests(ErrStopping) }
+
+// HeaderUnread marks the response with which a server for peers closes a connection on
+// which nothing is pending. It answers no request: the server has run no request of the
+// connection since its last response and will run none, so that a peer whose request
+// crosses the close knows that it has not run.
+const HeaderUnread = "Bq-Unread"
+
+const unreadResponse = "HTTP/1.1 503 Service Unavailable\r\n" + HeaderUnread + ": 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// writeUnread tells a peer that no further request is read, unless a response has said
+// so. It is called once the reader and the writer have ended.
+func (c *conn) writeUnread() {
+	if !c.server.deferBodies || c.closeDecided || c.isBroken() {
+		return
+	}
+	_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout)) // a failure shows at the write
+	if _, err := io.WriteString(c.raw, unreadResponse); err != nil {
+		c.broken.Store(true)
+	}
+}
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/httpserver"
 	"bramleyquay.example/router/memory"
 )
 
@@ -45,7 +46,7 @@
 	if c == nil {
 		c = httpclient.New(httpclient.Config{
 			Address: p.address(process), RequestIDHeader: p.names.RequestID,
-			DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxBody: maxPeerBodyBytes,
+			DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxBody: maxPeerBodyBytes, UnreadHeader: httpserver.HeaderUnread,
 		})
 		p.clients[process] = c
 	}
--- a/router/relay/servepeer.go
+++ b/router/relay/servepeer.go
@@ -23,6 +23,7 @@
 	if res.outcome == done {
 		out.Status, out.Header, out.Body = res.response.Status, forwarded(res.response.Header), res.response.Body
 		out.Header.Del(g.names.Load)
+		out.Header.Del(httpserver.HeaderUnread) // a target must not claim it
 	}
 	if req.id != "" {
 		// A target that echoes no id has answered on a connection of its own.
