Bound the bytes of bodies in progress at a target

Cause: a gate limited the requests at its target by slots only. A target that holds more bodies than its memory allows ends, with all of its requests; it does not announce how much it has. With 12 slots and bodies of up to 64 MiB nothing kept a gate from that.

Change: dispatch.Config.BodyBytes (default 8 MiB) bounds the bytes of the bodies at the target, each from its start until its response. At least one body starts. Bodies of at most 8 KiB do not count; one of unknown length takes the whole bound. What does not fit waits in the order of the queue: no other body that counts passes the first one, small requests do, and the expected wait includes it. The gate passes the length, and reports body and bodies in its log line and bramleyquay_target_body_bytes.

Tests: TestBodiesAtTarget and TestBodiesOfGeneratedSchedules failed without the order among bodies, and without the bound; the first without bodyDelay in the expected wait.

--- a/coord/dispatch/estimate.go
+++ b/coord/dispatch/estimate.go
@@ -33,15 +33,17 @@
 // expectedWait estimates the time until r starts. Slots become free at the rate
 // at which the running requests end, and requests ahead of r take them first. The
 // estimate is zero if a slot is left for r. At a target that is cold or limits its
-// requests it is at least the delay until that limit allows the start.
+// requests it is at least the delay until that limit allows the start, and for a long
+// body at least the delay until it fits.
 func (q *Queue) expectedWait(now clock.Reading, r Request) time.Duration {
 	var work time.Duration
-	ahead := 0
+	ahead, bodiesAhead := 0, int64(0)
 	for i := range q.waiting {
 		w := &q.waiting[i]
 		if w.ID != r.ID && q.compare(now, w, &r) <= 0 {
 			work += q.serviceTime(w.ServiceTimeGroup)
 			ahead++
+			bodiesAhead += q.bodyShare(w)
 		}
 	}
 	wait := time.Duration(0)
@@ -52,7 +54,7 @@
 		}
 		wait = (total/time.Duration(running) + work) / time.Duration(running)
 	}
-	return max(wait, q.startLimiter.delay(now.Mono, ahead), q.rateLimiter.delay(now.Mono, ahead))
+	return max(wait, q.startLimiter.delay(now.Mono, ahead), q.rateLimiter.delay(now.Mono, ahead), q.bodyDelay(&r, bodiesAhead))
 }
 
 const (
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -49,11 +49,12 @@
 // group.
 const groupRetention = 2 * time.Second
 
-// next returns the index in waiting of the request to start next.
-func (q *Queue) next(now clock.Reading) int {
-	best := 0
-	for i := 1; i < len(q.waiting); i++ {
-		if q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
+// next returns the index in waiting of the eligible request to start next, or -1.
+func (q *Queue) next(now clock.Reading, eligible func(*Request) bool) int {
+	best := -1
+	for i := range q.waiting {
+		r := &q.waiting[i]
+		if eligible(r) && (best < 0 || q.compare(now, r, &q.waiting[best]) < 0) {
 			best = i
 		}
 	}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -29,12 +29,17 @@
 	MaxLateFraction float64
 	// PriorityHeadStart is the head start in the queue for each level of priority.
 	PriorityHeadStart time.Duration
+	// BodyBytes bounds the bytes of the bodies at the target, each from the start of its
+	// request until its end. At least one body starts, however long it is, and bodies of
+	// at most SmallBodyBytes do not count. Zero sets no bound. A lower value protects
+	// targets with little memory and lets fewer uploads run at once.
+	BodyBytes int64
 }
 
 // DefaultConfig returns the default configuration for a target with the given
 // number of slots. It suits targets with about ten slots.
 func DefaultConfig(slots int) Config {
-	return Config{Slots: slots, QueueLength: 8 * max(slots, 1), MaxLateFraction: 0.25, PriorityHeadStart: 100 * time.Millisecond}
+	return Config{Slots: slots, QueueLength: 8 * max(slots, 1), MaxLateFraction: 0.25, PriorityHeadStart: 100 * time.Millisecond, BodyBytes: DefaultBodyBytes}
 }
 
 // Request asks for a slot. Times are on the monotonic clock.
@@ -55,6 +60,8 @@
 	// that the sender can try another target. They do not overtake waiting requests
 	// that come before them in the order of the queue.
 	NoWait bool
+	// BodyBytes is the length of the body, or UnknownBodyBytes.
+	BodyBytes int64
 }
 
 // Action is a decision about one request: it starts, or it is refused.
@@ -90,11 +97,13 @@
 	limitKnown   bool          // by an answer
 	usage        usage
 	groups       map[string]serviceTimeGroup // by name
+	bodyBytes    int64                       // of the bodies at the target
 }
 
 type runningRequest struct {
 	group string
 	start time.Duration
+	body  int64 // bytes that count in Config.BodyBytes
 }
 
 // New returns an empty queue.
@@ -165,6 +174,7 @@
 	}
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
 	delete(q.running, id)
+	q.bodyBytes -= r.body
 	if complete {
 		q.recordServiceTime(r.group, now.Mono-r.start)
 		q.usage.requestEnded(now.Mono - r.start)
@@ -216,12 +226,16 @@
 		}
 		i++
 	}
-	for len(q.waiting) > 0 && len(q.running) < q.cfg.Slots && q.rateLimiter.ready(now.Mono) && q.startLimiter.allow(now.Mono) {
+	for len(q.running) < q.cfg.Slots && q.rateLimiter.ready(now.Mono) {
+		i := q.nextFitting(now)
+		if i < 0 || !q.startLimiter.allow(now.Mono) {
+			break
+		}
 		q.rateLimiter.started(now.Mono)
-		i := q.next(now)
 		r := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
-		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono}
+		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono, body: q.bodyShare(&r)}
+		q.bodyBytes += q.bodyShare(&r)
 		out = append(out, Action{ID: r.ID, Start: true})
 	}
 	return out
--- a/router/fleetdaemon/upload_test.go
+++ b/router/fleetdaemon/upload_test.go
@@ -190,3 +190,48 @@
 	is.True(served.Load() > 0)
 	is.True(peak.Load() < before.HeapAlloc+(64<<20))
 }
+
+// Guards against more bytes of bodies at a target than its memory may hold, against bodies
+// of unknown length that do not count, and against a short request that waits behind them.
+func TestBytesOfBodiesAtTarget(t *testing.T) {
+	is := is.New(t)
+	keyed, plain, _ := startServingCluster(t)
+	var mu sync.Mutex
+	now, most := [2]int64{}, int64(0)
+	for i, p := range plain {
+		p.behave = func(w http.ResponseWriter, r *http.Request) bool {
+			n := r.ContentLength
+			if n < 0 {
+				n = 8 << 20
+			}
+			mu.Lock()
+			now[i] += n
+			most = max(most, now[i])
+			mu.Unlock()
+			_, err := io.Copy(io.Discard, r.Body)
+			time.Sleep(100 * time.Millisecond)
+			mu.Lock()
+			now[i] -= n
+			mu.Unlock()
+			return err != nil // otherwise the usual answer
+		}
+	}
+	var wg sync.WaitGroup
+	var served, other atomic.Int32
+	for i := range 12 {
+		wg.Go(func() {
+			switch status, _ := keyed[i%2].upload(fmt.Sprint("b", i), 5<<20, i%3 == 0); status {
+			case 200:
+				served.Add(1)
+			case 503:
+			default:
+				other.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d of 12 served, at most %d bytes at a target", served.Load(), most)
+	is.Equal(other.Load(), int32(0)) // each upload ends with a response
+	is.True(served.Load() >= 2)
+	is.True(most <= 8<<20)
+}
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -97,6 +97,18 @@
 	return r.request.Upload
 }
 
+// bodyBytes returns the length of the body, or dispatch.UnknownBodyBytes.
+func (r *routedRequest) bodyBytes() int64 {
+	u := r.upload()
+	switch {
+	case u == nil:
+		return int64(len(r.request.Body))
+	case u.Length < 0:
+		return dispatch.UnknownBodyBytes
+	}
+	return u.Length
+}
+
 // isConsumed reports whether the body cannot be sent again.
 func (r *routedRequest) isConsumed() bool {
 	u := r.upload()
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -283,10 +283,12 @@
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
+		Int64("body", req.bodyBytes()).Int64("bodies", g.queue.bodyBytes()).
 		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
 	setTargetLimit(g.queue.limit().Rate)
+	setTargetBodyBytes(g.queue.bodyBytes())
 }
 
 func (g *Gate) service(name string) *routes.Service {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -20,6 +20,12 @@
 	metrics.GetOrCreateGauge("bramleyquay_target_limit", nil).Set(rate)
 }
 
+// setTargetBodyBytes sets bramleyquay_target_body_bytes: the bytes of the long bodies that
+// are in progress at the process's target.
+func setTargetBodyBytes(n int64) {
+	metrics.GetOrCreateGauge("bramleyquay_target_body_bytes", nil).Set(float64(n))
+}
+
 // observe records the latency of one answer to a caller by service and class of
 // status.
 func observe(service string, status int, took time.Duration) {
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -50,7 +50,7 @@
 	w.deliver(w.queue.Offer(now, dispatch.Request{
 		ID: id, ServiceTimeGroup: req.route, Priority: req.priority, Arrived: timesource.FromTime(req.request.Received).Mono,
 		Objective: timesource.FromTime(req.objective).Mono, Deadline: timesource.FromTime(req.deadline).Mono,
-		NoWait: req.noWait,
+		NoWait: req.noWait, BodyBytes: req.bodyBytes(),
 	}))
 	w.scheduleTick()
 	w.mu.Unlock()
@@ -128,6 +128,13 @@
 	return &balancer.GateLoad{Running: running, Limit: limit, Queued: waiting}
 }
 
+// bodyBytes returns the bytes of the bodies at the target.
+func (w *blockingQueue) bodyBytes() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.BodyBytes()
+}
+
 // limit returns the limit that the target named in its answers.
 func (w *blockingQueue) limit() dispatch.Limit {
 	w.mu.Lock()
