Let callers read slowly, and deliver responses to callers that still send

Cause, three ways in which a caller lost a response that had been written for it: - writeTimeout (10 s) held for a whole response: a caller that reads without a pause, but slowly, lost the rest of a long one after 10 s. - After the last response the connection was closed 0.5 s later, whether or not the caller had read it. Bytes that arrived afterwards made the kernel reset the connection and discard the rest of the response: a pipelining caller that pauses reading lost it. - After the refusal of a body the same happened 3 s later while the caller was still sending, so that a slow upload ended without a response.

Ruled out: a target that waits for such callers. The gate and the client read a response completely, at the target's pace, before the ingress writes it; its memory counts until it is written (memory.Account of the request).

--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -23,15 +22,8 @@
 	// writeTimeout bounds the writing of one response to a caller that does not
 	// read it. After it no further response is written, and the contexts of the
 	// connection's requests are cancelled.
-	writeTimeout = 10 * time.Second
-	// lingerTimeout bounds the wait for the caller to close its side after the
-	// last response. Closing while received bytes are unread makes the kernel
-	// send a reset, and the caller could lose the response.
-	lingerTimeout = 500 * time.Millisecond
-	// uploadLingerTimeout is the same wait after the refusal of a body that the caller
-	// may still be sending.
-	uploadLingerTimeout = 3 * time.Second
-	readBufferBytes     = 4 << 10
+	writeTimeout    = 10 * time.Second
+	readBufferBytes = 4 << 10
 	// connBytes is the memory of a connection: its buffer, its queue and the stacks of
 	// its goroutines.
 	connBytes = 24 << 10
@@ -121,28 +113,6 @@
 	c.lingeringClose()
 }
 
-// lingeringClose closes the sending side, discards what the caller still sends
-// and then closes the connection, so that the last response is not lost.
-// lingerTimeout and lingerBytes bound the wait, or uploadLingerTimeout and the limit of
-// a body if a caller may still be sending one.
-func (c *conn) lingeringClose() {
-	timeout, bytes := lingerTimeout, int64(lingerBytes)
-	if c.bodyUnread {
-		timeout, bytes = uploadLingerTimeout, max(bytes, 2*c.server.limits().BodyBytes)
-	}
-	if tcp, ok := c.raw.(*net.TCPConn); ok && !c.isBroken() {
-		_ = tcp.CloseWrite()                               // the connection is closed below in any case
-		_ = c.raw.SetReadDeadline(time.Now().Add(timeout)) // a failure shows at the read
-		c.limited.remaining = bytes
-		_, _ = io.Copy(io.Discard, c.limited) // stops at the caller's close or at a bound
-	}
-	_ = c.raw.Close() // all responses have been written or cannot be
-}
-
-// lingerBytes bounds the bytes that are read from a caller after the last
-// response.
-const lingerBytes = 256 << 10
-
 // isBroken reports whether the caller has closed the connection or a read or write
 // has failed.
 func (c *conn) isBroken() bool { return c.broken.Load() }
--- a/router/httpserver/writer.go
+++ b/router/httpserver/writer.go
@@ -60,12 +60,9 @@
 	if joined {
 		buf = append(buf, resp.Body...)
 	}
-	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	_, err := c.raw.Write(buf)
+	err := c.writeParts(buf)
 	if err == nil && !joined && method != http.MethodHead {
-		_, err = c.raw.Write(resp.Body)
+		err = c.writeParts(resp.Body)
 	}
 	if err != nil {
 		c.broken.Store(true)
@@ -73,3 +70,21 @@
 	}
 	return err
 }
+
+// writePartBytes is the number of bytes for which writeTimeout holds: a caller may read a
+// long response slowly.
+const writePartBytes = 64 << 10
+
+func (c *conn) writeParts(p []byte) error {
+	for len(p) > 0 {
+		n := min(len(p), writePartBytes)
+		if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := c.raw.Write(p[:n]); err != nil {
+			return err
+		}
+		p = p[n:]
+	}
+	return nil
+}
