--- a/router/fleetdaemon/stop_test.go
+++ b/router/fleetdaemon/stop_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -159,3 +161,64 @@
 	t.Logf("%d requests refused", refused)
 	is.True(refused >= 4) // the slots of both targets are 8
 }
+
+// Guards against requests around the signal, and up to the end of the time in which
+// requests are accepted, that run and get no answer, against answers out of order and
+// against connections that are reset, while two processes stop at the same time.
+func TestPipelinesInTheMomentOfAStop(t *testing.T) {
+	is := is.New(t)
+	p := startStopCluster(t)
+	const seed = 11
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var wg sync.WaitGroup
+	begun := time.Now().Add(200 * time.Millisecond)
+	total := make(chan int, 40)
+	for i := range 40 {
+		pl := p[i%2].openPipeline(t)
+		is.NoErr(pl.conn.SetReadDeadline(begun.Add(stopTimeout)))
+		kinds := []string{"fast", "fast", []string{"slow", "medium", "fast"}[i%3], "fast"}
+		// Half of the connections are used again around the end of the drain period.
+		pauses := []time.Duration{time.Duration(rng.Int64N(int64(20 * time.Millisecond))), 0, 0}
+		if i%4 < 2 {
+			pauses[2] = 2190*time.Millisecond + time.Duration(rng.Int64N(int64(20*time.Millisecond)))
+		}
+		wg.Go(func() {
+			time.Sleep(time.Until(begun) - 10*time.Millisecond)
+			for _, pause := range pauses {
+				time.Sleep(pause)
+				if pl.send(kinds...) != nil {
+					return // the connection is closed, which answers checks
+				}
+			}
+		})
+		wg.Go(func() {
+			statuses, _, _, err := pl.answers()
+			if err != io.EOF {
+				t.Errorf("connection %d of seed %d ended with %v after %v", i, seed, err, statuses)
+			}
+			ran := 0
+			for n := range 3 * len(kinds) {
+				id := fmt.Sprintf("%s-%d", pl.conn.LocalAddr(), n)
+				if p[0].count(id)+p[1].count(id) > 0 {
+					ran++
+					if n >= len(statuses) {
+						t.Errorf("request %d of connection %d of seed %d ran and was not answered", n, i, seed)
+					}
+				}
+			}
+			total <- ran
+		})
+	}
+	time.Sleep(time.Until(begun))
+	for _, m := range p {
+		m.stop()
+	}
+	wg.Wait()
+	close(total)
+	n := 0
+	for ran := range total {
+		n += ran
+	}
+	t.Logf("%d requests ran", n)
+	is.True(n > 0)
+}
