--- a/router/httpserver/stop_test.go
+++ b/router/httpserver/stop_test.go
@@ -146,3 +146,35 @@
 	is.Equal(resp.Header.Get(httpserver.HeaderUnread), "1")
 	is.True(resp.Close)
 }
+
+// Guards against requests behind the limit of pipelined ones that are read and get no
+// response in a stop, and against a stop that waits for a reader at that limit.
+func TestPipelineBeyondLimitInStop(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(ctx context.Context, r *httpserver.Request) *httpserver.Response {
+		if r.Path == "/0" {
+			<-ctx.Done()
+			is.Equal(context.Cause(ctx), httpserver.ErrStopping)
+		}
+		return httpserver.TextResponse(200, r.Path)
+	})
+	c, br := dial(t, s)
+	const requests = 80
+	text := ""
+	for i := range requests {
+		text += get(fmt.Sprint("/", i))
+	}
+	_, err := io.WriteString(c, text) // one segment, which the reader has in its buffer
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond)
+	go s.Shutdown(t.Context())
+	time.Sleep(200 * time.Millisecond)
+	s.EndRequests()
+	paths, closes, err := readAll(c, br)
+	is.Equal(err, io.EOF)
+	is.True(closes)
+	is.Equal(len(paths), requests)
+	for i, p := range paths {
+		is.Equal(p, fmt.Sprint("/", i))
+	}
+}
