--- a/router/httpserver/stop_test.go
+++ b/router/httpserver/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpserver"
+	"bramleyquay.example/router/logging"
 )
 
 // stopRound sends pipelined requests on several connections around the moment at which
@@ -120,3 +121,60 @@
 	is.NoErr(c.Close())
 	<-stopped
 }
+
+// Guards against a request of another process that arrives while its connection is closed
+// as idle, and whose sender cannot tell that it was not read.
+func TestPeerLearnsThatRequestWasNotRead(t *testing.T) {
+	is := is.New(t)
+	s := httpserver.NewForPeers(httpserver.HandlerFunc(echo), httpserver.DefaultLimits, logging.ForComponent(logging.New(io.Discard, "error", false), "edge"))
+	is.NoErr(s.Listen("127.0.0.1:0"))
+	go s.Run()
+	c, br := dial(t, s)
+	_, err := io.WriteString(c, get("/a"))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	go s.Shutdown(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, get("/b"))
+	is.NoErr(err)
+	resp, err = http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(httpserver.HeaderUnread), "1")
+	is.True(resp.Close)
+}
+
+// Guards against requests behind the limit of pipelined ones that are read and get no
+// response in a stop, and against a stop that waits for a reader at that limit.
+func TestPipelineBeyondLimitInStop(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(ctx context.Context, r *httpserver.Request) *httpserver.Response {
+		if r.Path == "/0" {
+			<-ctx.Done()
+			is.Equal(context.Cause(ctx), httpserver.ErrStopping)
+		}
+		return httpserver.TextResponse(200, r.Path)
+	})
+	c, br := dial(t, s)
+	const requests = 80
+	text := ""
+	for i := range requests {
+		text += get(fmt.Sprint("/", i))
+	}
+	_, err := io.WriteString(c, text) // one segment, which the reader has in its buffer
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond)
+	go s.Shutdown(t.Context())
+	time.Sleep(200 * time.Millisecond)
+	s.EndRequests()
+	paths, closes, err := readAll(c, br)
+	is.Equal(err, io.EOF)
+	is.True(closes)
+	is.Equal(len(paths), requests)
+	for i, p := range paths {
+		is.Equal(p, fmt.Sprint("/", i))
+	}
+}
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -74,7 +74,7 @@
 	return dispatch.Request{
 		ID: id, ServiceTimeGroup: r.route, Priority: r.priority, Arrived: timesource.FromTime(r.request.Received).Mono,
 		Objective: timesource.FromTime(r.objective).Mono, Deadline: timesource.FromTime(r.deadline).Mono,
-		NoWait: r.noWait,
+		NoWait: r.noWait, BodyBytes: r.bodyBytes(),
 	}
 }
 
@@ -141,6 +141,13 @@
 	return &balancer.GateLoad{Running: running, Limit: limit, Queued: waiting}
 }
 
+// bodyBytes returns the bytes of the bodies at the target.
+func (w *blockingQueue) bodyBytes() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.BodyBytes()
+}
+
 // limit returns the limit that the target named in its answers.
 func (w *blockingQueue) limit() dispatch.Limit {
 	w.mu.Lock()
