Ask for bodies also after the write deadline of an earlier response

Seen: on a connection whose last response was written more than 10 s ago, a request with Expect: 100-continue got no response; the connection was closed. Between processes, whose connections are reused for up to 20 s, this failed each request with a body that is sent after its acceptance (over 8 KiB, or over 1 KiB for tries without waiting), and the other process was avoided for 500 ms.

Cause: each response sets a write deadline on the connection, which stays in force. 100 Continue was written without a deadline of its own, so the write failed at once.

TestContinueAfterIdleTime failed before for callers and for peers: i/o timeout and unexpected EOF instead of 100 Continue.

--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -31,7 +31,7 @@
 		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
 		return 0, nil
 	} else if expects {
-		if _, err := io.WriteString(c.raw, continueResponse); err != nil {
+		if err := c.writeContinue(); err != nil {
 			return 0, err
 		}
 	}
@@ -61,6 +61,16 @@
 	return 0, nil
 }
 
+// writeContinue asks the caller for the body. It sets a write deadline, because that of
+// an earlier response stays in force on the connection.
+func (c *conn) writeContinue() error {
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := io.WriteString(c.raw, continueResponse)
+	return err
+}
+
 // awaitUpload leaves the connection to the handler from the opening of the body on and
 // waits until the handler has returned. It reports whether the caller closed the
 // connection before.
@@ -90,7 +100,7 @@
 	err := c.beginUpload()
 	defer c.endUpload()
 	if c.server.deferBodies && err == nil {
-		_, err = io.WriteString(c.raw, continueResponse)
+		err = c.writeContinue()
 	}
 	if err != nil {
 		c.broken.Store(true)
