Ask for a body only after the responses to earlier requests

Seen: behind a request in progress, a pipelined request with Expect: 100-continue got 100 Continue at once, before the response to the first request. A caller takes it for a part of that one, and waits in vain for its own. It could also be written between the head and the body of a response over 16 KiB, whose body was then broken.

Cause: the reader of a connection wrote 100 Continue without regard to the responses that the writer still had to write.

Change: the reader waits for the earlier responses. It does not if the caller sends the body unasked, and stops waiting when the server closes.

TestContinueBehindEarlierRequest failed before in its three cases: 100 instead of 200 as the first status.

--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 
 	"bramleyquay.example/router/memory"
@@ -24,17 +25,17 @@
 	if hr.Body == nil || hr.Body == http.NoBody {
 		return 0, nil
 	}
-	if err := c.setReadDeadline(bodyTimeout); err != nil {
-		return 0, err
-	}
 	if expects := hr.Header.Get("Expect") == "100-continue"; expects && c.server.deferBodies {
 		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
 		return 0, nil
 	} else if expects {
-		if err := c.writeContinue(); err != nil {
+		if err := c.askForBody(); err != nil {
 			return 0, err
 		}
 	}
+	if err := c.setReadDeadline(bodyTimeout); err != nil {
+		return 0, err
+	}
 	if hr.ContentLength > InlineBodyBytes {
 		r.Upload = newUpload(hr.Body, hr.ContentLength, limits.BodyBytes, c.interruptRead)
 		return 0, nil
@@ -61,6 +62,27 @@
 	return 0, nil
 }
 
+// askForBody writes 100 Continue once the responses to the earlier requests of the
+// connection have been written, since it would be taken for a part of theirs. It writes
+// nothing if the caller has begun to send the body.
+func (c *conn) askForBody() error {
+	for c.pending.Load() > 0 {
+		if c.readingEnded() {
+			return os.ErrDeadlineExceeded
+		}
+		_ = c.raw.SetReadDeadline(time.Now().Add(responseCheckInterval)) // a failure shows at the read
+		c.limited.remaining = readBufferBytes
+		if _, err := c.br.Peek(1); err == nil || !isTimeout(err) {
+			return err
+		}
+	}
+	return c.writeContinue()
+}
+
+// responseCheckInterval is the time between two checks whether the earlier responses of a
+// connection have been written.
+const responseCheckInterval = 5 * time.Millisecond
+
 // writeContinue asks the caller for the body. It sets a write deadline, because that of
 // an earlier response stays in force on the connection.
 func (c *conn) writeContinue() error {
--- a/router/httpserver/continue_test.go
+++ b/router/httpserver/continue_test.go
@@ -77,3 +77,59 @@
 		})
 	}
 }
+
+// Guards against 100 Continue that is written before or within the response to an earlier
+// request of the connection, against waiting for such a response without need, and against
+// a stop that waits for a body that was not asked for.
+func TestContinueBehindEarlierRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		sendsBody, stops bool
+		want             []int
+	}{
+		"caller waits":        {want: []int{200, 100, 200}},
+		"caller sends body":   {sendsBody: true, want: []int{200, 200}},
+		"server stops before": {stops: true, want: []int{200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			release, posted := make(chan struct{}), make(chan struct{}, 1)
+			s, raw, br := startConn(t, New, func(_ context.Context, r *Request) *Response {
+				if r.Method == http.MethodPost {
+					posted <- struct{}{}
+					return TextResponse(200, string(r.Body))
+				}
+				<-release
+				return TextResponse(200, "first")
+			})
+			head := "GET / HTTP/1.1\r\nHost: h\r\n\r\n" + expectingHead
+			if c.sendsBody {
+				head += "body"
+			}
+			_, err := io.WriteString(raw, head)
+			is.NoErr(err)
+			if c.sendsBody {
+				<-posted // it runs while the first request does
+			}
+			time.Sleep(100 * time.Millisecond) // the head has been read
+			stopped := make(chan struct{})
+			if c.stops {
+				go func() { defer close(stopped); s.Shutdown(t.Context()) }()
+				time.Sleep(100 * time.Millisecond) // the head is being read when the response is ready
+			}
+			close(release)
+			for i, want := range c.want {
+				if i == 2 {
+					_, err := io.WriteString(raw, "body")
+					is.NoErr(err)
+				}
+				is.Equal(readStatus(is, br), want)
+			}
+			if c.stops {
+				_, err := br.ReadByte()
+				is.Equal(err, io.EOF)
+				is.NoErr(raw.Close())
+				<-stopped
+			}
+		})
+	}
+}
