Ask for a key on public routes if the path may leave them

Seen: with accounts, GET /public/../safe/x and GET /public/..%2fsafe/x without a key reached a target of the public route's service, which serves /safe/x if it removes dot segments: a request of a protected route ran without a key and without an account.

Cause: routes are found by the prefix of the decoded path as it was sent, and the target gets that path unchanged.

Change: a request on a public route whose path has a segment "." or ".." needs a key. Authenticate gets the path for this.

Before, TestAccounts got 200 instead of 401, and TestPublicRouteKeepsToItsPrefix no refusal in its five cases with such segments.

--- a/coord/routes/authenticate_test.go
+++ b/coord/routes/authenticate_test.go
@@ -41,9 +41,9 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			none, refusal := routes.NewTable(document()).Authenticate(c.route, "Token", c.values)
+			none, refusal := routes.NewTable(document()).Authenticate(c.route, "/x/y/z", "Token", c.values)
 			is.True(none == nil && refusal == "")
-			a, refusal := table.Authenticate(c.route, "Token", c.values)
+			a, refusal := table.Authenticate(c.route, "/x/y/z", "Token", c.values)
 			is.Equal(refusal, c.refusal)
 			is.Equal(a != nil, c.account != "")
 			if a != nil {
@@ -53,6 +53,26 @@
 	}
 }
 
+// Guards against requests without a key whose path a target takes for that of a protected
+// route, and against a key that is asked for on paths that only look like it.
+func TestPublicRouteKeepsToItsPrefix(t *testing.T) {
+	table := routes.NewTable(withAccounts())
+	for path, want := range map[string]routes.Refusal{
+		"/x/y/../../a": routes.NoKey, "/x/y/..": routes.NoKey, "/x/y/./a": routes.NoKey, "/x/y/..;v=1/a": routes.NoKey, `/x/y/..\..\a`: routes.NoKey,
+		"/x/y/": "", "/x/y/...": "", "/x/y/a..b/.c": "", "/x/y//a": "", "/x/y/;..": "",
+	} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			route := table.Match("a.example", path)
+			is.True(route.Public)
+			_, refusal := table.Authenticate(route, path, "Token", nil)
+			is.Equal(refusal, want)
+			a, refusal := table.Authenticate(route, path, "Token", []string{"Token k-south"})
+			is.True(refusal == "" && a.Name == "south")
+		})
+	}
+}
+
 // FuzzAuthenticate looks for header values that panic, or that are accepted without being
 // the scheme and a key of an account, or refused although they are.
 func FuzzAuthenticate(f *testing.F) {
@@ -77,7 +97,7 @@
 			want = keys[fields[1]]
 		}
 		got := ""
-		a, refusal := table.Authenticate(route, scheme, values)
+		a, refusal := table.Authenticate(route, "/", scheme, values)
 		if a != nil {
 			got = a.Name
 		}
@@ -114,7 +134,7 @@
 	route := table.Match("a.example", "/")
 	b.ReportAllocs()
 	for b.Loop() {
-		if a, _ := table.Authenticate(route, "Token", values); a == nil {
+		if a, _ := table.Authenticate(route, "/", "Token", values); a == nil {
 			b.Fatal("refused")
 		}
 	}
--- a/router/fleetdaemon/account_test.go
+++ b/router/fleetdaemon/account_test.go
@@ -163,6 +163,7 @@
 		"other scheme": {"/safe/x", key("Basic " + south), 401}, "empty key": {"/safe/x", key("Key "), 401}, "empty header": {"/safe/x", key(""), 401},
 		"account and hop are set": {"/safe/x", internal, 401}, "public, unknown key": {"/public/x", key("Key " + unknown), 401},
 		"no key of the key space": {"/keyed/x", nil, 401}, "only no key of the key space": {"/keyed/x", key("Key " + south), 400},
+		"public, path of another route": {"/public/..%2fsafe/x", nil, 401}, "public, dot segments": {"/public/../safe/x", nil, 401},
 		"no route": {"/none/", key("Key " + unknown), 404},
 	} {
 		is.Equal(c.send(c.plain[0].cfg.Sidecar.Caller, r.path, id, r.header), r.want) // id
--- a/router/relay/account.go
+++ b/router/relay/account.go
@@ -18,7 +18,7 @@
 func (in *Ingress) authenticate(st *requestState) *httpserver.Response {
 	req := st.request
 	values := req.request.Header.Values(in.names.Authorization)
-	account, refusal := st.view.Routes.Authenticate(st.route, in.names.AuthorizationScheme, values)
+	account, refusal := st.view.Routes.Authenticate(st.route, req.request.Path, in.names.AuthorizationScheme, values)
 	if refusal != "" {
 		countUnauthorized()
 		st.last.reason = string(refusal)
