Do not call an account over its limit if the wait for its allotment was cut short

Seen: a request whose deadline passed, or whose process stopped, while it waited for the first allotment of its account got 429 "account is over its limit" and counted as over_quota. A caller that keeps to its limit was told to slow down.

Cause: takeQuota took each refusal of TakeQuota for one by the limit.

Change: if the context of the request has ended, the response is 503 with the reason, as for requests that end while they wait for a target.

TestRequestEndsWhileWaitingForQuota failed before: 429 instead of 503.

--- a/router/relay/quota.go
+++ b/router/relay/quota.go
@@ -28,7 +28,7 @@
 
 // takeQuota takes the request from the limit of its account. It does nothing for
 // requests without an account or of one without a limit. If the account is over its
-// limit, it returns the answer for the caller.
+// limit, or ctx ends before that is known, it returns the answer for the caller.
 func (in *Ingress) takeQuota(ctx context.Context, st *requestState) *httpserver.Response {
 	if st.account == nil {
 		return nil
@@ -36,7 +36,12 @@
 	if st.account.Rate > 0 {
 		objective := st.request.objective.Sub(st.request.request.Received)
 		ok, after := in.quota.TakeQuota(ctx, st.account.Name, min(maxQuotaWait, objective/quotaWaitShare))
-		if !ok {
+		switch {
+		case !ok && ctx.Err() != nil:
+			// The context ended during the wait for an allotment, which says nothing about the limit.
+			st.last = refused(endReason(ctx), 0)
+			return in.refusal(st)
+		case !ok:
 			in.accounts.count(st.account.Name, resultOverQuota)
 			return in.overQuota(st, after)
 		}
--- a/router/relay/quota_test.go
+++ b/router/relay/quota_test.go
@@ -105,3 +105,45 @@
 	c.setTable(table(3))
 	is.True(!has("stays", resultAdmitted))
 }
+
+// waitingQuota waits until the context of the request ends, as for a first allotment.
+type waitingQuota struct{ fakeQuota }
+
+func (q *waitingQuota) TakeQuota(ctx context.Context, _ string, _ time.Duration) (bool, time.Duration) {
+	<-ctx.Done()
+	return false, 0
+}
+
+// Guards against requests that are told that their account is over its limit, and counted
+// so, although the process stops or their deadline passes before that is known.
+func TestRequestEndsWhileWaitingForQuota(t *testing.T) {
+	logs := logging.New(io.Discard, "error", false)
+	for name, c := range map[string]struct {
+		cause  error
+		reason string
+	}{"process stops": {httpserver.ErrStopping, reasonStopping}, "deadline passes": {nil, reasonCallerLeft}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			agent := fleetagent.New(fleetagent.Config{Process: "p", AnnounceInterval: time.Second}, leaderclient.New(nil, nil), logging.ForComponent(logs, "member"))
+			in := NewIngress(IngressConfig{Names: DefaultHeaderNames}, agent, nil, logging.ForComponent(logs, "ingress"))
+			q, now := &waitingQuota{}, time.Now()
+			in.quota = q
+			table := routes.NewTable(&routes.Document{Version: 1, Accounts: []routes.Account{{Name: name, Rate: 5}}})
+			in.accounts.setTable(table)
+			req := &routedRequest{id: "i", service: "s", request: &httpserver.Request{Received: now}, objective: now.Add(time.Second), deadline: now.Add(20 * time.Millisecond)}
+			st := &requestState{request: req, view: agent.View(), route: &routes.Route{}, account: table.Account(name)}
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			if c.cause != nil {
+				cancel(c.cause)
+			}
+			resp := in.execute(ctx, st)
+			is.Equal(resp.Status, http.StatusServiceUnavailable)
+			is.Equal(st.last.reason, c.reason)
+			is.Equal(q.refunded, 0)
+			var buf bytes.Buffer
+			metrics.WritePrometheus(&buf, false)
+			is.True(!strings.Contains(buf.String(), `account="`+name+`"`))
+		})
+	}
+}
