Close the connection after the response in all spellings of that wish

Seen: a caller that sent "Connection: Close", a list such as "X-A, close", the header twice, or HTTP/1.0 got its response, and the connection stayed open until the idle time-out (60 s by default). A caller that reads to the end of the stream waited so long.

Cause: the server compared the first Connection header with "close".

Change: it uses the decision of net/http.ReadRequest.

TestCallerAsksForClose failed before in four of its five cases: the response did not have Connection: close.

--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -185,7 +185,7 @@
 			c.broken.Store(true)
 			return true
 		}
-		last := r.Header.Get("Connection") == "close"
+		last := r.close
 		x := exchange{response: make(chan *Response, 1), method: r.Method, last: last, upload: r.Upload, memory: r.Memory}
 		if !c.admit(r.Upload == nil && c.br.Buffered() > 0) {
 			r.Memory.Close()
--- a/router/httpserver/message.go
+++ b/router/httpserver/message.go
@@ -32,6 +32,8 @@
 	// Received is the time when the last byte of the body had been read, or of the
 	// headers if Upload is set.
 	Received time.Time
+	// close says that the caller asks to close the connection after the response.
+	close bool
 }
 
 // InlineBodyBytes is the longest body of a caller that is read before its request is
--- a/router/httpserver/readrequest.go
+++ b/router/httpserver/readrequest.go
@@ -40,7 +40,7 @@
 		}
 		return nil, http.StatusBadRequest, err
 	}
-	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host, Header: hr.Header, Memory: c.server.memory.Open()}
+	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host, Header: hr.Header, Memory: c.server.memory.Open(), close: hr.Close}
 	status := http.StatusServiceUnavailable
 	c.limited.head.End()
 	if err = r.Memory.Grow(requestBytes + memory.HeaderBytes(r.Header)); err == nil {
--- a/router/httpserver/server_test.go
+++ b/router/httpserver/server_test.go
@@ -306,3 +306,33 @@
 		})
 	}
 }
+
+// Guards against connections that stay open after the response although the caller has
+// asked for their end, so that it waits for the end of the stream until the idle time-out.
+func TestCallerAsksForClose(t *testing.T) {
+	for name, head := range map[string]string{
+		"close":        "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+		"another case": "GET / HTTP/1.1\r\nHost: h\r\nConnection: Close\r\n\r\n",
+		"list":         "GET / HTTP/1.1\r\nHost: h\r\nConnection: X-A, close\r\n\r\n",
+		"two headers":  "GET / HTTP/1.1\r\nHost: h\r\nConnection: X-A\r\nConnection: close\r\n\r\n",
+		"HTTP/1.0":     "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, func(context.Context, *httpserver.Request) *httpserver.Response {
+				return httpserver.TextResponse(200, "ok")
+			})
+			c, br := dial(t, s)
+			is.NoErr(c.SetDeadline(time.Now().Add(2 * time.Second)))
+			_, err := io.WriteString(c, head)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(br, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.NoErr(err)
+			is.True(resp.Close)
+			_, err = br.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+}
