Keep the interruption of a body that is being opened

Seen: if the deadline of a peer's request, or the stop of the process, came just as its body was being opened, the gate went on reading the body for up to 30 s. It held one of the two turns for bodies from peers for that time if the peer sent nothing.

Cause: Upload.Interrupt did nothing before Open, and the deadline for the body that the connection sets after Open ended an interruption in between.

Change: the connection checks for an interruption after it has set that deadline.

TestInterruptBeforeOpen failed before: no response within 2 s.

--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -120,6 +120,9 @@
 func (c *conn) receiveUpload(u *Upload, handled <-chan struct{}) (callerDisconnected bool) {
 	c.limited.remaining = math.MaxInt64 // Upload bounds the body
 	err := c.beginUpload()
+	if u.interrupted.Load() {
+		c.interruptRead()
+	}
 	defer c.endUpload()
 	if c.server.deferBodies && err == nil {
 		err = c.writeContinue()
--- a/router/httpserver/upload.go
+++ b/router/httpserver/upload.go
@@ -32,14 +32,19 @@
 	// interrupt ends a read of the connection that is in progress.
 	interrupt func()
 	finished  atomic.Bool // no read has to be interrupted any more
+	// interrupted is set by Interrupt. The reader of the connection checks it after it has
+	// set the deadline for the body, which ends an earlier interruption.
+	interrupted atomic.Bool
 }
 
 func newUpload(body io.Reader, length, limit int64, interrupt func()) *Upload {
 	return &Upload{Length: length, body: body, left: limit, opened: make(chan struct{}), ready: make(chan struct{}), interrupt: interrupt}
 }
 
-// Interrupt makes reading the body fail, also a read in progress, unless it is complete.
+// Interrupt makes reading the body fail, also a read in progress or after a later Open,
+// unless it is complete.
 func (u *Upload) Interrupt() {
+	u.interrupted.Store(true)
 	if u.IsOpened() && !u.finished.Swap(true) {
 		u.interrupt()
 	}
--- a/router/httpserver/upload_test.go
+++ b/router/httpserver/upload_test.go
@@ -244,6 +244,29 @@
 	is.True(resp.Close)
 }
 
+// Guards against a body that is read for up to bodyTimeout because it was interrupted just
+// before or during its opening.
+func TestInterruptBeforeOpen(t *testing.T) {
+	is := is.New(t)
+	c := startUploadServer(t, true, func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		r.Upload.Interrupt()
+		resp := readUpload(context.Background(), r)
+		resp.Status = 503
+		return resp
+	})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	is.NoErr(err)
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 100)
+	resp, err = http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+	is.True(resp.Close)
+}
+
 // Guards against requests that go on after their caller has left, because a long body
 // was read: nobody receives the answer.
 func TestCallerLeavesAfterLongBody(t *testing.T) {
