Remove other spellings of the account's headers

Seen: a caller's header Bq_Account was passed on beside the Bq-Account that the ingress sets. A target behind CGI or WSGI gets both in one variable, so that a caller could name another account, or one on a public route.

Cause: setAccount removed the exact names only.

Change: while the document has accounts, headers that differ from those of the key and of the account only by underscores for hyphens are removed too.

TestOtherSpellingsOfAccountHeaders failed before: Bq_account, BQ_ACCOUNT and X_api-Key stayed.

--- a/router/relay/account.go
+++ b/router/relay/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/phuslu/log"
 
@@ -45,18 +46,29 @@
 }
 
 // setAccount removes what the caller has set of the key and of the account's name while
-// the document has accounts, and sets the name of the account, if there is one. The gate
+// the document has accounts, in all spellings, and sets the name, if there is one. The gate
 // does it too: its document may be newer, and older ingresses do not.
 func (n *HeaderNames) setAccount(h http.Header, t *routes.Table, account string) {
 	if t != nil && t.HasAccounts() {
 		h.Del(n.Authorization)
 		h.Del(n.Account)
+		for name := range h {
+			if strings.Contains(name, "_") && (isSpelling(name, n.Authorization) || isSpelling(name, n.Account)) {
+				delete(h, name)
+			}
+		}
 	}
 	if account != "" && n.Account != "" {
 		h.Set(n.Account, account)
 	}
 }
 
+// isSpelling reports whether a target may take name for the header: CGI and WSGI map
+// hyphens and underscores to the same variable.
+func isSpelling(name, header string) bool {
+	return strings.EqualFold(strings.ReplaceAll(name, "_", "-"), strings.ReplaceAll(header, "_", "-"))
+}
+
 // withAccount adds the account of a request to a log line. Lines of requests without one
 // stay as short as before.
 func withAccount(e *log.Entry, req *routedRequest) *log.Entry {
--- a/router/relay/account_test.go
+++ b/router/relay/account_test.go
@@ -40,3 +40,25 @@
 	is.Equal(req.account, "first")
 	is.Equal(len(req.header), 0)
 }
+
+// Guards against a caller that names an account, or shows a key to the target, by a
+// spelling that targets take for the same header: CGI and WSGI map hyphens and underscores
+// to the same variable.
+func TestOtherSpellingsOfAccountHeaders(t *testing.T) {
+	is := is.New(t)
+	names := DefaultHeaderNames
+	names.Authorization = "X-Api-Key"
+	with, without := routes.NewTable(&routes.Document{Version: 1, Accounts: []routes.Account{{Name: "south"}}}), routes.NewTable(&routes.Document{Version: 1})
+	forged := func() http.Header {
+		return http.Header{"Bq-Account": {"a"}, "Bq_account": {"b"}, "BQ_ACCOUNT": {"c"}, "X_api-Key": {"d"}, "Bq_other": {"e"}}
+	}
+	h := forged()
+	names.setAccount(h, with, "south")
+	is.Equal(h, http.Header{"Bq-Account": {"south"}, "Bq_other": {"e"}})
+	h = forged()
+	names.setAccount(h, with, "")
+	is.Equal(h, http.Header{"Bq_other": {"e"}})
+	h = forged()
+	names.setAccount(h, without, "")
+	is.Equal(h, forged())
+}
