Do not count tries against targets whose caller has left

Seen: when a caller disconnected while its requests ran, or a process stopped, each of these tries counted as a failure of its target, and one that was not yet sent as a refusal for lack of a slot. A caller with many pipelined requests could make a good target a suspect in its process.

Cause: reportResult took an unknown outcome before the deadline for a failure, without regard to the end of the request's context.

--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -198,7 +198,7 @@
 		start := time.Now()
 		st.last = in.send(ctx, process, st.request)
 		if !st.request.sharded {
-			in.reportResult(st, time.Since(start))
+			in.reportResult(ctx, st, time.Since(start))
 		}
 		st.picks++
 		if st.last.reached {
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -143,25 +144,30 @@
 
 // reportResult passes the result and the duration of a try to the service's
 // balancer.
-func (in *Ingress) reportResult(st *requestState, took time.Duration) {
+func (in *Ingress) reportResult(ctx context.Context, st *requestState, took time.Duration) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c := in.balancers[st.request.service]
 	if c == nil {
 		return
 	}
-	r := balancer.Result{Latency: took, Kind: balancer.OK, Load: st.last.load, NoWait: st.request.noWait}
+	r := balancer.Result{Latency: took, Kind: kindOf(ctx, st.last), Load: st.last.load, NoWait: st.request.noWait}
+	c.balancer.Finished(timesource.Now(), table.MemberID(st.process), r)
+}
+
+// kindOf returns what the result of a try says about its target. ctx is the context of
+// the try.
+func kindOf(ctx context.Context, r result) balancer.ResultKind {
 	switch {
-	case st.last.outcome == notRun:
-		r.Kind = balancer.Refused
-	case st.last.outcome == unknown && time.Until(st.request.deadline) > 0:
-		r.Kind = balancer.Failed
-	case st.last.outcome == unknown:
-		r.Kind = balancer.Cancelled
-	case st.last.response.Status >= http.StatusInternalServerError:
-		r.Kind = balancer.Failed
+	case r.outcome == unknown && ctx.Err() != nil, r.outcome == notRun && errors.Is(ctx.Err(), context.Canceled):
+		// The deadline has passed, the caller has left, or this process stops.
+		return balancer.Cancelled
+	case r.outcome == notRun:
+		return balancer.Refused
+	case r.outcome == unknown, r.response.Status >= http.StatusInternalServerError:
+		return balancer.Failed
 	}
-	c.balancer.Finished(timesource.Now(), table.MemberID(st.process), r)
+	return balancer.OK
 }
 
 // balancerFor returns the balancer of a service. If its targets are not those of
