--- a/router/rangetarget/target.go
+++ b/router/rangetarget/target.go
@@ -52,6 +52,7 @@
 	sequence uint64
 	draining bool
 	limit    namedLimit
+	bad      badSpell
 }
 
 // Serve runs the target and blocks until SIGTERM. It then releases its keys and
@@ -162,7 +163,7 @@
 }
 
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
-	if t.serveCall(w, r) || t.serveLimit(w, r) {
+	if t.serveCall(w, r) || t.serveLimit(w, r) || t.serveBad(w, r) {
 		return
 	}
 	names := relay.DefaultHeaderNames
@@ -183,6 +184,9 @@
 		http.Error(w, fmt.Sprintf("the grant ended after %s", time.Since(run.start)), http.StatusInternalServerError)
 		return
 	}
+	if run.fails {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = io.WriteString(w, Body(id)) // fails if the caller closed the connection
 }
 
@@ -192,6 +196,7 @@
 	fence uint64 // 0 if the service has no key ranges
 	start time.Time
 	limit float64 // that the target names, in requests per second
+	fails bool    // the answer is 500
 }
 
 // begin takes a slot and returns the request with its key's fence, or an HTTP status
@@ -200,9 +205,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	run := activeRequest{key: key, start: time.Now()}
-	run.limit = t.limit.at(run.start)
+	run.limit, run.fails = t.limit.at(run.start), t.bad.hits(true)
 	switch {
-	case t.running >= t.cfg.Slots:
+	case t.running >= t.cfg.Slots || t.bad.hits(false):
 		return run, http.StatusServiceUnavailable
 	case t.cfg.Keys && (!hasKey || !t.keys.begin(run.start, key)):
 		return run, http.StatusMisdirectedRequest
--- a/router/soak/faults_test.go
+++ b/router/soak/faults_test.go
@@ -46,6 +46,9 @@
 	limitCount     = 2
 	limitPerSecond = 10
 	limitTime      = 8 * time.Second
+	// badCount targets reject or fail badShare of their requests for a while.
+	badCount = 2
+	badShare = 0.5
 	// proxyDelay is the network delay between two distant regions.
 	proxyDelay = 40 * time.Millisecond
 	// In wipeShare of the runs a replica loses its disk, in the middle of the other
@@ -89,6 +92,10 @@
 	for range limitCount {
 		out = append(out, fault{start: time.Duration(rng.Int64N(int64(faultTime / 2))), duration: limitTime, kind: "limit", node: c.Members[rng.IntN(len(c.Members))]})
 	}
+	for range badCount {
+		duration := minFault + time.Duration(rng.Int64N(int64(maxFault-minFault)))
+		out = append(out, fault{start: time.Duration(rng.Int64N(int64(faultTime))), duration: duration, kind: []string{"reject", "fail"}[rng.IntN(2)], node: c.Members[rng.IntN(len(c.Members))]})
+	}
 	return out
 }
 
@@ -146,7 +153,9 @@
 	case "freeze", "target-freeze":
 		in.freeze(f)
 	case "limit":
-		in.limit(f)
+		in.callTarget(f, rangetarget.PathLimit, rangetarget.LimitRequest{PerSecond: limitPerSecond, ForMs: f.duration.Milliseconds()})
+	case "reject", "fail":
+		in.callTarget(f, rangetarget.PathBad, rangetarget.BadRequest{Share: badShare, Fail: f.kind == "fail", ForMs: f.duration.Milliseconds()})
 	case "delay":
 		forEachProxy(func(i int) { n.Proxies[i].Delay(proxyDelay) })
 		time.Sleep(f.duration)
@@ -226,17 +235,17 @@
 	}
 }
 
-// limit makes the target of a node name a limit, if it is running.
-func (in *injector) limit(f fault) {
-	text, err := json.Marshal(rangetarget.LimitRequest{PerSecond: limitPerSecond, ForMs: f.duration.Milliseconds()})
+// callTarget tells the target of a node how to behave, if it is running.
+func (in *injector) callTarget(f fault, path string, call any) {
+	text, err := json.Marshal(call)
 	if err != nil {
-		in.addViolation("limit: %v", err)
+		in.addViolation("%s: %v", f.kind, err)
 		return
 	}
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Post("http://"+f.node.Address(harness.FleetTargetPort)+rangetarget.PathLimit, "application/json", bytes.NewReader(text))
+	resp, err := client.Post("http://"+f.node.Address(harness.FleetTargetPort)+path, "application/json", bytes.NewReader(text))
 	if err != nil {
-		in.c.t.Logf("%s names no limit: %v", f.node.Name, err) // another fault has stopped it
+		in.c.t.Logf("%s cannot be told to %s: %v", f.node.Name, f.kind, err) // another fault has stopped it
 		return
 	}
 	_ = resp.Body.Close() // empty
