Publish a weight that does not rise for short good spells

A target that alternates every 1.4 s changed the directory with each rise and fall, and a gate sent a renewal at each change: 167 bytes of JSON to each process. Meter.Published falls with the weight and rises after 5 s at a higher one; the answers of the gate have the exact weight.

Shown to fail: TestAlternation with a published weight that follows the weight, and with one that never rises.

--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -35,7 +35,7 @@
 	Condition   Condition `json:"condition,omitempty"`
 	// Leaving is set while the process shuts down.
 	Leaving bool `json:"leaving,omitempty"`
-	// Weight is the weight of the target's quality, in eighths; 0 means 8.
+	// Weight is the published weight of the target's quality, in eighths; 0 means 8.
 	Weight int `json:"weight,omitempty"`
 }
 
--- a/coord/internal/loadsim/fleet_test.go
+++ b/coord/internal/loadsim/fleet_test.go
@@ -96,7 +96,7 @@
 		for i, g := range s.gates {
 			t := balancer.Target{ID: table.MemberID(fmt.Sprint(i)), DataCentre: fmt.Sprint(i % fleetCentres), Slots: fleetSlots}
 			if s.weights {
-				t.Weight = g.meter.Weight()
+				t.Weight = g.meter.Published(s.loop.reading())
 			}
 			list = append(list, t)
 		}
--- a/coord/quality/config.go
+++ b/coord/quality/config.go
@@ -4,18 +4,21 @@
 
 // Config configures a Meter.
 type Config struct {
-	// HoldTime is the shortest time at a weight before it rises. It bounds the
-	// number of changes that the directory carries.
+	// HoldTime is the shortest time at a weight before it rises.
 	HoldTime time.Duration
 	// QuietTime is the time without a bad response after which one good response
 	// raises the weight. It replaces the number of good responses at targets that
 	// get few requests.
 	QuietTime time.Duration
+	// PublishTime is the time for which the weight must be above the published one
+	// before that rises. Each change of the published weight is sent to all processes,
+	// so it must not follow a target that is good and bad in turns.
+	PublishTime time.Duration
 }
 
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
-	return Config{HoldTime: time.Second, QuietTime: 4 * time.Second}
+	return Config{HoldTime: time.Second, QuietTime: 4 * time.Second, PublishTime: 5 * time.Second}
 }
 
 // step is one weight and the quality from which it applies.
--- a/coord/quality/meter.go
+++ b/coord/quality/meter.go
@@ -58,14 +58,27 @@
 	lastBad  time.Duration
 	// goodInRow and badInRow count responses; goodInRow starts anew at each change.
 	goodInRow, badInRow int
+	// published is the last published weight, notAbove the last time at which the
+	// weight was found not to be above it.
+	published int
+	notAbove  time.Duration
 }
 
 // NewMeter returns the meter of a target of full weight.
-func NewMeter(cfg Config) *Meter { return &Meter{cfg: cfg, weight: Full} }
+func NewMeter(cfg Config) *Meter { return &Meter{cfg: cfg, weight: Full, published: Full} }
 
 // Weight returns the weight in eighths: 8, 4, 2 or 1.
 func (m *Meter) Weight() int { return m.weight }
 
+// Published returns the weight for the directory. It falls with the weight and rises to
+// it after PublishTime. It must be called several times a second.
+func (m *Meter) Published(now clock.Reading) int {
+	if m.weight <= m.published || now.Mono-m.notAbove >= m.cfg.PublishTime {
+		m.published, m.notAbove = m.weight, now.Mono
+	}
+	return m.published
+}
+
 // BadShare returns the recent share of rejected and failed requests.
 func (m *Meter) BadShare() float64 { return m.badShare }
 
--- a/coord/quality/meter_test.go
+++ b/coord/quality/meter_test.go
@@ -52,11 +52,11 @@
 
 // TestAlternation guards against a weight that follows a target which is good and dead
 // in turns: it must be at most half at the end of each good spell of 1.4 s, and change
-// at most twice in each spell.
+// at most twice in each spell. The published weight must only fall, until it is good.
 func TestAlternation(t *testing.T) {
 	is := is.New(t)
 	m := quality.NewMeter(quality.DefaultConfig())
-	changes := 0
+	changes, published, last := 0, 0, quality.Full
 	for at := time.Duration(0); at < 14*time.Second; at += 30 * time.Millisecond {
 		o := quality.Good
 		if at/(1400*time.Millisecond)%2 == 0 {
@@ -65,7 +65,14 @@
 		if m.Record(clock.At(at), o) {
 			changes++
 		}
+		if w := m.Published(clock.At(at)); w != last {
+			published, last = published+1, w
+		}
 	}
 	is.True(m.Weight() <= 4)
 	is.True(changes <= 2*10)
+	is.True(published <= 2)
+	run(m, 14*time.Second, 24*time.Second, 30*time.Millisecond, 0)
+	m.Published(clock.At(18 * time.Second))
+	is.Equal(m.Published(clock.At(24*time.Second)), quality.Full)
 }
--- a/router/relay/quality.go
+++ b/router/relay/quality.go
@@ -43,8 +43,18 @@
 	return q.meter.Weight()
 }
 
-// recordQuality counts the end of a request at the target. A change of the weight is
-// logged and reported to control at once.
+// published returns the weight of an incarnation of the target for the directory.
+func (q *targetQuality) published(target ranges.Holder) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.meter == nil || q.target != target {
+		return quality.Full
+	}
+	return q.meter.Published(timesource.Now())
+}
+
+// recordQuality counts the end of a request at the target, and logs a change of the
+// weight.
 func (g *Gate) recordQuality(t fleetagent.Target, r *result) {
 	o, counts := r.quality()
 	if !counts {
@@ -57,7 +67,6 @@
 		return
 	}
 	g.log.Warn().Str("target", t.ID).Int("eighths", weight).Float64("badShare", badShare).Str("outcome", o.String()).Msg("weight of the target changed")
-	g.agent.RenewNow()
 }
 
 // quality returns what a result says about the quality of the target, or false if it
@@ -81,10 +90,10 @@
 // misdirected is the reason of a target that does not own the key of a request.
 var misdirected = reasonTargetRefused + " with " + strconv.Itoa(http.StatusMisdirectedRequest)
 
-// usage returns the load and the weight of the target.
+// usage returns the load and the published weight of the target.
 func (g *Gate) usage() fleetagent.Usage {
 	u := g.queue.usage()
-	u.Weight = g.quality.weight(u.Target)
+	u.Weight = g.quality.published(u.Target)
 	return u
 }
 
