Refuse requests that cannot end in time before it is too late to say so

A request that waited until its deadline in the queue of another process was answered 504 although it had reached no target: the gate refused it at the deadline, and the ingress had given up when the refusal arrived. Requests that an overloaded queue had accepted waited until their deadline, as they start after all that can still meet their objective.

All waits at the gate now end a tenth of the request's time before its deadline, at most 100 ms. With each tick the queue refuses the waiting requests that are no longer expected to end in time. An urgent request may wait for long only while the urgent ones alone do not exceed what the target can do.

Shown to fail first: TestRefusalsAreEarly without refuseLate, TestRefusalLeavesTimeBack without TimeBack in schedule, TestRefusalAtDeadlineIsInTime with the plain context in waitContext and no TimeBack (504 for one request of five).

--- a/coord/dispatch/estimate.go
+++ b/coord/dispatch/estimate.go
@@ -6,28 +6,32 @@
 	"bramleyquay.example/coord/clock"
 )
 
-// waitFactor returns the factor, from 1 to 1+maxExtraWait, by which the expected
-// wait is lengthened under overload, when the queue stays full: service times are
-// skewed, and a wait that is right on average is too short for half of the
-// requests.
-func (q *Queue) waitFactor() float64 {
-	return 1 + maxExtraWait*min(max((q.usage.offeredLoad-lowOfferedLoad)/(highOfferedLoad-lowOfferedLoad), 0), 1)
+// latestEnd returns the time until which r may be expected to end and still be
+// queued, and the factor, from 1 to 1+maxExtraWait, by which its expected wait is
+// lengthened for that. The part of the time after the objective is MaxLateFraction
+// while the target can catch up. It falls to zero as the target is offered more work
+// than it can do: then each late answer makes another one late. The factor rises
+// meanwhile: service times are skewed, and a wait that is right on average is too
+// short for half of the requests.
+//
+// For urgent requests only the work counts that they do not start before, and the part
+// is 1 while the target can do it.
+func (q *Queue) latestEnd(now clock.Reading, r *Request) (latest time.Duration, waitFactor float64) {
+	fraction, load, extraWait := q.cfg.MaxLateFraction, q.usage.offeredLoad, maxExtraWait
+	if q.urgent(now, r) {
+		fraction, load, extraWait = 1, q.loadBefore(now, r), urgentExtraWait
+	}
+	overload := min(max((load-lowOfferedLoad)/(highOfferedLoad-lowOfferedLoad), 0), 1)
+	return r.Objective + time.Duration(fraction*(1-overload)*float64(r.Deadline-r.Objective)), 1 + extraWait*overload
 }
 
-// maxExtraWait is the largest addition, as a fraction of the expected wait.
-const maxExtraWait = 1.0
-
-// lateFraction returns MaxLateFraction while the target can catch up. It falls to
-// zero as the target is offered more work than it can do: then each late answer
-// makes another one late.
-func (q *Queue) lateFraction() float64 {
-	return q.cfg.MaxLateFraction * min(max((highOfferedLoad-q.usage.offeredLoad)/(highOfferedLoad-lowOfferedLoad), 0), 1)
-}
+// maxExtraWait and urgentExtraWait are the largest additions, as fractions of the
+// expected wait. A refusal of an urgent request costs more than a late answer.
+const maxExtraWait, urgentExtraWait = 1.0, 0.5
 
-// lowOfferedLoad and highOfferedLoad are the bounds, as multiples of what the target
-// can do, between which lateFraction falls and waitFactor rises. The offered load
-// includes the retries of refused callers, so it exceeds the load of new requests
-// under overload.
+// lowOfferedLoad and highOfferedLoad are the bounds of overload, as multiples of what
+// the target can do. The offered load includes the retries of refused callers, so it
+// exceeds the load of new requests under overload.
 const lowOfferedLoad, highOfferedLoad = 0.95, 1.4
 
 // expectedWait estimates the time until r starts. Slots become free at the rate
@@ -45,12 +49,8 @@
 		}
 	}
 	wait := time.Duration(0)
-	if running := len(q.running); running > 0 && running+ahead >= q.cfg.Slots {
-		var total time.Duration
-		for _, started := range q.running {
-			total += q.serviceTime(started.group)
-		}
-		wait = (total/time.Duration(running) + work) / time.Duration(running)
+	if len(q.running)+ahead >= q.cfg.Slots {
+		wait = q.slotWait(work)
 	}
 	return max(wait, q.startLimiter.delay(now.Mono, ahead), q.rateLimiter.delay(now.Mono, ahead))
 }
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"bramleyquay.example/coord/clock"
@@ -13,6 +14,40 @@
 	priority         int
 	latencyObjective time.Duration
 	lastOffer        time.Duration
+	// offeredLoad is the part of usage.offeredLoad at lastOffer.
+	offeredLoad float64
+}
+
+// recordOffer updates the group of an offered request.
+func (q *Queue) recordOffer(now clock.Reading, r *Request) {
+	use := q.capacityUsed(q.serviceTime(r.ServiceTimeGroup))
+	q.usage.requestArrived(use)
+	g := q.groups[r.ServiceTimeGroup]
+	q.groups[r.ServiceTimeGroup] = serviceTimeGroup{
+		priority: r.Priority, latencyObjective: r.latencyObjective(), lastOffer: now.Mono,
+		offeredLoad: g.loadAt(now) + float64(use)/float64(usageTimeConstant),
+	}
+}
+
+// loadAt returns the offered load of the group.
+func (g serviceTimeGroup) loadAt(now clock.Reading) float64 {
+	return g.offeredLoad * math.Exp(-float64(now.Mono-g.lastOffer)/float64(usageTimeConstant))
+}
+
+// lessUrgent reports whether r starts before the requests of a group.
+func (g serviceTimeGroup) lessUrgent(r *Request) bool {
+	return g.priority > r.Priority || takesPrecedence(r.Priority, r.latencyObjective(), g.priority, g.latencyObjective)
+}
+
+// loadBefore returns the offered load without the groups that r starts before.
+func (q *Queue) loadBefore(now clock.Reading, r *Request) float64 {
+	load := 0.0
+	for _, g := range q.groups {
+		if !g.lessUrgent(r) {
+			load += g.loadAt(now)
+		}
+	}
+	return load
 }
 
 // latencyObjective returns the time from the arrival to the objective.
@@ -37,8 +72,7 @@
 // fails as well.
 func (q *Queue) urgent(now clock.Reading, r *Request) bool {
 	for _, g := range q.groups {
-		lessUrgent := g.priority > r.Priority || takesPrecedence(r.Priority, r.latencyObjective(), g.priority, g.latencyObjective)
-		if lessUrgent && now.Mono-g.lastOffer < groupRetention {
+		if g.lessUrgent(r) && now.Mono-g.lastOffer < groupRetention {
 			return true
 		}
 	}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -55,6 +55,9 @@
 	// that the sender can try another target. They do not overtake waiting requests
 	// that come before them in the order of the queue.
 	NoWait bool
+	// TimeBack is the time before the deadline at which a waiting request is refused at
+	// the latest, so that the refusal reaches the caller in time.
+	TimeBack time.Duration
 }
 
 // Action is a decision about one request: it starts, or it is refused.
@@ -120,8 +123,7 @@
 // waits. The actions may concern other requests as well.
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
-	q.usage.requestArrived(q.capacityUsed(q.serviceTime(r.ServiceTimeGroup)))
-	q.groups[r.ServiceTimeGroup] = serviceTimeGroup{priority: r.Priority, latencyObjective: r.latencyObjective(), lastOffer: now.Mono}
+	q.recordOffer(now, &r)
 	q.waiting = append(q.waiting, r)
 	actions := q.schedule(now)
 	index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
@@ -129,11 +131,7 @@
 		return actions
 	}
 	wait := q.expectedWait(now, r)
-	lateFraction, waitFactor := q.lateFraction(), q.waitFactor()
-	if q.urgent(now, &r) {
-		lateFraction, waitFactor = 1, 1
-	}
-	latestEnd := r.Objective + time.Duration(lateFraction*float64(r.Deadline-r.Objective))
+	latestEnd, waitFactor := q.latestEnd(now, &r)
 	switch {
 	case r.NoWait:
 		return append(actions, q.refuse(index, ReasonNoFreeSlot, wait))
@@ -181,7 +179,9 @@
 // Tick returns the actions that have become due with time. While requests wait it
 // must be called regularly, such as every 20 ms: deadlines and the limit of starts
 // are checked only when a method is called.
-func (q *Queue) Tick(now clock.Reading) []Action { return q.schedule(now) }
+func (q *Queue) Tick(now clock.Reading) []Action {
+	return append(q.schedule(now), q.refuseLate(now)...)
+}
 
 // Load returns the numbers of running and waiting requests and of slots that can be
 // in use: fewer than the target has if it limits its requests.
@@ -203,14 +203,14 @@
 	return utilization, capacity
 }
 
-// schedule refuses the waiting requests for which at most a quarter of the expected
-// service time is left until the deadline, and starts others while slots and the
+// schedule refuses the waiting requests for which at most their TimeBack or a quarter of
+// the expected service time is left until the deadline, and starts others while slots and the
 // limit of starts allow it.
 func (q *Queue) schedule(now clock.Reading) []Action {
 	var out []Action
 	for i := 0; i < len(q.waiting); {
 		r := q.waiting[i]
-		if now.Mono+q.serviceTime(r.ServiceTimeGroup)/4 >= r.Deadline {
+		if now.Mono+max(q.serviceTime(r.ServiceTimeGroup)/4, r.TimeBack) >= r.Deadline {
 			out = append(out, q.refuse(i, ReasonDeadlinePassed, 0))
 			continue
 		}
--- a/router/relay/firstruns.go
+++ b/router/relay/firstruns.go
@@ -48,7 +48,7 @@
 		case <-time.After(time.Until(req.objective)):
 			return nil, refused(reasonFirstRun, minRetryAfter), false
 		case <-ctx.Done():
-			return nil, refused(reasonCallerLeft, 0), false
+			return nil, refused(waitEndedReason(ctx), 0), false
 		}
 	}
 }
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -27,13 +27,11 @@
 	reasonDrained        = "drained"
 	reasonNotOwner       = "not owner"
 	reasonNotGranted     = "key not granted yet"
-	// reasonCallerLeft is also the reason if the deadline passes while the request
-	// waits.
-	reasonCallerLeft    = "caller left"
-	reasonTargetRefused = "target refused"
-	reasonNoConnection  = "no connection"
-	reasonAnswerBroken  = "answer broke off"
-	reasonNoSignature   = "answer without signature"
+	reasonCallerLeft     = "caller left"
+	reasonTargetRefused  = "target refused"
+	reasonNoConnection   = "no connection"
+	reasonAnswerBroken   = "answer broke off"
+	reasonNoSignature    = "answer without signature"
 	// reasonNoMemory says nothing about the target.
 	reasonNoMemory = "not enough memory is free"
 	// reasonQuarantined requests have ended the targets that ran them.
@@ -95,9 +93,11 @@
 // run waits until the key is granted and a slot is free, checks ownership and the
 // target's state once more, and sends the request.
 func (g *Gate) run(ctx context.Context, req *routedRequest) result {
+	waitCtx, cancel := waitContext(ctx, req)
+	defer cancel()
 	if req.sharded {
 		g.agent.CountRequest(req.key)
-		if r, ok := g.awaitKey(ctx, req); !ok {
+		if r, ok := g.awaitKey(waitCtx, req); !ok {
 			return r
 		}
 	}
@@ -105,10 +105,10 @@
 	if !ok {
 		return r
 	}
-	if r, ok := g.receiveBody(ctx, req); !ok {
+	if r, ok := g.receiveBody(waitCtx, req); !ok {
 		return r
 	}
-	release, r, ok := g.firstRuns.acquire(ctx, req)
+	release, r, ok := g.firstRuns.acquire(waitCtx, req)
 	if !ok {
 		return r
 	}
@@ -120,7 +120,7 @@
 	// The queue uses the monotonic clock, ColdUntil is on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.BootTime().Mono
 	entered := time.Now()
-	id, a := g.queue.acquire(ctx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
+	id, a := g.queue.acquire(waitCtx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
 	waited := time.Since(entered)
 	if !a.Start {
 		r := refused(a.Reason, a.RetryAfter)
@@ -192,7 +192,7 @@
 		case <-time.After(max(wait, 0) + grantSlack):
 			return refused(reasonNotGranted, minRetryAfter), false
 		case <-ctx.Done():
-			return refused(reasonCallerLeft, 0), false
+			return refused(waitEndedReason(ctx), 0), false
 		}
 	}
 }
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -50,7 +50,7 @@
 	w.deliver(w.queue.Offer(now, dispatch.Request{
 		ID: id, ServiceTimeGroup: req.route, Priority: req.priority, Arrived: timesource.FromTime(req.request.Received).Mono,
 		Objective: timesource.FromTime(req.objective).Mono, Deadline: timesource.FromTime(req.deadline).Mono,
-		NoWait: req.noWait,
+		NoWait: req.noWait, TimeBack: req.timeBack(),
 	}))
 	w.scheduleTick()
 	w.mu.Unlock()
@@ -70,7 +70,7 @@
 		delete(w.waiters, id)
 		w.deliver(w.queue.Cancel(timesource.Now(), id))
 	}
-	return id, dispatch.Action{ID: id, Reason: reasonCallerLeft}
+	return id, dispatch.Action{ID: id, Reason: waitEndedReason(ctx)}
 }
 
 // targetLimits are the limits that the target's state sets for the queue.
