Run fewer requests of a route while the calls of its runs lack room

A run whose call is refused has used its target for nothing. While a called service lacked room, targets that call it went on starting runs at full rate.

coord/backpressure learns, in the process beside a target, how many runs of each route fail while calls are refused by queues, and bounds the runs of the route at the same time (additive increase, multiplicative decrease, at least one). The queue keeps the bound and refuses what it cannot start in time. Deployments without refused calls have no bound.

--- a/coord/dispatch/estimate.go
+++ b/coord/dispatch/estimate.go
@@ -40,19 +40,18 @@
 // requests it is at least the delay until that limit allows the start.
 func (q *Queue) expectedWait(now clock.Reading, r Request) time.Duration {
 	var work time.Duration
-	ahead := 0
+	ahead, sameGroup := 0, 0
 	for i := range q.waiting {
 		w := &q.waiting[i]
 		if w.ID != r.ID && q.compare(now, w, &r) <= 0 {
 			work += q.serviceTime(w.ServiceTimeGroup)
 			ahead++
+			if w.ServiceTimeGroup == r.ServiceTimeGroup {
+				sameGroup++
+			}
 		}
 	}
-	wait := time.Duration(0)
-	if len(q.running)+ahead >= q.cfg.Slots {
-		wait = q.slotWait(work)
-	}
-	return max(wait, q.startLimiter.delay(now.Mono, ahead), q.rateLimiter.delay(now.Mono, ahead))
+	return max(q.slotWait(ahead, work), q.groupWait(r.ServiceTimeGroup, sameGroup), q.startLimiter.delay(now.Mono, ahead), q.rateLimiter.delay(now.Mono, ahead))
 }
 
 const (
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -83,11 +83,15 @@
 // group.
 const groupRetention = 2 * time.Second
 
-// next returns the index in waiting of the request to start next.
+// next returns the index in waiting of the request to start next, or -1 if the limits
+// of their groups allow none to start.
 func (q *Queue) next(now clock.Reading) int {
-	best := 0
-	for i := 1; i < len(q.waiting); i++ {
-		if q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
+	best := -1
+	for i := range q.waiting {
+		if len(q.groupLimits) > 0 && q.groupFull(q.waiting[i].ServiceTimeGroup) {
+			continue
+		}
+		if best < 0 || q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
 			best = i
 		}
 	}
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -78,6 +78,9 @@
 	// MaxLateFraction, or overload, allows.
 	ReasonWouldMissDeadline = "cannot end in time"
 	ReasonDeadlinePassed    = "deadline passed"
+	// ReasonCallsLackRoom means that fewer requests of the group run than there are
+	// slots, because calls that they make are refused.
+	ReasonCallsLackRoom = "calls of the route lack room"
 )
 
 // Queue schedules the requests to one target. The caller carries out the actions
@@ -93,6 +96,7 @@
 	limitKnown   bool          // by an answer
 	usage        usage
 	groups       map[string]serviceTimeGroup // by name
+	groupLimits  map[string]int              // running requests by group; no entry means no limit
 }
 
 type runningRequest struct {
@@ -102,7 +106,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}}
+	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}}
 }
 
 // SetSlots changes the number of slots, and the queue length to its default for
@@ -138,7 +142,7 @@
 	case len(q.waiting) > q.cfg.QueueLength:
 		return append(actions, q.refuse(index, ReasonQueueFull, wait))
 	case now.Mono+time.Duration(waitFactor*float64(wait))+q.serviceTime(r.ServiceTimeGroup) > latestEnd:
-		return append(actions, q.refuse(index, ReasonWouldMissDeadline, now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
+		return append(actions, q.refuse(index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
 	}
 	return actions
 }
@@ -216,9 +220,12 @@
 		}
 		i++
 	}
-	for len(q.waiting) > 0 && len(q.running) < q.cfg.Slots && q.rateLimiter.ready(now.Mono) && q.startLimiter.allow(now.Mono) {
-		q.rateLimiter.started(now.Mono)
+	for len(q.waiting) > 0 && len(q.running) < q.cfg.Slots && q.rateLimiter.ready(now.Mono) {
 		i := q.next(now)
+		if i < 0 || !q.startLimiter.allow(now.Mono) {
+			break
+		}
+		q.rateLimiter.started(now.Mono)
 		r := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono}
--- a/coord/dispatch/recheck.go
+++ b/coord/dispatch/recheck.go
@@ -11,38 +11,52 @@
 // because others have come before them since or run longer than expected. They would
 // wait until their deadlines otherwise.
 func (q *Queue) refuseLate(now clock.Reading) []Action {
-	if len(q.waiting) == 0 || len(q.running) < q.cfg.Slots {
+	if len(q.waiting) == 0 || len(q.running) < q.cfg.Slots && len(q.groupLimits) == 0 {
 		return nil
 	}
 	ordered := slices.Clone(q.waiting)
 	slices.SortStableFunc(ordered, func(a, b Request) int { return q.compare(now, &a, &b) })
 	var out []Action
 	var work time.Duration
+	sameGroup := map[string]int{}
 	for i := range ordered {
 		r := &ordered[i]
 		serviceTime := q.serviceTime(r.ServiceTimeGroup)
-		wait := q.slotWait(work)
-		end := now.Mono + wait + serviceTime
-		if end <= r.Objective {
-			work += serviceTime
+		end := now.Mono + max(q.slotWait(i, work), q.groupWait(r.ServiceTimeGroup, sameGroup[r.ServiceTimeGroup])) + serviceTime
+		if late := q.lateBy(now, r, end); late > 0 {
+			index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
+			out = append(out, q.refuse(index, q.lateReason(r), late))
 			continue
 		}
-		latest, _ := q.latestEnd(now, r)
-		if end <= latest {
-			work += serviceTime
-			continue
-		}
-		index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
-		out = append(out, q.refuse(index, ReasonWouldMissDeadline, end-latest))
+		work += serviceTime
+		sameGroup[r.ServiceTimeGroup]++
 	}
 	return out
 }
 
+// lateBy returns by how much a request that is expected to end at a time exceeds its
+// latest end. It is not positive for one that may wait.
+func (q *Queue) lateBy(now clock.Reading, r *Request, end time.Duration) time.Duration {
+	if end <= r.Objective {
+		return 0
+	}
+	latest, _ := q.latestEnd(now, r)
+	return end - latest
+}
+
+// lateReason returns the reason for refusing a request that cannot end in time.
+func (q *Queue) lateReason(r *Request) string {
+	if q.groupFull(r.ServiceTimeGroup) && len(q.running) < q.cfg.Slots {
+		return ReasonCallsLackRoom
+	}
+	return ReasonWouldMissDeadline
+}
+
 // slotWait returns the expected time until a slot is free for a request that has the
-// given work ahead of it, while all slots are in use.
-func (q *Queue) slotWait(work time.Duration) time.Duration {
+// given number of others, and their work, ahead of it.
+func (q *Queue) slotWait(ahead int, work time.Duration) time.Duration {
 	running := len(q.running)
-	if running == 0 {
+	if running == 0 || running+ahead < q.cfg.Slots {
 		return 0
 	}
 	var total time.Duration
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -46,9 +46,6 @@
 	return r.reason != reasonNotGranted && r.reason != reasonCallerLeft && !slices.Contains(queueReasons, r.reason)
 }
 
-// queueReasons are the refusals by the queue of a gate that owns the key.
-var queueReasons = []string{dispatch.ReasonNoFreeSlot, dispatch.ReasonQueueFull, dispatch.ReasonWouldMissDeadline, dispatch.ReasonDeadlinePassed}
-
 // maxGrantWait is the longest time until the target's next grant for which a
 // request waits at the gate for a key that is assigned to the target and not
 // granted to it yet. If the grant is expected later than that, or after the
@@ -67,6 +64,7 @@
 	// transfers orders the bodies that peers wait to send.
 	transfers *blockingQueue
 	firstRuns *firstRuns
+	calls     *callObserver
 	probing   atomic.Bool
 	log       logging.Logger
 }
@@ -75,7 +73,7 @@
 // before agent.Run, because it sets the function from which the agent reports the
 // target's load.
 func NewGate(agent *fleetagent.Agent, names HeaderNames, client *httpclient.Client, log logging.Logger) *Gate {
-	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), log: log}
+	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), calls: newCallObserver(), log: log}
 	agent.SetUsage(g.queue.usage)
 	return g
 }
@@ -143,8 +141,11 @@
 		return r
 	}
 	begun := time.Now()
+	g.calls.runStarted(id, req)
 	r = g.send(ctx, req, t)
 	r.waited, r.ran = waited, time.Since(begun)
+	r.runLimit, r.wasted = g.calls.runEnded(id, req, &r)
+	g.queue.setRunLimit(req.route, r.runLimit)
 	g.queue.release(id, r.outcome == done, r.notice.limit)
 	return r
 }
@@ -283,7 +284,7 @@
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
-		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).
+		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Int("runLimit", r.runLimit).Bool("wasted", r.wasted).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
 	setTargetLimit(g.queue.limit().Rate)
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -94,8 +94,10 @@
 	if resp == nil {
 		runCtx, cancel := context.WithDeadline(ctx, st.request.deadline)
 		in.budgets.countRequest(st.request.service, len(st.view.Members))
+		in.gate.calls.callStarted(st.request)
 		in.run(runCtx, st)
 		cancel()
+		in.gate.calls.callEnded(st)
 		resp = in.answer(st, ctx.Err() != nil)
 	}
 	in.finish(r, st, resp)
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -67,6 +67,11 @@
 	// waited and ran are the times spent in the gate's queue and at the target. They
 	// are zero in the result of another process.
 	waited, ran time.Duration
+	// runLimit bounds the runs of the route at the same time, zero without a bound.
+	// wasted runs failed because calls that they made lacked room. They are not set in
+	// the result of another process.
+	runLimit int
+	wasted   bool
 	// notice is what the target's answer says about its state.
 	notice notice
 }
