Give callers fair shares of an overloaded target

A caller that asked for ten times as much as others got ten times as much of an overloaded target: everybody was refused in proportion, also callers below their share.

Within a priority and class of objective the queue now starts requests by start-time fair queueing between flows (the account, or the process where the request entered, which travels in the new header Bq-Entry), once the offered load exceeds 1.1. The expected wait of requests above their share follows what the flow has got recently, so that they are refused early, with a reason of their own. With room for all nothing changes (TestFairShares, docs/design/fair-shares.md).

Shown to fail first: TestFairShares without compareShares, without shareWait and with shares at any load; TestWeightedShares without weights; TestFullQueueKeepsShares without the displacement; TestFlowOverHop with Bq-Entry passed on; TestAccountWeights with the weights of the first document.

--- a/coord/dispatch/estimate.go
+++ b/coord/dispatch/estimate.go
@@ -39,7 +39,7 @@
 // estimate is zero if a slot is left for r. At a target that is cold or limits its
 // requests it is at least the delay until that limit allows the start.
 func (q *Queue) expectedWait(now clock.Reading, r Request, factor float64) time.Duration {
-	ahead := queueAhead{group: map[string]int{}}
+	ahead := newQueueAhead()
 	top := q.topPriority(now, &r)
 	for i := range q.waiting {
 		w := &q.waiting[i]
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -102,8 +102,8 @@
 }
 
 // compare returns a negative number if a starts before b. Requests that take
-// precedence come first, then those that can still meet their objective, then
-// those with the earlier objective, with a head start for higher priorities.
+// precedence come first, then those that can still meet their objective, then those
+// of flows that are less far above their share, then those with the earlier objective, with a head start for higher priorities.
 func (q *Queue) compare(now clock.Reading, a, b *Request) int {
 	switch {
 	case takesPrecedence(a.Priority, a.latencyObjective(), b.Priority, b.latencyObjective()):
@@ -114,6 +114,9 @@
 	if c := cmp.Compare(q.missesObjective(now, a), q.missesObjective(now, b)); c != 0 {
 		return c
 	}
+	if c := compareShares(a, b); c != 0 {
+		return c
+	}
 	return cmp.Compare(q.adjustedObjective(a), q.adjustedObjective(b))
 }
 
--- a/coord/dispatch/priority.go
+++ b/coord/dispatch/priority.go
@@ -65,7 +65,8 @@
 	work     time.Duration
 	// lowerWork is the part of work that is not of the most urgent priority.
 	lowerWork time.Duration
-	group     map[string]int // requests by group
+	group     map[string]int           // requests by group
+	flow      map[string]time.Duration // work by flow
 }
 
 // add adds a waiting request.
@@ -76,6 +77,7 @@
 		a.lowerWork += serviceTime
 	}
 	a.group[r.ServiceTimeGroup]++
+	a.flow[r.Flow] += serviceTime
 }
 
 // remove removes a waiting request that was added.
@@ -86,6 +88,11 @@
 		a.lowerWork -= serviceTime
 	}
 	a.group[r.ServiceTimeGroup]--
+	a.flow[r.Flow] -= serviceTime
+}
+
+func newQueueAhead() queueAhead {
+	return queueAhead{group: map[string]int{}, flow: map[string]time.Duration{}}
 }
 
 // giveWay returns the index of the request that gives way to a more urgent one behind
@@ -116,6 +123,9 @@
 	if wait > 0 {
 		wait = time.Duration(factor * float64(wait) / (1 - q.precedingLoad(now, r)))
 	}
+	if r.aboveShare > 0 {
+		wait = max(wait, time.Duration(factor*float64(q.shareWait(now, r, a.flow[r.Flow]))))
+	}
 	if r.Priority > top {
 		reserved := float64(a.lowerWork+q.serviceTime(r.ServiceTimeGroup)) / float64(max(q.cfg.Slots, 1)) / reservedStarts
 		wait = min(wait, time.Duration(reserved))
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -58,6 +58,12 @@
 	// TimeBack is the time before the deadline at which a waiting request is refused at
 	// the latest, so that the refusal reaches the caller in time.
 	TimeBack time.Duration
+	// Flow names the caller. Under overload the flows of a priority get shares of the
+	// service time in proportion to Weight, where zero means 1.
+	Flow   string
+	Weight float64
+	// aboveShare is by how many service times the request is above the share of its flow.
+	aboveShare int
 }
 
 // Action is a decision about one request: it starts, or it is refused.
@@ -81,6 +87,9 @@
 	// ReasonGaveWay means that a more urgent request could not meet its objective
 	// otherwise.
 	ReasonGaveWay = "gave way to a more urgent request"
+	// ReasonAboveShare means that the caller asks for more than its share, and others
+	// for theirs.
+	ReasonAboveShare = "caller is above its share"
 	// ReasonCallsLackRoom means that fewer requests of the group run than there are
 	// slots, because calls that they make are refused.
 	ReasonCallsLackRoom = "calls of the route lack room"
@@ -101,7 +110,8 @@
 	groups       map[string]serviceTimeGroup // by name
 	// reservedCredit is the part of a start that is reserved for lower priorities.
 	reservedCredit float64
-	groupLimits    map[string]int // running requests by group; no entry means no limit
+	shares         map[int]*fairShares // by priority
+	groupLimits    map[string]int      // running requests by group; no entry means no limit
 }
 
 type runningRequest struct {
@@ -111,7 +121,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}}
+	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}, shares: map[int]*fairShares{}}
 }
 
 // SetSlots changes the number of slots, and the queue length to its default for
@@ -134,6 +144,7 @@
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
 	q.recordOffer(now, &r)
 	q.waiting = append(q.waiting, r)
+	q.updateShares()
 	actions := q.schedule(now)
 	if slices.ContainsFunc(q.waiting, func(w Request) bool { return w.Priority > r.Priority }) {
 		actions = append(actions, q.refuseLate(now)...)
@@ -142,13 +153,15 @@
 	if index < 0 {
 		return actions
 	}
+	r = q.waiting[index]
 	latestEnd, waitFactor := q.latestEnd(now, &r)
 	wait := q.expectedWait(now, r, 1)
 	switch {
 	case r.NoWait:
 		return append(actions, q.refuse(index, ReasonNoFreeSlot, wait))
 	case len(q.waiting) > q.cfg.QueueLength:
-		return append(actions, q.refuse(index, ReasonQueueFull, wait))
+		index, reason := q.displaced(now, index)
+		return append(actions, q.refuse(index, reason, wait))
 	case now.Mono+q.expectedWait(now, r, waitFactor)+q.serviceTime(r.ServiceTimeGroup) > latestEnd:
 		return append(actions, q.refuse(index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
 	}
@@ -236,6 +249,8 @@
 		q.rateLimiter.started(now.Mono)
 		r := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.countStart(now, &r)
+		q.updateShares()
 		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono}
 		out = append(out, Action{ID: r.ID, Start: true})
 	}
--- a/coord/dispatch/recheck.go
+++ b/coord/dispatch/recheck.go
@@ -22,7 +22,7 @@
 		index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
 		out = append(out, q.refuse(index, reason, after))
 	}
-	ahead := queueAhead{group: map[string]int{}}
+	ahead := newQueueAhead()
 	var kept []*Request
 	top := q.topPriority(now, &ordered[0])
 	for i := range ordered {
@@ -64,6 +64,9 @@
 	if q.groupFull(r.ServiceTimeGroup) && len(q.running) < q.cfg.Slots {
 		return ReasonCallsLackRoom
 	}
+	if r.aboveShare > 0 {
+		return ReasonAboveShare
+	}
 	return ReasonWouldMissDeadline
 }
 
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -40,12 +39,6 @@
 	reasonFirstRun = "another copy is running for the first time"
 )
 
-// mayHaveNewOwner reports whether another process may own the request's key after
-// this refusal. The refusals of the owner itself are final.
-func (r *result) mayHaveNewOwner() bool {
-	return r.reason != reasonNotGranted && r.reason != reasonCallerLeft && !slices.Contains(queueReasons, r.reason)
-}
-
 // maxGrantWait is the longest time until the target's next grant for which a
 // request waits at the gate for a key that is assigned to the target and not
 // granted to it yet. If the grant is expected later than that, or after the
@@ -65,6 +58,7 @@
 	transfers *blockingQueue
 	firstRuns *firstRuns
 	calls     *callObserver
+	weights   accountWeights
 	probing   atomic.Bool
 	log       logging.Logger
 }
@@ -117,6 +111,7 @@
 	}
 	// The queue uses the monotonic clock, ColdUntil is on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.BootTime().Mono
+	req.weight = g.weights.of(g.agent.View().Routes, req.account)
 	entered := time.Now()
 	id, a := g.queue.acquire(waitCtx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
 	waited := time.Since(entered)
@@ -279,7 +274,7 @@
 		status = r.response.Status
 	}
 	t, _ := g.agent.Target()
-	e.Str("request", req.id).Str("service", req.service).Str("route", req.route).Int("rank", req.priority).Str("target", t.ID).Str("outcome", string(r.outcome)).
+	e.Str("request", req.id).Str("service", req.service).Str("route", req.route).Str("flow", req.flow()).Int("rank", req.priority).Str("target", t.ID).Str("outcome", string(r.outcome)).
 		Int("status", status).Str("reason", r.reason).Bool("reached", r.reached).Dur("retryAfter", r.retryAfter).
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -108,7 +108,7 @@
 // If the request cannot be routed, it returns the answer for the caller.
 func (in *Ingress) prepare(r *httpserver.Request) (*requestState, *httpserver.Response) {
 	view := in.agent.View()
-	st := &requestState{view: view, request: &routedRequest{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), version: view.Version()}}
+	st := &requestState{view: view, request: &routedRequest{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), entry: in.agent.Process(), version: view.Version()}}
 	if view.Routes == nil {
 		st.last = refused("no document is known yet", defaultRetryAfter)
 		return st, in.refusal(st)
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -84,6 +84,7 @@
 	h := req.header.Clone()
 	h.Set(headerHop, encodeRouting(req, time.Now()))
 	h.Set(headerFingerprint, req.fingerprint.String())
+	h.Set(headerEntry, req.entry)
 	out := &httpclient.Request{Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, ID: req.id, Memory: req.request.Memory}
 	hopBody(out, req.request)
 	resp, err := p.client(process).Do(ctx, out)
--- a/router/relay/queuereasons.go
+++ b/router/relay/queuereasons.go
@@ -12,7 +12,7 @@
 // queueReasons are the refusals by the queue of a gate that owns the key.
 var queueReasons = []string{
 	dispatch.ReasonNoFreeSlot, dispatch.ReasonQueueFull, dispatch.ReasonWouldMissDeadline, dispatch.ReasonDeadlinePassed,
-	dispatch.ReasonCallsLackRoom, dispatch.ReasonGaveWay,
+	dispatch.ReasonCallsLackRoom, dispatch.ReasonGaveWay, dispatch.ReasonAboveShare,
 }
 
 // countQueueRefusal increments bramleyquay_queue_refusals_total, by reason, for a result
@@ -22,3 +22,9 @@
 		metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_queue_refusals_total{reason=%q}`, r.reason)).Inc()
 	}
 }
+
+// mayHaveNewOwner reports whether another process may own the request's key after
+// this refusal. The refusals of the owner itself are final.
+func (r *result) mayHaveNewOwner() bool {
+	return r.reason != reasonNotGranted && r.reason != reasonCallerLeft && !slices.Contains(queueReasons, r.reason)
+}
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -29,6 +29,10 @@
 	caller string
 	// account is the name of the client account, empty without one.
 	account string
+	// entry is the process where the request entered, empty if a peer has not sent it.
+	entry string
+	// weight is that of the account in the queue of the target.
+	weight float64
 	// objective is the end of the latency objective; deadline is when the caller
 	// stops waiting.
 	objective, deadline time.Time
@@ -136,6 +140,7 @@
 	if f, err := quarantine.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		req.fingerprint = f
 	}
+	req.entry = r.Header.Get(headerEntry)
 	req.removeInternalHeaders()
 	if f[3] != "" {
 		key, ok := parseKey(f[3])
@@ -151,6 +156,7 @@
 func (r *routedRequest) removeInternalHeaders() {
 	delete(r.header, headerHop)
 	delete(r.header, headerFingerprint)
+	delete(r.header, headerEntry)
 }
 
 // setFingerprint computes the fingerprint. A body that is passed on as it is read
