Agree with refused callers when they return

All callers that an overloaded queue refused were told almost the same short time, came back together and were refused again.

One that returns as agreed goes ahead of new requests of its priority; one that returns earlier keeps its time.

--- a/coord/dispatch/fairness.go
+++ b/coord/dispatch/fairness.go
@@ -112,7 +112,9 @@
 	for i := range q.waiting {
 		order = append(order, &q.waiting[i])
 	}
-	slices.SortStableFunc(order, func(a, b *Request) int { return cmp.Compare(a.Objective, b.Objective) })
+	slices.SortStableFunc(order, func(a, b *Request) int {
+		return cmp.Or(compareReturns(a, b), cmp.Compare(a.Objective, b.Objective))
+	})
 	type flow struct {
 		priority int
 		name     string
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -103,7 +103,8 @@
 
 // compare returns a negative number if a starts before b. Requests that take
 // precedence come first, then those that can still meet their objective, then those
-// of flows that are less far above their share, then those with the earlier objective, with a head start for higher priorities.
+// of flows that are less far above their share, then those of callers that return as
+// agreed, then those with the earlier objective, with a head start for higher priorities.
 func (q *Queue) compare(now clock.Reading, a, b *Request) int {
 	switch {
 	case takesPrecedence(a.Priority, a.latencyObjective(), b.Priority, b.latencyObjective()):
@@ -117,6 +118,9 @@
 	if c := compareShares(a, b); c != 0 {
 		return c
 	}
+	if c := compareReturns(a, b); c != 0 {
+		return c
+	}
 	return cmp.Compare(q.adjustedObjective(a), q.adjustedObjective(b))
 }
 
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -62,6 +62,11 @@
 	// service time in proportion to Weight, where zero means 1.
 	Flow   string
 	Weight float64
+	// ReturnKey identifies the caller and what it asks for over several attempts. A
+	// caller that returns at the time given with a refusal goes ahead of new requests.
+	ReturnKey string
+	// returning is set for such a request.
+	returning bool
 	// aboveShare is by how many service times the request is above the share of its flow.
 	aboveShare int
 }
@@ -74,6 +79,8 @@
 	// after which a retry may be accepted.
 	Reason     string
 	RetryAfter time.Duration
+	// Returning is set if the caller returned at the time that it was given.
+	Returning bool
 }
 
 // Reasons of a refusal. They are part of the answer to the caller.
@@ -110,6 +117,7 @@
 	groups       map[string]serviceTimeGroup // by name
 	// reservedCredit is the part of a start that is reserved for lower priorities.
 	reservedCredit float64
+	returns        returns
 	shares         map[int]*fairShares // by priority
 	groupLimits    map[string]int      // running requests by group; no entry means no limit
 }
@@ -121,7 +129,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}, shares: map[int]*fairShares{}}
+	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}, shares: map[int]*fairShares{}, returns: returns{next: map[int]time.Duration{}}}
 }
 
 // SetSlots changes the number of slots, and the queue length to its default for
@@ -143,6 +151,7 @@
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
 	q.recordOffer(now, &r)
+	r.returning = q.returns.arrive(now.Mono, &r)
 	q.waiting = append(q.waiting, r)
 	q.updateShares()
 	actions := q.schedule(now)
@@ -158,21 +167,27 @@
 	wait := q.expectedWait(now, r, 1)
 	switch {
 	case r.NoWait:
-		return append(actions, q.refuse(index, ReasonNoFreeSlot, wait))
+		return append(actions, q.refuse(now, index, ReasonNoFreeSlot, wait))
 	case len(q.waiting) > q.cfg.QueueLength:
 		index, reason := q.displaced(now, index)
-		return append(actions, q.refuse(index, reason, wait))
+		return append(actions, q.refuse(now, index, reason, wait))
 	case now.Mono+q.expectedWait(now, r, waitFactor)+q.serviceTime(r.ServiceTimeGroup) > latestEnd:
-		return append(actions, q.refuse(index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
+		return append(actions, q.refuse(now, index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
 	}
 	return actions
 }
 
-// refuse removes the waiting request at an index and returns its refusal.
-func (q *Queue) refuse(index int, reason string, after time.Duration) Action {
+// refuse removes the waiting request at an index and returns its refusal. The caller
+// gets a reservation, unless it can try another target or has no time left.
+func (q *Queue) refuse(now clock.Reading, index int, reason string, after time.Duration) Action {
 	r := q.waiting[index]
 	q.waiting = slices.Delete(q.waiting, index, index+1)
-	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter)}
+	after = max(after, minRetryAfter)
+	if r.ReturnKey != "" && !r.NoWait && reason != ReasonDeadlinePassed {
+		serviceTime := q.serviceTime(r.ServiceTimeGroup)
+		after = q.returns.reserve(now.Mono, &r, after, q.capacityUsed(serviceTime), serviceTime)
+	}
+	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter), Returning: r.returning}
 }
 
 // minRetryAfter prevents retries before the load of the target can have changed.
@@ -236,7 +251,7 @@
 	for i := 0; i < len(q.waiting); {
 		r := q.waiting[i]
 		if now.Mono+max(q.serviceTime(r.ServiceTimeGroup)/4, r.TimeBack) >= r.Deadline {
-			out = append(out, q.refuse(i, ReasonDeadlinePassed, 0))
+			out = append(out, q.refuse(now, i, ReasonDeadlinePassed, 0))
 			continue
 		}
 		i++
@@ -252,7 +267,7 @@
 		q.countStart(now, &r)
 		q.updateShares()
 		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono}
-		out = append(out, Action{ID: r.ID, Start: true})
+		out = append(out, Action{ID: r.ID, Start: true, Returning: r.returning})
 	}
 	return out
 }
--- a/router/relay/flow.go
+++ b/router/relay/flow.go
@@ -24,6 +24,13 @@
 	return "service " + r.caller
 }
 
+// returnKey identifies the caller and what it asks for, over its attempts: they have
+// different ids. Several callers may share an account or a process; the fingerprint tells
+// their requests apart.
+func (r *routedRequest) returnKey() string {
+	return r.flow() + " " + r.route + " " + r.fingerprint.String()
+}
+
 // accountWeights are the weights of the client accounts in one version of the document.
 // Its methods may be called concurrently.
 type accountWeights struct {
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -117,7 +117,7 @@
 	waited := time.Since(entered)
 	if !a.Start {
 		r := refused(a.Reason, a.RetryAfter)
-		r.waited = waited
+		r.waited, r.returning = waited, a.Returning
 		return r
 	}
 	// The target's state and the ownership of the key may have changed while the
@@ -138,7 +138,7 @@
 	begun := time.Now()
 	g.calls.runStarted(id, req)
 	r = g.send(ctx, req, t)
-	r.waited, r.ran = waited, time.Since(begun)
+	r.waited, r.ran, r.returning = waited, time.Since(begun), a.Returning
 	r.runLimit, r.wasted = g.calls.runEnded(id, req, &r)
 	g.queue.setRunLimit(req.route, r.runLimit)
 	g.queue.release(id, r.outcome == done, r.notice.limit)
@@ -279,10 +279,10 @@
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
-		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Int("runLimit", r.runLimit).Bool("wasted", r.wasted).
+		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Int("runLimit", r.runLimit).Bool("wasted", r.wasted).Bool("returning", r.returning).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
-	countQueueRefusal(&r)
+	countQueueDecision(&r)
 	setTargetLimit(g.queue.limit().Rate)
 }
 
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -50,7 +50,7 @@
 	w.deliver(w.queue.Offer(now, dispatch.Request{
 		ID: id, ServiceTimeGroup: req.route, Priority: req.priority, Arrived: timesource.FromTime(req.request.Received).Mono,
 		Objective: timesource.FromTime(req.objective).Mono, Deadline: timesource.FromTime(req.deadline).Mono,
-		NoWait: req.noWait, TimeBack: req.timeBack(), Flow: req.flow(), Weight: req.weight,
+		NoWait: req.noWait, TimeBack: req.timeBack(), Flow: req.flow(), Weight: req.weight, ReturnKey: req.returnKey(),
 	}))
 	w.scheduleTick()
 	w.mu.Unlock()
--- a/router/relay/queuereasons.go
+++ b/router/relay/queuereasons.go
@@ -15,12 +15,17 @@
 	dispatch.ReasonCallsLackRoom, dispatch.ReasonGaveWay, dispatch.ReasonAboveShare,
 }
 
-// countQueueRefusal increments bramleyquay_queue_refusals_total, by reason, for a result
-// that is a refusal by the queue of the process's gate.
-func countQueueRefusal(r *result) {
-	if r.outcome == notRun && slices.Contains(queueReasons, r.reason) {
+// countQueueDecision counts the result of a request at the process's gate: refusals by
+// the queue by reason, and callers that returned as agreed by whether they were refused
+// again.
+func countQueueDecision(r *result) {
+	byQueue := r.outcome == notRun && slices.Contains(queueReasons, r.reason)
+	if byQueue {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_queue_refusals_total{reason=%q}`, r.reason)).Inc()
 	}
+	if r.returning {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_queue_returns_total{refused="%t"}`, byQueue)).Inc()
+	}
 }
 
 // mayHaveNewOwner reports whether another process may own the request's key after
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -76,6 +76,9 @@
 	// the result of another process.
 	runLimit int
 	wasted   bool
+	// returning is set if the caller returned at the time given with an earlier refusal.
+	// It is not set in the result of another process.
+	returning bool
 	// notice is what the target's answer says about its state.
 	notice notice
 }
