Let requests that may not wait displace nothing

An urgent request that tries several targets for a free slot (NoWait) made less urgent requests give way at each of them, and could be refused there with another reason than a missing slot, after which its ingress did not queue it at that target. It also counted as load of its route at each of these targets, from which the bounds on urgent requests and fair shares follow.

Such a request is now refused right after the attempt to start it, and its load is taken back from its group. Fair shares begin at the load of the groups.

Shown to fail first: TestLessUrgentGivesWay (its new case) and TestNoWaitRequest without refuseNoWait.

--- a/coord/dispatch/fairness.go
+++ b/coord/dispatch/fairness.go
@@ -101,11 +101,11 @@
 
 // updateShares sets by how much each waiting request is above the share of its flow.
 // While there is room for all requests, none is.
-func (q *Queue) updateShares() {
+func (q *Queue) updateShares(now clock.Reading) {
 	for i := range q.waiting {
 		q.waiting[i].aboveShare = 0
 	}
-	if q.usage.offeredLoad <= contendedLoad || len(q.waiting) < 2 {
+	if len(q.waiting) < 2 || q.groupLoad(now) <= contendedLoad {
 		return
 	}
 	order := make([]*Request, 0, len(q.waiting))
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -18,15 +18,27 @@
 	offeredLoad float64
 }
 
-// recordOffer updates the group of an offered request.
-func (q *Queue) recordOffer(now clock.Reading, r *Request) {
+// recordOffer updates the group of an offered request and returns the load that it adds.
+func (q *Queue) recordOffer(now clock.Reading, r *Request) float64 {
 	use := q.capacityUsed(q.serviceTime(r.ServiceTimeGroup))
 	q.usage.requestArrived(use)
+	load := float64(use) / float64(usageTimeConstant)
 	g := q.groups[r.ServiceTimeGroup]
 	q.groups[r.ServiceTimeGroup] = serviceTimeGroup{
 		priority: r.Priority, latencyObjective: r.latencyObjective(), lastOffer: now.Mono,
-		offeredLoad: g.loadAt(now) + float64(use)/float64(usageTimeConstant),
+		offeredLoad: g.loadAt(now) + load,
 	}
+	return load
+}
+
+// groupLoad returns the offered load without requests that were refused because they may
+// not wait.
+func (q *Queue) groupLoad(now clock.Reading) float64 {
+	load := 0.0
+	for _, g := range q.groups {
+		load += g.loadAt(now)
+	}
+	return load
 }
 
 // loadAt returns the offered load of the group.
--- a/coord/dispatch/priority_test.go
+++ b/coord/dispatch/priority_test.go
@@ -52,7 +52,12 @@
 		is.Equal(len(q.Offer(clock.At(0), request(2+id, "a", 2, 0, 1000*ms, 4000*ms))), 0)
 	}
 	urgent := request(7, "u", 0, 700*ms, 520*ms, 2000*ms)
+	urgent.NoWait = true // it tries other targets, and nothing gives way to it
 	a := q.Offer(clock.At(700*ms), urgent)
+	is.Equal(len(a), 1)
+	is.Equal(a[0].Reason, dispatch.ReasonNoFreeSlot)
+	urgent.NoWait = false
+	a = q.Offer(clock.At(700*ms), urgent)
 	is.Equal(len(a), 2)
 	for _, refusal := range a {
 		is.Equal(refusal.Reason, dispatch.ReasonGaveWay)
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -150,11 +150,14 @@
 // waits. The actions may concern other requests as well.
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
-	q.recordOffer(now, &r)
+	load := q.recordOffer(now, &r)
 	r.returning = q.returns.arrive(now.Mono, &r)
 	q.waiting = append(q.waiting, r)
-	q.updateShares()
+	q.updateShares(now)
 	actions := q.schedule(now)
+	if r.NoWait {
+		return q.refuseNoWait(now, r, load, actions)
+	}
 	if slices.ContainsFunc(q.waiting, func(w Request) bool { return w.Priority > r.Priority }) {
 		actions = append(actions, q.refuseLate(now)...)
 	}
@@ -166,8 +169,6 @@
 	latestEnd, waitFactor := q.latestEnd(now, &r)
 	wait := q.expectedWait(now, r, 1)
 	switch {
-	case r.NoWait:
-		return append(actions, q.refuse(now, index, ReasonNoFreeSlot, wait))
 	case len(q.waiting) > q.cfg.QueueLength:
 		index, reason := q.displaced(now, index)
 		return append(actions, q.refuse(now, index, reason, wait))
@@ -177,6 +178,19 @@
 	return actions
 }
 
+// refuseNoWait refuses a request that may not wait, if it has not started, and counts it
+// no longer as load of its group: it is offered to other targets. It displaces nothing.
+func (q *Queue) refuseNoWait(now clock.Reading, r Request, load float64, actions []Action) []Action {
+	index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
+	if index < 0 {
+		return actions
+	}
+	g := q.groups[r.ServiceTimeGroup]
+	g.offeredLoad -= load
+	q.groups[r.ServiceTimeGroup] = g
+	return append(actions, q.refuse(now, index, ReasonNoFreeSlot, q.expectedWait(now, q.waiting[index], 1)))
+}
+
 // refuse removes the waiting request at an index and returns its refusal. The caller
 // gets a reservation, unless it can try another target or has no time left.
 func (q *Queue) refuse(now clock.Reading, index int, reason string, after time.Duration) Action {
@@ -265,7 +279,7 @@
 		r := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		q.countStart(now, &r)
-		q.updateShares()
+		q.updateShares(now)
 		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono}
 		out = append(out, Action{ID: r.ID, Start: true, Returning: r.returning})
 	}
