Leave requests for a target's own service out of its calls

Callers' requests for the service of the process's own target enter at the same ingress as the target's calls. Refused under its own overload, they would have counted as calls that lack room, and bounded the runs of a target whose runs fail for another reason.

Shown to fail first: TestBoundIsRemoved without the check of NoCall, TestRunsAreBounded without the comparison of the services.

--- a/coord/backpressure/calls.go
+++ b/coord/backpressure/calls.go
@@ -13,8 +13,9 @@
 	// belongs to that run.
 	ID    string
 	Route string
-	// Account is set if the request has a client account. Calls of targets have none.
-	Account bool
+	// NoCall is set if the request has a client account, or is for the target's own
+	// service. Calls of targets have no account, and are for other services.
+	NoCall bool
 }
 
 // callRoute counts the requests of a route that entered at the process. Callers use the
@@ -61,7 +62,7 @@
 		}
 	}
 	known := l.calls[c.Route]
-	if c.Account || known == nil || known.idle > maxIdleShare*known.requests {
+	if c.NoCall || known == nil || known.idle > maxIdleShare*known.requests {
 		return
 	}
 	// One of the runs has made the call, each with the same probability.
--- a/coord/backpressure/load_test.go
+++ b/coord/backpressure/load_test.go
@@ -272,6 +272,16 @@
 	is.Equal(l.Limit("a"), 1)
 	runs(100, false, false)
 	is.Equal(l.Limit("a"), 0)
+	own := backpressure.Call{Route: "a", NoCall: true}
+	for range 50 { // refused requests of callers that are no calls
+		number++
+		l.RunStarted(now, number, "", "a")
+		l.CallStarted(now, own)
+		l.CallLackedRoom(own)
+		now += 200 * ms
+		l.RunEnded(now, number, true)
+	}
+	is.Equal(l.Limit("a"), 0)
 	for range 20 { // callers' requests of the route, also while nothing runs
 		l.CallStarted(now, backpressure.Call{Route: "b"})
 	}
--- a/router/relay/backpressure.go
+++ b/router/relay/backpressure.go
@@ -70,7 +70,7 @@
 }
 
 func call(req *routedRequest) backpressure.Call {
-	return backpressure.Call{ID: req.id, Route: req.route, Account: req.account != ""}
+	return backpressure.Call{ID: req.id, Route: req.route, NoCall: req.account != "" || req.service == req.caller}
 }
 
 // lackedRoom reports whether the request was refused by the queues of targets. A
--- a/router/relay/backpressure_test.go
+++ b/router/relay/backpressure_test.go
@@ -36,4 +36,8 @@
 	}
 	is.Equal(limit, 1)
 	is.True(wasted)
+	// Callers' requests for the target's own service are no calls, also with its load.
+	is.True(call(&routedRequest{service: "shop", caller: "shop"}).NoCall)
+	is.True(!call(&routedRequest{service: "stock", caller: "shop"}).NoCall)
+	is.True(call(&routedRequest{service: "stock", caller: "shop", account: "acme"}).NoCall)
 }
