Let callers return sooner after a short burst

Reservations had the distance of lasting overload, 5% of the target, also when the target had room right after a burst: in TestReturnsAfterBurst the last of 20 refused callers was told to wait for 2.17 s, and is told 0.18 s now. Reservations use what the offered load leaves.

Shown to fail first: TestReturnsAfterBurst with returnShare alone.

--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -199,7 +199,7 @@
 	after = max(after, minRetryAfter)
 	if r.ReturnKey != "" && !r.NoWait && reason != ReasonDeadlinePassed {
 		serviceTime := q.serviceTime(r.ServiceTimeGroup)
-		after = q.returns.reserve(now.Mono, &r, after, q.capacityUsed(serviceTime), serviceTime)
+		after = q.returns.reserve(now.Mono, &r, after, q.returnInterval(now, serviceTime), serviceTime)
 	}
 	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter), Returning: r.returning}
 }
--- a/coord/dispatch/returns.go
+++ b/coord/dispatch/returns.go
@@ -2,13 +2,16 @@
 
 import (
 	"time"
+
+	"bramleyquay.example/coord/clock"
 )
 
 const (
 	// maxReservations bounds the reservations for refused callers.
 	maxReservations = 512
-	// returnShare is the part of the target that is reserved for returning callers. What
-	// they get is lost to new requests, which can still meet their objective.
+	// returnShare is the part of the target that is reserved for returning callers under
+	// overload. What they get is lost to new requests, which can still meet their
+	// objective. Below it they get what the offered load leaves.
 	returnShare = 0.05
 	// maxReturnTime is the part of a caller's remaining time after which it may return.
 	// A return right before the deadline often ends after it.
@@ -71,9 +74,15 @@
 
 func (t *returns) remove(i int) { t.reservations = append(t.reservations[:i], t.reservations[i+1:]...) }
 
+// returnInterval returns the time between two reservations for requests like one with
+// the given service time.
+func (q *Queue) returnInterval(now clock.Reading, serviceTime time.Duration) time.Duration {
+	return time.Duration(float64(q.capacityUsed(serviceTime)) / max(returnShare, 1-q.groupLoad(now)))
+}
+
 // reserve returns the time after which the caller of a refused request should return: at
 // the earliest after the given time, and after the callers refused before it that are as
-// urgent. interval is the time in which the target serves one such request. A caller that
+// urgent. interval is the time in which the target has room for one of them. A caller that
 // returned too early keeps its time. Without a reservation the time says when there would
 // be one.
 func (t *returns) reserve(now time.Duration, r *Request, after, interval, serviceTime time.Duration) time.Duration {
@@ -85,11 +94,10 @@
 	if at > latest || len(t.reservations) >= maxReservations {
 		return at - now
 	}
-	step := time.Duration(float64(interval) / returnShare)
-	t.next[r.Priority] = at + step
+	t.next[r.Priority] = at + interval
 	for p, next := range t.next {
 		if p > r.Priority && next > at {
-			t.next[p] = next + step
+			t.next[p] = next + interval
 		}
 	}
 	t.reservations = append(t.reservations, reservation{key: r.ReturnKey, priority: r.Priority, at: at})
--- a/coord/dispatch/returns_test.go
+++ b/coord/dispatch/returns_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,3 +61,23 @@
 	is.Equal(a[0].ID, uint64(7))
 	is.True(a[0].Returning)
 }
+
+// Guards against callers that wait as under lasting overload after a short burst.
+func TestReturnsAfterBurst(t *testing.T) {
+	is := is.New(t)
+	q := dispatch.New(dispatch.Config{Slots: 18, QueueLength: 10, MaxLateFraction: 1})
+	last, refused := time.Duration(0), 0
+	for id := range uint64(48) {
+		r := request(id, "a", 0, 0, 800*ms, 5000*ms)
+		r.ReturnKey = fmt.Sprint(id)
+		for _, a := range q.Offer(clock.At(0), r) {
+			if !a.Start {
+				refused++
+				last = max(last, a.RetryAfter)
+			}
+		}
+	}
+	is.Equal(refused, 20)
+	// The target serves all 48 in 48*100 ms/18.
+	is.True(last < 600*ms)
+}
