--- a/coord/dispatch/bodies.go
+++ b/coord/dispatch/bodies.go
@@ -42,11 +42,11 @@
 // counts pass it: bodies start in order, and a long one is not overtaken by shorter ones
 // until it fits.
 func (q *Queue) nextFitting(now clock.Reading) int {
-	first := q.next(now, func(*Request) bool { return true })
+	first := q.nextInOrder(now)
 	if first < 0 || q.bodyFits(&q.waiting[first]) {
 		return first
 	}
-	return q.next(now, func(r *Request) bool { return q.bodyShare(r) == 0 })
+	return q.next(now, 0, func(r *Request) bool { return q.bodyShare(r) == 0 })
 }
 
 // bodyDelay estimates the time until the body of r fits, if the bodies of the requests in
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"bramleyquay.example/coord/clock"
@@ -13,6 +14,52 @@
 	priority         int
 	latencyObjective time.Duration
 	lastOffer        time.Duration
+	// offeredLoad is the part of usage.offeredLoad at lastOffer.
+	offeredLoad float64
+}
+
+// recordOffer updates the group of an offered request and returns the load that it adds.
+func (q *Queue) recordOffer(now clock.Reading, r *Request) float64 {
+	use := q.capacityUsed(q.serviceTime(r.ServiceTimeGroup))
+	q.usage.requestArrived(use)
+	load := float64(use) / float64(usageTimeConstant)
+	g := q.groups[r.ServiceTimeGroup]
+	q.groups[r.ServiceTimeGroup] = serviceTimeGroup{
+		priority: r.Priority, latencyObjective: r.latencyObjective(), lastOffer: now.Mono,
+		offeredLoad: g.loadAt(now) + load,
+	}
+	return load
+}
+
+// groupLoad returns the offered load without requests that were refused because they may
+// not wait.
+func (q *Queue) groupLoad(now clock.Reading) float64 {
+	load := 0.0
+	for _, g := range q.groups {
+		load += g.loadAt(now)
+	}
+	return load
+}
+
+// loadAt returns the offered load of the group.
+func (g serviceTimeGroup) loadAt(now clock.Reading) float64 {
+	return g.offeredLoad * math.Exp(-float64(now.Mono-g.lastOffer)/float64(usageTimeConstant))
+}
+
+// lessUrgent reports whether r starts before the requests of a group.
+func (g serviceTimeGroup) lessUrgent(r *Request) bool {
+	return g.priority > r.Priority || takesPrecedence(r.Priority, r.latencyObjective(), g.priority, g.latencyObjective)
+}
+
+// loadBefore returns the offered load without the groups that r starts before.
+func (q *Queue) loadBefore(now clock.Reading, r *Request) float64 {
+	load := 0.0
+	for _, g := range q.groups {
+		if !g.lessUrgent(r) {
+			load += g.loadAt(now)
+		}
+	}
+	return load
 }
 
 // latencyObjective returns the time from the arrival to the objective.
@@ -37,8 +84,7 @@
 // fails as well.
 func (q *Queue) urgent(now clock.Reading, r *Request) bool {
 	for _, g := range q.groups {
-		lessUrgent := g.priority > r.Priority || takesPrecedence(r.Priority, r.latencyObjective(), g.priority, g.latencyObjective)
-		if lessUrgent && now.Mono-g.lastOffer < groupRetention {
+		if g.lessUrgent(r) && now.Mono-g.lastOffer < groupRetention {
 			return true
 		}
 	}
@@ -49,12 +95,18 @@
 // group.
 const groupRetention = 2 * time.Second
 
-// next returns the index in waiting of the eligible request to start next, or -1.
-func (q *Queue) next(now clock.Reading, eligible func(*Request) bool) int {
+// next returns the index in waiting of the first eligible request in order whose priority
+// is minPriority or lower, or -1 if there is none. Without eligible, all are.
+func (q *Queue) next(now clock.Reading, minPriority int, eligible func(*Request) bool) int {
 	best := -1
 	for i := range q.waiting {
-		r := &q.waiting[i]
-		if eligible(r) && (best < 0 || q.compare(now, r, &q.waiting[best]) < 0) {
+		if q.waiting[i].Priority < minPriority || eligible != nil && !eligible(&q.waiting[i]) {
+			continue
+		}
+		if len(q.groupLimits) > 0 && q.groupFull(q.waiting[i].ServiceTimeGroup) {
+			continue
+		}
+		if best < 0 || q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
 			best = i
 		}
 	}
@@ -62,8 +114,9 @@
 }
 
 // compare returns a negative number if a starts before b. Requests that take
-// precedence come first, then those that can still meet their objective, then
-// those with the earlier objective, with a head start for higher priorities.
+// precedence come first, then those that can still meet their objective, then those
+// of flows that are less far above their share, then those of callers that return as
+// agreed, then those with the earlier objective, with a head start for higher priorities.
 func (q *Queue) compare(now clock.Reading, a, b *Request) int {
 	switch {
 	case takesPrecedence(a.Priority, a.latencyObjective(), b.Priority, b.latencyObjective()):
@@ -74,6 +127,12 @@
 	if c := cmp.Compare(q.missesObjective(now, a), q.missesObjective(now, b)); c != 0 {
 		return c
 	}
+	if c := compareShares(a, b); c != 0 {
+		return c
+	}
+	if c := compareReturns(a, b); c != 0 {
+		return c
+	}
 	return cmp.Compare(q.adjustedObjective(a), q.adjustedObjective(b))
 }
 
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -62,6 +62,20 @@
 	NoWait bool
 	// BodyBytes is the length of the body, or UnknownBodyBytes.
 	BodyBytes int64
+	// TimeBack is the time before the deadline at which a waiting request is refused at
+	// the latest, so that the refusal reaches the caller in time.
+	TimeBack time.Duration
+	// Flow names the caller. Under overload the flows of a priority get shares of the
+	// service time in proportion to Weight, where zero means 1.
+	Flow   string
+	Weight float64
+	// ReturnKey identifies the caller and what it asks for over several attempts. A
+	// caller that returns at the time given with a refusal goes ahead of new requests.
+	ReturnKey string
+	// returning is set for such a request.
+	returning bool
+	// aboveShare is by how many service times the request is above the share of its flow.
+	aboveShare int
 }
 
 // Action is a decision about one request: it starts, or it is refused.
@@ -72,6 +86,8 @@
 	// after which a retry may be accepted.
 	Reason     string
 	RetryAfter time.Duration
+	// Returning is set if the caller returned at the time that it was given.
+	Returning bool
 }
 
 // Reasons of a refusal. They are part of the answer to the caller.
@@ -82,6 +98,15 @@
 	// MaxLateFraction, or overload, allows.
 	ReasonWouldMissDeadline = "cannot end in time"
 	ReasonDeadlinePassed    = "deadline passed"
+	// ReasonGaveWay means that a more urgent request could not meet its objective
+	// otherwise.
+	ReasonGaveWay = "gave way to a more urgent request"
+	// ReasonAboveShare means that the caller asks for more than its share, and others
+	// for theirs.
+	ReasonAboveShare = "caller is above its share"
+	// ReasonCallsLackRoom means that fewer requests of the group run than there are
+	// slots, because calls that they make are refused.
+	ReasonCallsLackRoom = "calls of the route lack room"
 )
 
 // Queue schedules the requests to one target. The caller carries out the actions
@@ -98,6 +123,11 @@
 	usage        usage
 	groups       map[string]serviceTimeGroup // by name
 	bodyBytes    int64                       // of the bodies at the target
+	// reservedCredit is the part of a start that is reserved for lower priorities.
+	reservedCredit float64
+	returns        returns
+	shares         map[int]*fairShares // by priority
+	groupLimits    map[string]int      // running requests by group; no entry means no limit
 }
 
 type runningRequest struct {
@@ -108,7 +138,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}}
+	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}, shares: map[int]*fairShares{}, returns: returns{next: map[int]time.Duration{}}}
 }
 
 // SetSlots changes the number of slots, and the queue length to its default for
@@ -129,36 +159,58 @@
 // waits. The actions may concern other requests as well.
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
-	q.usage.requestArrived(q.capacityUsed(q.serviceTime(r.ServiceTimeGroup)))
-	q.groups[r.ServiceTimeGroup] = serviceTimeGroup{priority: r.Priority, latencyObjective: r.latencyObjective(), lastOffer: now.Mono}
+	load := q.recordOffer(now, &r)
+	r.returning = q.returns.arrive(now.Mono, &r)
 	q.waiting = append(q.waiting, r)
+	q.updateShares(now)
 	actions := q.schedule(now)
+	if r.NoWait {
+		return q.refuseNoWait(now, r, load, actions)
+	}
+	if slices.ContainsFunc(q.waiting, func(w Request) bool { return w.Priority > r.Priority }) {
+		actions = append(actions, q.refuseLate(now)...)
+	}
 	index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
 	if index < 0 {
 		return actions
 	}
-	wait := q.expectedWait(now, r)
-	lateFraction, waitFactor := q.lateFraction(), q.waitFactor()
-	if q.urgent(now, &r) {
-		lateFraction, waitFactor = 1, 1
-	}
-	latestEnd := r.Objective + time.Duration(lateFraction*float64(r.Deadline-r.Objective))
+	r = q.waiting[index]
+	latestEnd, waitFactor := q.latestEnd(now, &r)
+	wait := q.expectedWait(now, r, 1)
 	switch {
-	case r.NoWait:
-		return append(actions, q.refuse(index, ReasonNoFreeSlot, wait))
 	case len(q.waiting) > q.cfg.QueueLength:
-		return append(actions, q.refuse(index, ReasonQueueFull, wait))
-	case now.Mono+time.Duration(waitFactor*float64(wait))+q.serviceTime(r.ServiceTimeGroup) > latestEnd:
-		return append(actions, q.refuse(index, ReasonWouldMissDeadline, now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
+		index, reason := q.displaced(now, index)
+		return append(actions, q.refuse(now, index, reason, wait))
+	case now.Mono+q.expectedWait(now, r, waitFactor)+q.serviceTime(r.ServiceTimeGroup) > latestEnd:
+		return append(actions, q.refuse(now, index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
 	}
 	return actions
 }
 
-// refuse removes the waiting request at an index and returns its refusal.
-func (q *Queue) refuse(index int, reason string, after time.Duration) Action {
+// refuseNoWait refuses a request that may not wait, if it has not started, and counts it
+// no longer as load of its group: it is offered to other targets. It displaces nothing.
+func (q *Queue) refuseNoWait(now clock.Reading, r Request, load float64, actions []Action) []Action {
+	index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
+	if index < 0 {
+		return actions
+	}
+	g := q.groups[r.ServiceTimeGroup]
+	g.offeredLoad -= load
+	q.groups[r.ServiceTimeGroup] = g
+	return append(actions, q.refuse(now, index, ReasonNoFreeSlot, q.expectedWait(now, q.waiting[index], 1)))
+}
+
+// refuse removes the waiting request at an index and returns its refusal. The caller
+// gets a reservation, unless it can try another target or has no time left.
+func (q *Queue) refuse(now clock.Reading, index int, reason string, after time.Duration) Action {
 	r := q.waiting[index]
 	q.waiting = slices.Delete(q.waiting, index, index+1)
-	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter)}
+	after = max(after, minRetryAfter)
+	if r.ReturnKey != "" && !r.NoWait && reason != ReasonDeadlinePassed {
+		serviceTime := q.serviceTime(r.ServiceTimeGroup)
+		after = q.returns.reserve(now.Mono, &r, after, q.returnInterval(now, serviceTime), serviceTime)
+	}
+	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter), Returning: r.returning}
 }
 
 // minRetryAfter prevents retries before the load of the target can have changed.
@@ -191,7 +243,9 @@
 // Tick returns the actions that have become due with time. While requests wait it
 // must be called regularly, such as every 20 ms: deadlines and the limit of starts
 // are checked only when a method is called.
-func (q *Queue) Tick(now clock.Reading) []Action { return q.schedule(now) }
+func (q *Queue) Tick(now clock.Reading) []Action {
+	return append(q.schedule(now), q.refuseLate(now)...)
+}
 
 // Load returns the numbers of running and waiting requests and of slots that can be
 // in use: fewer than the target has if it limits its requests.
@@ -213,15 +267,15 @@
 	return utilization, capacity
 }
 
-// schedule refuses the waiting requests for which at most a quarter of the expected
-// service time is left until the deadline, and starts others while slots and the
+// schedule refuses the waiting requests for which at most their TimeBack or a quarter of
+// the expected service time is left until the deadline, and starts others while slots and the
 // limit of starts allow it.
 func (q *Queue) schedule(now clock.Reading) []Action {
 	var out []Action
 	for i := 0; i < len(q.waiting); {
 		r := q.waiting[i]
-		if now.Mono+q.serviceTime(r.ServiceTimeGroup)/4 >= r.Deadline {
-			out = append(out, q.refuse(i, ReasonDeadlinePassed, 0))
+		if now.Mono+max(q.serviceTime(r.ServiceTimeGroup)/4, r.TimeBack) >= r.Deadline {
+			out = append(out, q.refuse(now, i, ReasonDeadlinePassed, 0))
 			continue
 		}
 		i++
@@ -234,9 +288,11 @@
 		q.rateLimiter.started(now.Mono)
 		r := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.countStart(now, &r)
+		q.updateShares(now)
 		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono, body: q.bodyShare(&r)}
 		q.bodyBytes += q.bodyShare(&r)
-		out = append(out, Action{ID: r.ID, Start: true})
+		out = append(out, Action{ID: r.ID, Start: true, Returning: r.returning})
 	}
 	return out
 }
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -27,13 +26,11 @@
 	reasonDrained        = "drained"
 	reasonNotOwner       = "not owner"
 	reasonNotGranted     = "key not granted yet"
-	// reasonCallerLeft is also the reason if the deadline passes while the request
-	// waits.
-	reasonCallerLeft    = "caller left"
-	reasonTargetRefused = "target refused"
-	reasonNoConnection  = "no connection"
-	reasonAnswerBroken  = "answer broke off"
-	reasonNoSignature   = "answer without signature"
+	reasonCallerLeft     = "caller left"
+	reasonTargetRefused  = "target refused"
+	reasonNoConnection   = "no connection"
+	reasonAnswerBroken   = "answer broke off"
+	reasonNoSignature    = "answer without signature"
 	// reasonNoMemory says nothing about the target.
 	reasonNoMemory = "not enough memory is free"
 	// reasonQuarantined requests have ended the targets that ran them.
@@ -42,15 +39,6 @@
 	reasonFirstRun = "another copy is running for the first time"
 )
 
-// mayHaveNewOwner reports whether another process may own the request's key after
-// this refusal. The refusals of the owner itself are final.
-func (r *result) mayHaveNewOwner() bool {
-	return r.reason != reasonNotGranted && r.reason != reasonCallerLeft && !slices.Contains(queueReasons, r.reason)
-}
-
-// queueReasons are the refusals by the queue of a gate that owns the key.
-var queueReasons = []string{dispatch.ReasonNoFreeSlot, dispatch.ReasonQueueFull, dispatch.ReasonWouldMissDeadline, dispatch.ReasonDeadlinePassed}
-
 // maxGrantWait is the longest time until the target's next grant for which a
 // request waits at the gate for a key that is assigned to the target and not
 // granted to it yet. If the grant is expected later than that, or after the
@@ -70,6 +58,8 @@
 	transfers *blockingQueue
 	firstRuns *firstRuns
 	quality   targetQuality
+	calls     *callObserver
+	weights   accountWeights
 	probing   atomic.Bool
 	log       logging.Logger
 }
@@ -78,7 +68,7 @@
 // before agent.Run, because it sets the function from which the agent reports the
 // target's load.
 func NewGate(agent *fleetagent.Agent, names HeaderNames, client *httpclient.Client, log logging.Logger) *Gate {
-	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), log: log}
+	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), calls: newCallObserver(), log: log}
 	agent.SetUsage(g.usage)
 	return g
 }
@@ -99,9 +89,11 @@
 // run waits until the key is granted and a slot is free, checks ownership and the
 // target's state once more, and sends the request.
 func (g *Gate) run(ctx context.Context, req *routedRequest) result {
+	waitCtx, cancel := waitContext(ctx, req)
+	defer cancel()
 	if req.sharded {
 		g.agent.CountRequest(req.key)
-		if r, ok := g.awaitKey(ctx, req); !ok {
+		if r, ok := g.awaitKey(waitCtx, req); !ok {
 			return r
 		}
 	}
@@ -109,10 +101,10 @@
 	if !ok {
 		return r
 	}
-	if r, ok := g.receiveBody(ctx, req); !ok {
+	if r, ok := g.receiveBody(waitCtx, req); !ok {
 		return r
 	}
-	release, r, ok := g.firstRuns.acquire(ctx, req)
+	release, r, ok := g.firstRuns.acquire(waitCtx, req)
 	if !ok {
 		return r
 	}
@@ -123,12 +115,13 @@
 	}
 	// The queue uses the monotonic clock, ColdUntil is on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.BootTime().Mono
+	req.weight = g.weights.of(g.agent.View().Routes, req.account)
 	entered := time.Now()
-	id, a := g.queue.acquire(ctx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
+	id, a := g.queue.acquire(waitCtx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
 	waited := time.Since(entered)
 	if !a.Start {
 		r := refused(a.Reason, a.RetryAfter)
-		r.waited = waited
+		r.waited, r.returning = waited, a.Returning
 		return r
 	}
 	// The target's state and the ownership of the key may have changed while the
@@ -147,9 +140,12 @@
 		return r
 	}
 	begun := time.Now()
+	g.calls.runStarted(id, req)
 	r = g.send(ctx, req, t)
-	r.waited, r.ran, r.ended = waited, time.Since(begun), ctx.Err() != nil
+	r.waited, r.ran, r.ended, r.returning = waited, time.Since(begun), ctx.Err() != nil, a.Returning
 	g.recordQuality(t, &r)
+	r.runLimit, r.wasted = g.calls.runEnded(id, req, &r)
+	g.queue.setRunLimit(req.route, r.runLimit)
 	g.queue.release(id, r.outcome == done, r.notice.limit)
 	return r
 }
@@ -284,15 +280,16 @@
 		status = r.response.Status
 	}
 	t, _ := g.agent.Target()
-	withAccount(e, req).Str("request", req.id).Str("service", req.service).Str("route", req.route).Int("rank", req.priority).Str("target", t.ID).Str("outcome", string(r.outcome)).
+	withAccount(e, req).Str("request", req.id).Str("service", req.service).Str("route", req.route).Str("flow", req.flow()).Int("rank", req.priority).Str("target", t.ID).Str("outcome", string(r.outcome)).
 		Int("status", status).Str("reason", r.reason).Bool("reached", r.reached).Dur("retryAfter", r.retryAfter).
 		Dur("waited", r.waited).Dur("ran", r.ran).Dur("since", time.Since(req.request.Received)).
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
 		Int64("body", req.bodyBytes()).Int64("bodies", g.queue.bodyBytes()).
-		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).
+		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Int("runLimit", r.runLimit).Bool("wasted", r.wasted).Bool("returning", r.returning).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
+	countQueueDecision(&r)
 	setTargetLimit(g.queue.limit().Rate)
 	setTargetBodyBytes(g.queue.bodyBytes())
 }
--- a/router/relay/stopping.go
+++ b/router/relay/stopping.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"bramleyquay.example/coord/dispatch"
 	"bramleyquay.example/router/httpserver"
 )
 
@@ -18,8 +19,11 @@
 
 // endReason returns the reason of a request that waited until ctx ended.
 func endReason(ctx context.Context) string {
-	if isStopping(ctx) {
+	switch {
+	case isStopping(ctx):
 		return reasonStopping
+	case errors.Is(context.Cause(ctx), errMustAnswer):
+		return dispatch.ReasonDeadlinePassed
 	}
 	return reasonCallerLeft
 }
