--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -103,9 +103,6 @@
 		if q.waiting[i].Priority < minPriority || eligible != nil && !eligible(&q.waiting[i]) {
 			continue
 		}
-		if len(q.groupLimits) > 0 && q.groupFull(q.waiting[i].ServiceTimeGroup) {
-			continue
-		}
 		if best < 0 || q.compare(now, &q.waiting[i], &q.waiting[best]) < 0 {
 			best = i
 		}
--- a/coord/dispatch/priority.go
+++ b/coord/dispatch/priority.go
@@ -65,7 +65,6 @@
 	work     time.Duration
 	// lowerWork is the part of work that is not of the most urgent priority.
 	lowerWork time.Duration
-	group     map[string]int           // requests by group
 	flow      map[string]time.Duration // work by flow
 }
 
@@ -76,7 +75,6 @@
 	if r.Priority > top {
 		a.lowerWork += serviceTime
 	}
-	a.group[r.ServiceTimeGroup]++
 	a.flow[r.Flow] += serviceTime
 }
 
@@ -87,12 +85,11 @@
 	if r.Priority > top {
 		a.lowerWork -= serviceTime
 	}
-	a.group[r.ServiceTimeGroup]--
 	a.flow[r.Flow] -= serviceTime
 }
 
 func newQueueAhead() queueAhead {
-	return queueAhead{group: map[string]int{}, flow: map[string]time.Duration{}}
+	return queueAhead{flow: map[string]time.Duration{}}
 }
 
 // giveWay returns the index of the request that gives way to a more urgent one behind
@@ -130,5 +127,5 @@
 		reserved := float64(a.lowerWork+q.serviceTime(r.ServiceTimeGroup)) / float64(max(q.cfg.Slots, 1)) / reservedStarts
 		wait = min(wait, time.Duration(reserved))
 	}
-	return max(wait, time.Duration(factor*float64(q.groupWait(r.ServiceTimeGroup, a.group[r.ServiceTimeGroup]))))
+	return wait
 }
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -104,9 +104,6 @@
 	// ReasonAboveShare means that the caller asks for more than its share, and others
 	// for theirs.
 	ReasonAboveShare = "caller is above its share"
-	// ReasonCallsLackRoom means that fewer requests of the group run than there are
-	// slots, because calls that they make are refused.
-	ReasonCallsLackRoom = "calls of the route lack room"
 )
 
 // Queue schedules the requests to one target. The caller carries out the actions
@@ -127,7 +124,6 @@
 	reservedCredit float64
 	returns        returns
 	shares         map[int]*fairShares // by priority
-	groupLimits    map[string]int      // running requests by group; no entry means no limit
 }
 
 type runningRequest struct {
@@ -138,7 +134,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, groupLimits: map[string]int{}, shares: map[int]*fairShares{}, returns: returns{next: map[int]time.Duration{}}}
+	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, shares: map[int]*fairShares{}, returns: returns{next: map[int]time.Duration{}}}
 }
 
 // SetSlots changes the number of slots, and the queue length to its default for
--- a/coord/dispatch/recheck.go
+++ b/coord/dispatch/recheck.go
@@ -12,7 +12,7 @@
 // wait until their deadlines otherwise. It also refuses less urgent requests that start
 // before a more urgent one which cannot meet its objective otherwise.
 func (q *Queue) refuseLate(now clock.Reading) []Action {
-	if len(q.waiting) == 0 || len(q.running) < q.cfg.Slots && len(q.groupLimits) == 0 {
+	if len(q.waiting) == 0 || len(q.running) < q.cfg.Slots {
 		return nil
 	}
 	ordered := slices.Clone(q.waiting)
@@ -61,9 +61,6 @@
 
 // lateReason returns the reason for refusing a request that cannot end in time.
 func (q *Queue) lateReason(r *Request) string {
-	if q.groupFull(r.ServiceTimeGroup) && len(q.running) < q.cfg.Slots {
-		return ReasonCallsLackRoom
-	}
 	if r.aboveShare > 0 {
 		return ReasonAboveShare
 	}
--- a/router/explain/explain.go
+++ b/router/explain/explain.go
@@ -26,8 +26,6 @@
 	Target    string    `json:"target"`
 	Service   string    `json:"service"`
 	Account   string    `json:"account"`
-	// Wasted is set if the run failed because calls that it made lacked room.
-	Wasted bool `json:"wasted"`
 	// Text is the JSON text of the line, without a collector's prefix.
 	Text string `json:"-"`
 }
@@ -146,9 +144,6 @@
 	} else if answer.Status >= 500 {
 		s.WriteString("; it reached no gate")
 	}
-	if gate != nil && gate.Wasted {
-		s.WriteString("; the run failed for lack of room at a called service")
-	}
 	if failedCalls > 0 {
 		fmt.Fprintf(&s, "; %d of its own calls failed", failedCalls)
 	}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -58,7 +58,6 @@
 	transfers *blockingQueue
 	firstRuns *firstRuns
 	quality   targetQuality
-	calls     *callObserver
 	weights   accountWeights
 	probing   atomic.Bool
 	log       logging.Logger
@@ -68,7 +67,7 @@
 // before agent.Run, because it sets the function from which the agent reports the
 // target's load.
 func NewGate(agent *fleetagent.Agent, names HeaderNames, client *httpclient.Client, log logging.Logger) *Gate {
-	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), calls: newCallObserver(), log: log}
+	g := &Gate{agent: agent, names: names, client: client, queue: newBlockingQueue(1), transfers: newBlockingQueue(maxTransfers), firstRuns: newFirstRuns(), log: log}
 	agent.SetUsage(g.usage)
 	return g
 }
@@ -140,12 +139,9 @@
 		return r
 	}
 	begun := time.Now()
-	g.calls.runStarted(id, req)
 	r = g.send(ctx, req, t)
 	r.waited, r.ran, r.ended, r.returning = waited, time.Since(begun), ctx.Err() != nil, a.Returning
 	g.recordQuality(t, &r)
-	r.runLimit, r.wasted = g.calls.runEnded(id, req, &r)
-	g.queue.setRunLimit(req.route, r.runLimit)
 	g.queue.release(id, r.outcome == done, r.notice.limit)
 	return r
 }
@@ -286,7 +282,7 @@
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
 		Int64("body", req.bodyBytes()).Int64("bodies", g.queue.bodyBytes()).
-		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Int("runLimit", r.runLimit).Bool("wasted", r.wasted).Bool("returning", r.returning).
+		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Bool("returning", r.returning).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
 	countQueueDecision(&r)
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -113,9 +113,7 @@
 		return resp
 	}
 	in.budgets.countRequest(st.request.service, len(st.view.Members))
-	in.gate.calls.callStarted(st.request)
 	in.run(runCtx, st)
-	in.gate.calls.callEnded(st)
 	in.settleQuota(st)
 	return in.answer(st, ctx.Err() != nil && !isStopping(ctx))
 }
--- a/router/relay/queuereasons.go
+++ b/router/relay/queuereasons.go
@@ -12,7 +12,7 @@
 // queueReasons are the refusals by the queue of a gate that owns the key.
 var queueReasons = []string{
 	dispatch.ReasonNoFreeSlot, dispatch.ReasonQueueFull, dispatch.ReasonWouldMissDeadline, dispatch.ReasonDeadlinePassed,
-	dispatch.ReasonCallsLackRoom, dispatch.ReasonGaveWay, dispatch.ReasonAboveShare,
+	dispatch.ReasonGaveWay, dispatch.ReasonAboveShare,
 }
 
 // countQueueDecision counts the result of a request at the process's gate: refusals by
--- a/router/relay/quota_test.go
+++ b/router/relay/quota_test.go
@@ -58,7 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			agent := fleetagent.New(fleetagent.Config{Process: "p", AnnounceInterval: time.Second}, leaderclient.New(nil, nil), logging.ForComponent(logs, "member"))
-			in := NewIngress(IngressConfig{Names: DefaultHeaderNames}, agent, &Gate{calls: newCallObserver()}, logging.ForComponent(logs, "ingress"))
+			in := NewIngress(IngressConfig{Names: DefaultHeaderNames}, agent, nil, logging.ForComponent(logs, "ingress"))
 			q, now := &fakeQuota{after: c.after}, time.Now()
 			in.quota = q
 			req := &routedRequest{id: "i", service: "s", request: &httpserver.Request{Received: now}, objective: now.Add(c.objective), deadline: now.Add(5 * time.Second)}
@@ -125,7 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			agent := fleetagent.New(fleetagent.Config{Process: "p", AnnounceInterval: time.Second}, leaderclient.New(nil, nil), logging.ForComponent(logs, "member"))
-			in := NewIngress(IngressConfig{Names: DefaultHeaderNames}, agent, &Gate{calls: newCallObserver()}, logging.ForComponent(logs, "ingress"))
+			in := NewIngress(IngressConfig{Names: DefaultHeaderNames}, agent, nil, logging.ForComponent(logs, "ingress"))
 			q, now := &waitingQuota{}, time.Now()
 			in.quota = q
 			table := routes.NewTable(&routes.Document{Version: 1, Accounts: []routes.Account{{Name: name, Rate: 5}}})
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -73,11 +73,6 @@
 	waited, ran time.Duration
 	// ended says that the caller had disconnected or its deadline had passed.
 	ended bool
-	// runLimit bounds the runs of the route at the same time, zero without a bound.
-	// wasted runs failed because calls that they made lacked room. They are not set in
-	// the result of another process.
-	runLimit int
-	wasted   bool
 	// returning is set if the caller returned at the time given with an earlier refusal.
 	// It is not set in the result of another process.
 	returning bool
