Apply the limits in force when a request begins

Seen: after a document with higher limits, the first request on each open connection was still rejected with 431 or 413 by the earlier ones, and after one with lower limits still accepted by the earlier ones.

Cause: the limits of a request were read when its connection became idle.

Change: they are read again once its first byte has arrived.

--- a/router/httpserver/pipeline_test.go
+++ b/router/httpserver/pipeline_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +127,37 @@
 	is.Equal(paths, []string{"/600ms"})
 	is.True(closes)
 }
+
+// Guards against a request that is rejected by the limits that were in force when its
+// connection became idle.
+func TestLimitsOfOpenConnection(t *testing.T) {
+	is := is.New(t)
+	var limit atomic.Int64
+	limit.Store(1 << 10)
+	limits := func() httpserver.Limits {
+		l := httpserver.DefaultLimits()
+		l.HeaderBytes = limit.Load()
+		return l
+	}
+	s := httpserver.New(httpserver.HandlerFunc(echo), limits, logging.ForComponent(logging.New(io.Discard, "error", false), "edge"))
+	is.NoErr(s.Listen("127.0.0.1:0"))
+	go s.Run()
+	defer s.Shutdown(t.Context())
+	c, br := dial(t, s)
+	status := func(size int) int {
+		_, err := fmt.Fprintf(c, "GET /1ms HTTP/1.1\r\nHost: h\r\nX-Long: %s\r\n\r\n", strings.Repeat("x", size))
+		is.NoErr(err)
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	is.Equal(status(100), 200)
+	time.Sleep(50 * time.Millisecond) // the connection is idle
+	limit.Store(16 << 10)
+	is.Equal(status(10<<10), 200)
+	time.Sleep(50 * time.Millisecond)
+	limit.Store(1 << 10)
+	is.Equal(status(10<<10), 431)
+}
--- a/router/httpserver/readrequest.go
+++ b/router/httpserver/readrequest.go
@@ -25,6 +25,10 @@
 	} else if err != nil {
 		return nil, 0, err
 	}
+	// The limits may have changed while the connection was idle.
+	earlier := limits.HeaderBytes
+	limits = c.server.limits()
+	c.limited.remaining += limits.HeaderBytes - earlier
 	if err := c.setReadDeadline(limits.HeaderTimeout); err != nil {
 		return nil, 0, err
 	}
