Accept at gates what ingresses accept from callers

Seen: a request whose head was a little below the limit for callers, or above 64 KiB where the document allows that, got 502 if its target was in another process, and the target counted as failed. A request that had not run was so answered as one that may have, and its account was charged. The same holds for bodies where the document allows more than 64 MiB; this was read in the code and not tested.

Cause: the server for peers had the default limits, without room for the headers that the ingress adds, and the ingress cannot tell a rejection by the server (431, 413) from another incomplete answer.

Change: its limits are at least those for callers, and 4 KiB more for the head.

TestLargeHeaderOverHop failed before: 502 instead of 200 for a head 180 bytes below 64 KiB, and for one of 90 KiB with a limit of 100 KiB.

--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -113,7 +113,7 @@
 		d.agent, gate, logging.ForComponent(logs, "ingress"))
 	httpLog := logging.ForComponent(logs, "edge")
 	d.callerServer = httpserver.New(ingress, d.callerLimits, httpLog)
-	d.gateServer = httpserver.NewForPeers(httpserver.HandlerFunc(gate.ServePeer), httpserver.DefaultLimits, httpLog)
+	d.gateServer = httpserver.NewForPeers(httpserver.HandlerFunc(gate.ServePeer), d.peerLimits, httpLog)
 	d.callerServer.LimitMemory(d.requestMemory, relay.RefuseCaller)
 	d.gateServer.LimitMemory(d.requestMemory, gate.RefusePeer)
 	metrics.GetOrCreateGauge("bramleyquay_target_connections_opened", func() float64 { return float64(target.ConnectionsOpened()) })
@@ -183,6 +183,21 @@
 	return out
 }
 
+// peerHeaderBytes is the room for the headers that an ingress adds for the gate of another
+// process. The names in the document, which they contain, are short.
+const peerHeaderBytes = 4 << 10
+
+// peerLimits returns the limits for requests of other processes. They accept what the
+// ingresses accept from callers: an ingress cannot tell from a rejection by the server
+// whether the request ran. The ingress may have another document, so that the defaults
+// are the lower bound.
+func (d *Daemon) peerLimits() httpserver.Limits {
+	out, callers := httpserver.DefaultLimits(), d.callerLimits()
+	out.HeaderBytes = max(out.HeaderBytes, callers.HeaderBytes) + peerHeaderBytes
+	out.BodyBytes = max(out.BodyBytes, callers.BodyBytes)
+	return out
+}
+
 // openControl opens the control replica and registers its methods.
 func (d *Daemon) openControl(logs *log.Logger) error {
 	control := d.cfg.Control
