Do not call a request malformed that was not read to its end

Seen: a request of which a part had arrived when the server stopped, or when the header time-out passed, got 400. A caller does not repeat it then, although it could; without a response it does.

Cause: bufio.Reader.ReadLine returns a part of a line as a line when the read fails, and the reader of chunked bodies replaces errors at the end of a body. Both were taken for malformed requests.

Change: if a read of the connection has failed, that error counts.

--- a/router/httpserver/body.go
+++ b/router/httpserver/body.go
@@ -44,6 +44,7 @@
 	// buffer reads ahead.
 	inline := min(limits.BodyBytes, InlineBodyBytes)
 	c.limited.remaining = 2*inline + readBufferBytes
+	c.limited.failure = nil
 	body, err := memory.ReadAll(r.Memory, hr.Body, hr.ContentLength, inline)
 	switch {
 	case errors.Is(err, memory.ErrTooLong) && int64(len(body)) > limits.BodyBytes:
@@ -53,6 +54,8 @@
 		return 0, nil
 	case errors.Is(err, memory.ErrExhausted):
 		return http.StatusServiceUnavailable, err
+	case err != nil && c.limited.failure != nil:
+		return 0, c.limited.failure
 	case err != nil && isConnError(err):
 		return 0, err
 	case err != nil:
--- a/router/httpserver/limitreader.go
+++ b/router/httpserver/limitreader.go
@@ -13,6 +13,9 @@
 	inner     io.Reader
 	remaining int64
 	exceeded  bool
+	// failure is the last error of inner. What parses a head or a chunked body may return
+	// another one in its place: bufio.Reader.ReadLine returns a part of a line as a line.
+	failure error
 	// head is charged with the bytes of a head.
 	head memory.Head
 }
@@ -27,6 +30,9 @@
 		p = p[:l.remaining]
 	}
 	n, err := l.inner.Read(p)
+	if err != nil {
+		l.failure = err
+	}
 	l.remaining -= int64(n)
 	if headErr := l.head.Add(n); headErr != nil {
 		return 0, headErr
--- a/router/httpserver/readrequest.go
+++ b/router/httpserver/readrequest.go
@@ -32,16 +32,18 @@
 	if err := c.setReadDeadline(limits.HeaderTimeout); err != nil {
 		return nil, 0, err
 	}
+	c.limited.failure = nil
 	hr, err := http.ReadRequest(c.br)
 	switch {
 	case errors.Is(err, memory.ErrExhausted):
 		return nil, http.StatusServiceUnavailable, err
 	case c.limited.exceeded:
 		return nil, http.StatusRequestHeaderFieldsTooLarge, errTooLarge
+	case err != nil && c.limited.failure != nil:
+		return nil, 0, c.limited.failure
+	case err != nil && isConnError(err):
+		return nil, 0, err
 	case err != nil:
-		if isConnError(err) {
-			return nil, 0, err
-		}
 		return nil, http.StatusBadRequest, err
 	}
 	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host, Header: hr.Header, Memory: c.server.memory.Open(), close: hr.Close}
--- a/router/httpserver/stop_test.go
+++ b/router/httpserver/stop_test.go
@@ -120,3 +120,38 @@
 	is.NoErr(c.Close())
 	<-stopped
 }
+
+// Guards against a request that is called malformed, and so gets a final response, because
+// the server stops or the header time-out passes in the middle of a line of its head or at
+// the end of its chunked body.
+func TestReadingEndsInTheMiddle(t *testing.T) {
+	const head = "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, part := range []string{
+		"P", "POST /b", "POST /b HTTP/1.", "POST /b HTTP/1.1\r\nHos", "POST /b HTTP/1.1\r\nHost: h\r\n",
+		head + "5\r\nhel", head + "5\r\nhello\r\n", head + "5\r\nhello\r\n0\r\n", head + "5\r\nhello\r\n0\r\n\r", head + "5\r\nhello\r\n0\r\nX-Trailer: a\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", strings.TrimPrefix(part, head)), func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, echo)
+			c, br := dial(t, s)
+			_, err := io.WriteString(c, part)
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // the part has been read
+			stopped := make(chan struct{})
+			go func() { defer close(stopped); s.Shutdown(t.Context()) }()
+			_, err = http.ReadResponse(br, nil)
+			is.Equal(err, io.ErrUnexpectedEOF) // no response
+			is.NoErr(c.Close())
+			<-stopped
+		})
+	}
+	t.Run("header time-out", func(t *testing.T) {
+		is := is.New(t)
+		s := startWith(t, func(l *httpserver.Limits) { l.HeaderTimeout = 50 * time.Millisecond }, echo)
+		c, br := dial(t, s)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHos")
+		is.NoErr(err)
+		_, err = http.ReadResponse(br, nil)
+		is.Equal(err, io.ErrUnexpectedEOF) // no response
+	})
+}
