Do not cut off last responses when a server shuts down

Seen: a caller that was still sending on a connection lost its last responses, up to one it had read in part, when the process stopped: its connection was reset.

Cause: after the last response the server discards for up to 500 ms what the caller still sends, since a close would then reset the connection and discard what the caller has not read. Shutdown interrupted this wait, as that for a next request, if it began before Shutdown came to the connection. In a planned stop, where connections close after a response from the signal on, that is the usual case.

Change: Shutdown leaves connections that wait for their callers to close.

TestShutdownLeavesLastResponse failed before: broken pipe.

--- a/router/httpserver/closing.go
+++ b/router/httpserver/closing.go
@@ -84,11 +84,19 @@
 	return nil
 }
 
+// beginLinger sets the time for which lingeringClose reads. endIdle does not interrupt it.
+func (c *conn) beginLinger(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
+	_ = c.raw.SetReadDeadline(time.Now().Add(timeout)) // a failure shows at the read
+}
+
 // endIdle ends the wait for a request, and the reading of one that has not been admitted.
 func (c *conn) endIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.uploading {
+	if !c.uploading && !c.lingering {
 		c.interruptRead()
 	}
 }
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -66,6 +66,8 @@
 	readingChanged     *sync.Cond
 	// uploading is set while a handler reads a body from the connection. mu guards it.
 	uploading bool
+	// lingering is set once lingeringClose waits for the caller. mu guards it.
+	lingering bool
 	// written is the time at which the last response was written.
 	written atomic.Pointer[time.Time]
 	// bodyUnread is set if the last request was answered before its body was read. Only
@@ -130,8 +132,8 @@
 		timeout, bytes = uploadLingerTimeout, max(bytes, 2*c.server.limits().BodyBytes)
 	}
 	if tcp, ok := c.raw.(*net.TCPConn); ok && !c.isBroken() {
-		_ = tcp.CloseWrite()                               // the connection is closed below in any case
-		_ = c.raw.SetReadDeadline(time.Now().Add(timeout)) // a failure shows at the read
+		_ = tcp.CloseWrite() // the connection is closed below in any case
+		c.beginLinger(timeout)
 		c.limited.remaining = bytes
 		_, _ = io.Copy(io.Discard, c.limited) // stops at the caller's close or at a bound
 	}
--- a/router/httpserver/stop_test.go
+++ b/router/httpserver/stop_test.go
@@ -155,3 +155,33 @@
 		is.Equal(err, io.ErrUnexpectedEOF) // no response
 	})
 }
+
+// Guards against a last response that is lost because Shutdown ends the wait for the caller
+// to close its side: bytes that arrive after that make the kernel send a reset, which
+// discards what the caller has not read yet.
+func TestShutdownLeavesLastResponse(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 20000)
+	s := start(t, func(context.Context, *httpserver.Request) *httpserver.Response {
+		return httpserver.TextResponse(200, body)
+	})
+	s.Drain()
+	c, br := dial(t, s)
+	_, err := io.WriteString(c, get("/a"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the response with Connection: close is written
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); s.Shutdown(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	for range 2 {
+		_, err = io.WriteString(c, get("/b")) // the caller has not seen the response yet
+		is.NoErr(err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	paths, closes, err := readAll(c, br)
+	is.Equal(err, io.EOF)
+	is.Equal(paths, []string{body})
+	is.True(closes)
+	is.NoErr(c.Close())
+	<-stopped
+}
