--- a/coord/balancer/balancer.go
+++ b/coord/balancer/balancer.go
@@ -7,7 +7,6 @@
 
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/internal/quantile"
-	"bramleyquay.example/coord/quality"
 	"bramleyquay.example/coord/table"
 )
 
@@ -105,14 +104,10 @@
 	if r.Load != nil {
 		s.recordReport(now, r.Load)
 	}
-	if r.Kind == Rejected && s.weight == quality.Full {
-		r.Kind = Refused
-	}
 	if r.Kind == Refused {
 		s.recordRefusal(now, b.config.ReportAge)
 	}
 	switch {
-	case r.Kind == Rejected:
 	case r.Kind != Refused && slowLatency > 0 && r.Latency > verySlowFactor*slowLatency:
 		s.suspect.addEvidence(2, b.config.SuspectThreshold)
 	case r.Kind == Failed, r.Kind != Refused && slowLatency > 0 && r.Latency > slowLatency:
--- a/coord/balancer/selector.go
+++ b/coord/balancer/selector.go
@@ -41,10 +41,6 @@
 	// Cancelled is a request that this process cancelled, such as the slower one
 	// of a hedged pair.
 	Cancelled
-	// Rejected is a response of the target that it has not run the request. At a
-	// target of full weight it counts as a refusal; at one of lower weight it says
-	// nothing about free capacity.
-	Rejected
 )
 
 // GateLoad is the load that a gate reports in its answers, in requests. Limit is
--- a/coord/internal/loadsim/fleet_test.go
+++ b/coord/internal/loadsim/fleet_test.go
@@ -35,7 +35,7 @@
 	target *simulatedTarget
 	meter  *quality.Meter
 	// fault returns how a request ends; random is uniformly distributed.
-	fault   func(at time.Duration, random float64) balancer.ResultKind
+	fault   func(at time.Duration, random float64) quality.Outcome
 	waiting map[uint64]func(dispatch.Action)
 }
 
@@ -146,8 +146,6 @@
 		load := &balancer.GateLoad{Running: running, Limit: limit, Queued: waiting}
 		if s.weights {
 			load.Weight = g.meter.Weight()
-		} else if kind == balancer.Rejected {
-			kind = balancer.Refused
 		}
 		s.loop.after(delay, func() {
 			b.Finished(s.loop.reading(), id, balancer.Result{Latency: s.loop.now - sent, Kind: kind, Load: load})
@@ -170,23 +168,23 @@
 			end(balancer.Refused, a.RetryAfter)
 			return
 		}
-		kind, took := balancer.OK, earlyEnd
+		outcome, took := quality.Good, earlyEnd
 		if g.fault != nil && s.loop.now >= badFrom {
-			kind = g.fault(s.loop.now, s.random.Float64())
+			outcome = g.fault(s.loop.now, s.random.Float64())
 		}
-		if kind == balancer.OK {
+		if outcome == quality.Good {
 			took = g.target.dispatch()
 		}
 		s.loop.after(took, func() {
-			if kind == balancer.OK {
+			if outcome == quality.Good {
 				g.target.end()
 			}
-			outcome := map[balancer.ResultKind]quality.Outcome{balancer.OK: quality.Good, balancer.Rejected: quality.Rejected, balancer.Failed: quality.Failed}[kind]
 			before := g.meter.Weight()
 			if g.meter.Record(s.loop.reading(), outcome) && g.meter.Weight() < before {
 				s.lowered++
 			}
-			actions := g.queue.Done(s.loop.reading(), id, kind != balancer.Rejected)
+			actions := g.queue.Done(s.loop.reading(), id, outcome != quality.Rejected)
+			kind := map[quality.Outcome]balancer.ResultKind{quality.Good: balancer.OK, quality.Rejected: balancer.Refused, quality.Failed: balancer.Failed}[outcome]
 			end(kind, -1) // the target was reached
 			g.apply(actions)
 		})
--- a/coord/internal/loadsim/quality_test.go
+++ b/coord/internal/loadsim/quality_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"bramleyquay.example/coord/balancer"
+	"bramleyquay.example/coord/quality"
 )
 
 // badFrom and badTo bound the spell in which a third of the targets is bad; requests
@@ -16,24 +16,24 @@
 
 var qualityFaults = map[string]func(*fleetGate){
 	"healthy":      func(*fleetGate) {},
-	"rejects 0.55": func(g *fleetGate) { g.fault = always(0.55, balancer.Rejected) },
-	"500 to 0.45":  func(g *fleetGate) { g.fault = always(0.45, balancer.Failed) },
-	"500 to 0.10":  func(g *fleetGate) { g.fault = always(0.10, balancer.Failed) },
+	"rejects 0.55": func(g *fleetGate) { g.fault = always(0.55, quality.Rejected) },
+	"500 to 0.45":  func(g *fleetGate) { g.fault = always(0.45, quality.Failed) },
+	"500 to 0.10":  func(g *fleetGate) { g.fault = always(0.10, quality.Failed) },
 	// A dead target answers every request with 500 at once.
 	"dead every 1.4 s": func(g *fleetGate) {
-		g.fault = func(at time.Duration, _ float64) balancer.ResultKind {
-			return []balancer.ResultKind{balancer.OK, balancer.Failed}[(at-badFrom)/(1400*time.Millisecond)%2]
+		g.fault = func(at time.Duration, _ float64) quality.Outcome {
+			return []quality.Outcome{quality.Good, quality.Failed}[(at-badFrom)/(1400*time.Millisecond)%2]
 		}
 	},
 	"5 times slower": func(g *fleetGate) { g.target.phases = []slowPhase{{badFrom, badTo, 5}} },
 }
 
-func always(share float64, kind balancer.ResultKind) func(time.Duration, float64) balancer.ResultKind {
-	return func(_ time.Duration, random float64) balancer.ResultKind {
+func always(share float64, outcome quality.Outcome) func(time.Duration, float64) quality.Outcome {
+	return func(_ time.Duration, random float64) quality.Outcome {
 		if random < share {
-			return kind
+			return outcome
 		}
-		return balancer.OK
+		return quality.Good
 	}
 }
 
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -144,8 +144,6 @@
 	}
 	r := balancer.Result{Latency: took, Kind: balancer.OK, Load: st.last.load}
 	switch {
-	case st.last.outcome == notRun && st.last.reached:
-		r.Kind = balancer.Rejected
 	case st.last.outcome == notRun:
 		r.Kind = balancer.Refused
 	case st.last.outcome == unknown && time.Until(st.request.deadline) > 0:
