--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -155,7 +155,9 @@
 	if c == nil {
 		return
 	}
-	r := balancer.Result{Latency: took, Kind: kindOf(ctx, st.last), Load: st.last.load, NoWait: st.request.noWait}
+	// A rejection by the target itself says nothing about its free slots.
+	rejected := st.last.outcome == notRun && st.last.reached
+	r := balancer.Result{Latency: took, Kind: kindOf(ctx, st.last), Load: st.last.load, NoWait: st.request.noWait && !rejected}
 	c.balancer.Finished(timesource.Now(), table.MemberID(st.process), r)
 }
 
@@ -166,8 +168,6 @@
 	case r.outcome == unknown && ctx.Err() != nil, r.outcome == notRun && errors.Is(ctx.Err(), context.Canceled):
 		// The deadline has passed, the caller has left, or this process stops.
 		return balancer.Cancelled
-	case r.outcome == notRun && r.reached:
-		return balancer.Rejected
 	case r.outcome == notRun:
 		return balancer.Refused
 	case r.outcome == unknown, r.response.Status >= http.StatusInternalServerError:
