Let a caller of the soak pipeline and read slowly

One caller sends four safe requests in one write and pauses between reading the answers, also during planned stops, where checkStops requires an answer to each of them.

--- a/router/soak/load_test.go
+++ b/router/soak/load_test.go
@@ -58,6 +58,7 @@
 	for i := range callers {
 		l.wg.Go(func() { l.run(ctx, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
+	l.wg.Go(func() { l.runPipelines(ctx, rand.New(rand.NewPCG(seed, callers))) })
 	return l
 }
 
