Report the use of a token early if the leader has no other

With a burst of about one request, a token counted until the next regular renewal of the process that had used it.

--- a/coord/quota/allocation_test.go
+++ b/coord/quota/allocation_test.go
@@ -59,7 +59,7 @@
 		{"small, three callers above the rate", Limit{5, 5}, []float64{4, 4, 4}, 0.93, 0.8},
 		{"small, one caller floods", Limit{5, 5}, []float64{100, 2, 2}, 0.93, 0.45}, // refused requests of the two do not return,
 		{"small, more callers than burst", Limit{5, 5}, []float64{1, 1, 1, 1, 1, 1, 1, 1}, 0.85, 0.6},
-		{"small, one caller", Limit{5, 0}, []float64{3}, 0.45, 0},
+		{"small, one caller", Limit{5, 0}, []float64{3}, 0.55, 0},
 		{"large, below the rate", Limit{261, 261}, many, 0.98, 0},
 		{"large, above the rate", Limit{100, 100}, many, 0.9, 0.7},
 	} {
--- a/coord/quota/allocator.go
+++ b/coord/quota/allocator.go
@@ -251,6 +251,7 @@
 		l.reserve.tokens = max(l.reserve.tokens-g.Quick-g.Tokens, 0)
 		l.change(now, s, func() { s.sentTokens = g.Tokens })
 		s.turn += g.Quick + g.Tokens
+		g.Soon = l.single && g.Tokens > 0 && l.reserve.Burst < 1
 	} else if s.waiting > 0 && s.tokens == 0 {
 		g.WaitMs = int64(math.Ceil(l.wait(now, s).Seconds() * 1000))
 	}
--- a/coord/quota/holder.go
+++ b/coord/quota/holder.go
@@ -40,6 +40,7 @@
 	waiting      int
 	refused      uint64
 	refusedSince time.Duration // first refusal that was not reported, zero without one
+	soon         bool          // see Grant.Soon
 	// known is what the leader knows of the account.
 	known Item
 	// noTokenUntil is the time before which the leader expects to have no token.
@@ -219,6 +220,7 @@
 	a.tokens += g.Tokens
 	a.known.Tokens += g.Tokens
 	a.noTokenUntil = now + time.Duration(g.WaitMs)*time.Millisecond
+	a.soon = g.Soon
 	if g.Tokens > 0 {
 		a.lastUse = max(a.lastUse, now)
 	}
--- a/coord/quota/message.go
+++ b/coord/quota/message.go
@@ -78,6 +78,9 @@
 	Quick float64 `json:"q,omitempty"`
 	// Tokens is added to the tokens that the process holds beside its allotment.
 	Tokens float64 `json:"x,omitempty"`
+	// Soon asks the process to renew early once it has used a token: until then the leader
+	// has none for others.
+	Soon bool `json:"e,omitempty"`
 	// WaitMs is the time in milliseconds until the leader expects to have a token. It is
 	// set if requests wait and got none.
 	WaitMs int64 `json:"w,omitempty"`
--- a/coord/quota/simulation_process_test.go
+++ b/coord/quota/simulation_process_test.go
@@ -85,6 +85,9 @@
 // admit counts an admitted request.
 func (sim *simulation) admit(p *process, name string) {
 	p.admitted++
+	if p.holder.ShouldRenew(name) {
+		p.nextRenewal = min(p.nextRenewal, sim.now+50*time.Millisecond)
+	}
 	if s := sim.spent[name]; !s.spend(sim.now, 1) && sim.violation == "" {
 		sim.violation = fmt.Sprintf("%s at %s: %.2f used, bound %+v", name, sim.now, s.used, s.bound(sim.now))
 	}
--- a/coord/quota/take.go
+++ b/coord/quota/take.go
@@ -36,6 +36,16 @@
 	return a.bucket.take(now)
 }
 
+// ShouldRenew reports, once, whether the use of a token should be reported early.
+func (h *Holder) ShouldRenew(name string) bool {
+	a := h.accounts[name]
+	if a == nil || !a.soon || a.tokens >= a.known.Tokens {
+		return false
+	}
+	a.soon = false
+	return true
+}
+
 // MayGetToken reports whether the leader may have a token for a request that got none:
 // it has not said yet that it has none at this time.
 func (h *Holder) MayGetToken(now time.Duration, name string) bool {
--- a/router/fleetagent/quota.go
+++ b/router/fleetagent/quota.go
@@ -58,6 +58,9 @@
 	}
 	q.holder.Request(start, account)
 	if q.holder.Take(start, account) || q.mayWait(start, account) && a.awaitQuota(ctx, account, start+maxWait) {
+		if q.holder.ShouldRenew(account) {
+			a.renewEarly(timesource.BootTime().Mono)
+		}
 		q.metrics.count(account, "admitted")
 		return true, 0
 	}
