--- a/router/fleetagent/quota.go
+++ b/router/fleetagent/quota.go
@@ -57,6 +57,9 @@
 	}
 	q.holder.Request(start, account)
 	if q.holder.Take(start, account) || q.mayWait(start, account) && a.awaitQuota(ctx, account, start+maxWait) {
+		if q.holder.ShouldRenew(account) {
+			a.renewEarly(timesource.BootTime().Mono)
+		}
 		return true, 0
 	}
 	return false, q.holder.RetryAfter(timesource.BootTime().Mono, account)
