Write the late request of a shutdown test after its connection was interrupted

Shutdown interrupts the connections one after the other; the test wrote its late request once another connection had been closed, before that of the busy one was interrupted. Such a request is read and answered, as it must be.

--- a/router/httpserver/server_test.go
+++ b/router/httpserver/server_test.go
@@ -268,6 +268,9 @@
 	}()
 	_, err = io.Copy(io.Discard, idle) // the rest of its response, then EOF
 	is.NoErr(err)
+	// Shutdown interrupts the connections one after the other, and a request that arrives
+	// before that is read and answered.
+	time.Sleep(200 * time.Millisecond)
 	_, _ = io.WriteString(busy, get("/late")) // may fail: it is not read
 	_ = disconnecting.Close()
 	<-cancelled
