--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -58,6 +58,8 @@
 	readingChanged     *sync.Cond
 	// uploading is set while a handler reads a body from the connection. mu guards it.
 	uploading bool
+	// lingering is set once lingeringClose waits for the caller. mu guards it.
+	lingering bool
 	// written is the time at which the last response was written.
 	written atomic.Pointer[time.Time]
 	// bodyUnread is set if the last request was answered before its body was read. Only
--- a/router/httpserver/linger.go
+++ b/router/httpserver/linger.go
@@ -45,6 +45,7 @@
 		pause, total = uploadLingerTimeout, uploadLingerTotal
 		c.limited.remaining = max(lingerBytes, 2*c.server.limits().BodyBytes)
 	}
+	c.beginLinger(pause)
 	begin := time.Now()
 	buf := make([]byte, discardBytes)
 	for {
