--- a/coord/dispatch/fairness.go
+++ b/coord/dispatch/fairness.go
@@ -113,7 +113,7 @@
 		order = append(order, &q.waiting[i])
 	}
 	slices.SortStableFunc(order, func(a, b *Request) int {
-		return cmp.Or(compareReturns(a, b), cmp.Compare(a.Objective, b.Objective))
+		return cmp.Compare(a.Objective, b.Objective)
 	})
 	type flow struct {
 		priority int
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -127,9 +127,6 @@
 	if c := compareShares(a, b); c != 0 {
 		return c
 	}
-	if c := compareReturns(a, b); c != 0 {
-		return c
-	}
 	return cmp.Compare(q.adjustedObjective(a), q.adjustedObjective(b))
 }
 
--- a/coord/dispatch/queue.go
+++ b/coord/dispatch/queue.go
@@ -69,11 +69,6 @@
 	// service time in proportion to Weight, where zero means 1.
 	Flow   string
 	Weight float64
-	// ReturnKey identifies the caller and what it asks for over several attempts. A
-	// caller that returns at the time given with a refusal goes ahead of new requests.
-	ReturnKey string
-	// returning is set for such a request.
-	returning bool
 	// aboveShare is by how many service times the request is above the share of its flow.
 	aboveShare int
 }
@@ -86,8 +81,6 @@
 	// after which a retry may be accepted.
 	Reason     string
 	RetryAfter time.Duration
-	// Returning is set if the caller returned at the time that it was given.
-	Returning bool
 }
 
 // Reasons of a refusal. They are part of the answer to the caller.
@@ -122,7 +115,6 @@
 	bodyBytes    int64                       // of the bodies at the target
 	// reservedCredit is the part of a start that is reserved for lower priorities.
 	reservedCredit float64
-	returns        returns
 	shares         map[int]*fairShares // by priority
 }
 
@@ -134,7 +126,7 @@
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, shares: map[int]*fairShares{}, returns: returns{next: map[int]time.Duration{}}}
+	return &Queue{cfg: cfg, running: map[uint64]runningRequest{}, serviceTimes: map[string]time.Duration{}, groups: map[string]serviceTimeGroup{}, shares: map[int]*fairShares{}}
 }
 
 // SetSlots changes the number of slots, and the queue length to its default for
@@ -156,7 +148,6 @@
 func (q *Queue) Offer(now clock.Reading, r Request) []Action {
 	q.usage.advance(now.Mono, len(q.running), q.cfg.Slots)
 	load := q.recordOffer(now, &r)
-	r.returning = q.returns.arrive(now.Mono, &r)
 	q.waiting = append(q.waiting, r)
 	q.updateShares(now)
 	actions := q.schedule(now)
@@ -176,9 +167,9 @@
 	switch {
 	case len(q.waiting) > q.cfg.QueueLength:
 		index, reason := q.displaced(now, index)
-		return append(actions, q.refuse(now, index, reason, wait))
+		return append(actions, q.refuse(index, reason, wait))
 	case now.Mono+q.expectedWait(now, r, waitFactor)+q.serviceTime(r.ServiceTimeGroup) > latestEnd:
-		return append(actions, q.refuse(now, index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
+		return append(actions, q.refuse(index, q.lateReason(&r), now.Mono+wait+q.serviceTime(r.ServiceTimeGroup)-latestEnd))
 	}
 	return actions
 }
@@ -193,20 +184,14 @@
 	g := q.groups[r.ServiceTimeGroup]
 	g.offeredLoad -= load
 	q.groups[r.ServiceTimeGroup] = g
-	return append(actions, q.refuse(now, index, ReasonNoFreeSlot, q.expectedWait(now, q.waiting[index], 1)))
+	return append(actions, q.refuse(index, ReasonNoFreeSlot, q.expectedWait(now, q.waiting[index], 1)))
 }
 
-// refuse removes the waiting request at an index and returns its refusal. The caller
-// gets a reservation, unless it can try another target or has no time left.
-func (q *Queue) refuse(now clock.Reading, index int, reason string, after time.Duration) Action {
+// refuse removes the waiting request at an index and returns its refusal.
+func (q *Queue) refuse(index int, reason string, after time.Duration) Action {
 	r := q.waiting[index]
 	q.waiting = slices.Delete(q.waiting, index, index+1)
-	after = max(after, minRetryAfter)
-	if r.ReturnKey != "" && !r.NoWait && reason != ReasonDeadlinePassed {
-		serviceTime := q.serviceTime(r.ServiceTimeGroup)
-		after = q.returns.reserve(now.Mono, &r, after, q.returnInterval(now, serviceTime), serviceTime)
-	}
-	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter), Returning: r.returning}
+	return Action{ID: r.ID, Reason: reason, RetryAfter: max(after, minRetryAfter)}
 }
 
 // minRetryAfter prevents retries before the load of the target can have changed.
@@ -271,7 +256,7 @@
 	for i := 0; i < len(q.waiting); {
 		r := q.waiting[i]
 		if now.Mono+max(q.serviceTime(r.ServiceTimeGroup)/4, r.TimeBack) >= r.Deadline {
-			out = append(out, q.refuse(now, i, ReasonDeadlinePassed, 0))
+			out = append(out, q.refuse(i, ReasonDeadlinePassed, 0))
 			continue
 		}
 		i++
@@ -288,7 +273,7 @@
 		q.updateShares(now)
 		q.running[r.ID] = runningRequest{group: r.ServiceTimeGroup, start: now.Mono, body: q.bodyShare(&r)}
 		q.bodyBytes += q.bodyShare(&r)
-		out = append(out, Action{ID: r.ID, Start: true, Returning: r.returning})
+		out = append(out, Action{ID: r.ID, Start: true})
 	}
 	return out
 }
--- a/coord/dispatch/recheck.go
+++ b/coord/dispatch/recheck.go
@@ -20,7 +20,7 @@
 	var out []Action
 	refuse := func(r *Request, reason string, after time.Duration) {
 		index := slices.IndexFunc(q.waiting, func(w Request) bool { return w.ID == r.ID })
-		out = append(out, q.refuse(now, index, reason, after))
+		out = append(out, q.refuse(index, reason, after))
 	}
 	ahead := newQueueAhead()
 	var kept []*Request
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -120,7 +120,7 @@
 	waited := time.Since(entered)
 	if !a.Start {
 		r := refused(a.Reason, a.RetryAfter)
-		r.waited, r.returning = waited, a.Returning
+		r.waited = waited
 		return r
 	}
 	// The target's state and the ownership of the key may have changed while the
@@ -140,7 +140,7 @@
 	}
 	begun := time.Now()
 	r = g.send(ctx, req, t)
-	r.waited, r.ran, r.ended, r.returning = waited, time.Since(begun), ctx.Err() != nil, a.Returning
+	r.waited, r.ran, r.ended = waited, time.Since(begun), ctx.Err() != nil
 	g.recordQuality(t, &r)
 	g.queue.release(id, r.outcome == done, r.notice.limit)
 	return r
@@ -282,10 +282,10 @@
 		Dur("left", time.Until(req.deadline)).Dur("objective", time.Until(req.objective)).Bool("eager", req.noWait).
 		Int("running", r.load.Running).Int("waiting", r.load.Queued).Int("slots", r.load.Limit).
 		Int64("body", req.bodyBytes()).Int64("bodies", g.queue.bodyBytes()).
-		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).Bool("returning", r.returning).
+		Float64("limit", r.notice.limit.Rate).Bool("leaving", r.notice.leaving).
 		Uint64("version", req.version).Msg("request left the gate")
 	count("gate", string(r.outcome))
-	countQueueDecision(&r)
+	countQueueRefusal(&r)
 	setTargetLimit(g.queue.limit().Rate)
 	setTargetBodyBytes(g.queue.bodyBytes())
 }
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -122,7 +122,7 @@
 // If the request cannot be routed or is unauthorized, it returns the answer for the caller.
 func (in *Ingress) prepare(r *httpserver.Request) (*requestState, *httpserver.Response) {
 	view := in.agent.View()
-	st := &requestState{view: view, request: &routedRequest{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), entry: in.agent.Process(), version: view.Version()}}
+	st := &requestState{view: view, request: &routedRequest{request: r, id: r.Header.Get(in.names.RequestID), caller: in.agent.Service(), version: view.Version()}}
 	if view.Routes == nil {
 		st.last = refused("no document is known yet", defaultRetryAfter)
 		return st, in.refusal(st)
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -88,7 +88,6 @@
 	if req.account != "" {
 		h.Set(headerAccount, req.account)
 	}
-	h.Set(headerEntry, req.entry)
 	out := &httpclient.Request{Method: req.request.Method, URI: req.request.URI, Host: req.request.Host, Header: h, ID: req.id, Memory: req.request.Memory}
 	hopBody(out, req)
 	resp, err := p.client(process).Do(ctx, out)
--- a/router/relay/queue.go
+++ b/router/relay/queue.go
@@ -74,7 +74,7 @@
 	return dispatch.Request{
 		ID: id, ServiceTimeGroup: r.route, Priority: r.priority, Arrived: timesource.FromTime(r.request.Received).Mono,
 		Objective: timesource.FromTime(r.objective).Mono, Deadline: timesource.FromTime(r.deadline).Mono,
-		NoWait: r.noWait, BodyBytes: r.bodyBytes(), TimeBack: r.timeBack(), Flow: r.flow(), Weight: r.weight, ReturnKey: r.returnKey(),
+		NoWait: r.noWait, BodyBytes: r.bodyBytes(), TimeBack: r.timeBack(), Flow: r.flow(), Weight: r.weight,
 	}
 }
 
--- a/router/relay/queuereasons.go
+++ b/router/relay/queuereasons.go
@@ -15,17 +15,11 @@
 	dispatch.ReasonGaveWay, dispatch.ReasonAboveShare,
 }
 
-// countQueueDecision counts the result of a request at the process's gate: refusals by
-// the queue by reason, and callers that returned as agreed by whether they were refused
-// again.
-func countQueueDecision(r *result) {
-	byQueue := r.outcome == notRun && slices.Contains(queueReasons, r.reason)
-	if byQueue {
+// countQueueRefusal counts the refusals by the queue of the process's gate, by reason.
+func countQueueRefusal(r *result) {
+	if r.outcome == notRun && slices.Contains(queueReasons, r.reason) {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_queue_refusals_total{reason=%q}`, r.reason)).Inc()
 	}
-	if r.returning {
-		metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_queue_returns_total{refused="%t"}`, byQueue)).Inc()
-	}
 }
 
 // mayHaveNewOwner reports whether another process may own the request's key after
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -29,8 +29,6 @@
 	caller string
 	// account is the name of the client account, empty without one.
 	account string
-	// entry is the process where the request entered, empty if a peer has not sent it.
-	entry string
 	// weight is that of the account in the queue of the target.
 	weight float64
 	// objective is the end of the latency objective; deadline is when the caller
@@ -73,9 +71,6 @@
 	waited, ran time.Duration
 	// ended says that the caller had disconnected or its deadline had passed.
 	ended bool
-	// returning is set if the caller returned at the time given with an earlier refusal.
-	// It is not set in the result of another process.
-	returning bool
 	// notice is what the target's answer says about its state.
 	notice notice
 }
@@ -140,7 +135,6 @@
 	if f, err := quarantine.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		req.fingerprint = f
 	}
-	req.entry = r.Header.Get(headerEntry)
 	req.removeInternalHeaders()
 	if f[3] != "" {
 		key, ok := parseKey(f[3])
@@ -157,7 +151,6 @@
 	delete(r.header, headerHop)
 	delete(r.header, headerFingerprint)
 	delete(r.header, headerAccount)
-	delete(r.header, headerEntry)
 }
 
 // setFingerprint computes the fingerprint. A body that is passed on as it is read
