--- a/router/fleetagent/quota.go
+++ b/router/fleetagent/quota.go
@@ -14,8 +14,9 @@
 )
 
 // earlyRenewalInterval is the least time between two renewals that are sent early because
-// a request waits for a token.
-const earlyRenewalInterval = 50 * time.Millisecond
+// a request waits for a token. It bounds what the waiting requests of one process cost the
+// leader and the links; most requests may wait for 150 ms.
+const earlyRenewalInterval = 100 * time.Millisecond
 
 // quotaState is what the process holds of the limits of accounts. It has a mutex of its
 // own, since every request takes it.
