Lower allotments also while a new leader waits for reports

A new leader extended allotments above a limit that was lowered since, until all processes had reported; only the process's own view of the document bounded them. Shown to fail first by extending without the bound: TestNewLeaderLowersAllotments.

--- a/coord/quota/allocator.go
+++ b/coord/quota/allocator.go
@@ -230,7 +230,9 @@
 	next := s.sent
 	if l.removed {
 		next = Allotment{}
-	} else if mayHold && !l.restricted {
+	} else if l.restricted {
+		next.Rate, next.Burst = min(next.Rate, l.limit.Rate), min(next.Burst, l.limit.Burst)
+	} else if mayHold {
 		next = s.adjusted(l.free(), l.short)
 	}
 	if next != s.sent {
--- a/coord/quota/simulation_test.go
+++ b/coord/quota/simulation_test.go
@@ -257,8 +257,8 @@
 			now := m.to.clock.at(sim.now)
 			if m.reply.Seq == m.to.holder.seq {
 				m.to.inFlight = 0
+				m.to.holder.SetLimits(now, m.limits) // views do not go back
 			}
-			m.to.holder.SetLimits(now, m.limits)
 			if m.to.holder.Apply(now, m.sent, m.reply) {
 				m.to.nextRenewal = sim.now
 			}
--- a/coord/quota/tokens_test.go
+++ b/coord/quota/tokens_test.go
@@ -179,3 +179,20 @@
 		is.True(p.leader.Status(p.now)[0].AllottedBurst <= 5-quickPart(Limit{Rate: 10})-2)
 	}
 }
+
+// Guards against a new leader that extends allotments above a limit that was lowered since,
+// while it waits for the reports of other processes.
+func TestNewLeaderLowersAllotments(t *testing.T) {
+	is := is.New(t)
+	p := newPair(2)
+	p.ask(0, 1)
+	p.holders[0].account("a").allotted = Allotment{Rate: 8, Burst: 4}
+	p.leader.Start(p.now, 2, []Registration{
+		{Process: Process{Address: "0", Incarnation: 1 << 32}, Index: 1}, {Process: Process{Address: "1", Incarnation: 2 << 32}, Index: 1},
+	})
+	p.leader.SetLimits(p.now, map[string]Limit{"a": {Rate: 5, Burst: 2}})
+	p.renew(0)
+	p.renew(0)
+	is.True(p.leader.Status(p.now)[0].Restricted)
+	is.Equal(p.holders[0].account("a").allotted, Allotment{Rate: 5, Burst: 2})
+}
