--- a/coord/balancer/room.go
+++ b/coord/balancer/room.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleyquay.example/coord/clock"
+	"bramleyquay.example/coord/table"
 )
 
 // room estimates whether targets have free slots, in this data centre and in the
@@ -105,3 +106,9 @@
 func (b *Balancer) WorthTrying(now clock.Reading, wait time.Duration) bool {
 	return b.room.worthTrying(now.Mono, wait)
 }
+
+// IsNear reports whether a target is in the data centre of this process.
+func (b *Balancer) IsNear(id table.MemberID) bool {
+	s := b.byID[id]
+	return s != nil && b.sameDataCentre(s)
+}
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -38,6 +38,24 @@
 	metrics.GetOrCreateGauge("bramleyquay_target_body_bytes", nil).Set(float64(n))
 }
 
+// countSlotTry increments bramleyquay_slot_tries_total: a try without waiting, in the same
+// data centre or another one, that started or was refused.
+func countSlotTry(near, refused bool) {
+	dataCentre, result := "other", "started"
+	if near {
+		dataCentre = "same"
+	}
+	if refused {
+		result = "refused"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_slot_tries_total{dataCentre=%q,result=%q}`, dataCentre, result)).Inc()
+}
+
+// countSearchEnded increments bramleyquay_slot_searches_ended_total.
+func countSearchEnded() {
+	metrics.GetOrCreateCounter("bramleyquay_slot_searches_ended_total").Inc()
+}
+
 // observe records the latency of one answer to a caller by service and class of
 // status.
 func observe(service string, status int, took time.Duration) {
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -120,7 +120,11 @@
 		return true
 	}
 	shortest := slices.MinFunc(st.busyTargets, func(x, y busyTarget) int { return cmp.Compare(x.wait, y.wait) })
-	return b.WorthTrying(now, shortest.wait)
+	worth := b.WorthTrying(now, shortest.wait)
+	if !worth {
+		countSearchEnded()
+	}
+	return worth
 }
 
 // takeShortestWait removes and returns the busy target with the shortest expected
@@ -158,7 +162,11 @@
 	// A rejection by the target itself says nothing about its free slots.
 	rejected := st.last.outcome == notRun && st.last.reached
 	r := balancer.Result{Latency: took, Kind: kindOf(ctx, st.last), Load: st.last.load, NoWait: st.request.noWait && !rejected}
-	c.balancer.Finished(timesource.Now(), table.MemberID(st.process), r)
+	id := table.MemberID(st.process)
+	if r.NoWait && r.Kind != balancer.Cancelled {
+		countSlotTry(c.balancer.IsNear(id), r.Kind == balancer.Refused)
+	}
+	c.balancer.Finished(timesource.Now(), id, r)
 }
 
 // kindOf returns what the result of a try says about its target. ctx is the context of
