Give the processes of fleetdaemon's tests an address of their own

TestNoticesOutlastRestartOfProcess and TestQueuedRequestsInStop failed once each with "address already in use" beside other tests: a port of 127.0.0.1 that was free when it was chosen can be the local port of another connection when it is used.

--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -33,9 +34,14 @@
 	CallerService: "X-Caller", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
 	Authorization: "Authorization", AuthorizationScheme: "Key", Account: "X-Account"}
 
+// loopback is an address of this test process alone. At 127.0.0.1 a port that was found
+// free could become the local port of another test's connection before it is used, and
+// the process under test failed with "address already in use".
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
