Take the weights of accounts from the document, and correct comments

The gate kept a copy of the weights that the document's table has already. The trial of groups by route and priority is recorded in docs/design/priorities.md.

--- a/coord/dispatch/cost_test.go
+++ b/coord/dispatch/cost_test.go
@@ -7,8 +7,8 @@
 	"bramleyquay.example/coord/dispatch"
 )
 
-// BenchmarkOverload measures a minute of 1.7 times what a target can do, from 196 callers
-// with agreed returns, per attempt.
+// BenchmarkOverload measures a minute of 1.7 times what a target can do, from 196 callers,
+// per attempt.
 func BenchmarkOverload(b *testing.B) {
 	flows := make([]flow, 196)
 	for i := range flows {
--- a/coord/dispatch/order.go
+++ b/coord/dispatch/order.go
@@ -9,7 +9,8 @@
 )
 
 // serviceTimeGroup describes the last request that was offered of a service time
-// group.
+// group. With accounts the priorities of a group may differ; that of the last request
+// counts for all (docs/design/priorities.md).
 type serviceTimeGroup struct {
 	priority         int
 	latencyObjective time.Duration
@@ -112,8 +113,8 @@
 
 // compare returns a negative number if a starts before b. Requests that take
 // precedence come first, then those that can still meet their objective, then those
-// of flows that are less far above their share, then those of callers that return as
-// agreed, then those with the earlier objective, with a head start for higher priorities.
+// of flows that are less far above their share, then those with the earlier objective,
+// with a head start for higher priorities.
 func (q *Queue) compare(now clock.Reading, a, b *Request) int {
 	switch {
 	case takesPrecedence(a.Priority, a.latencyObjective(), b.Priority, b.latencyObjective()):
--- a/coord/dispatch/priority.go
+++ b/coord/dispatch/priority.go
@@ -21,8 +21,8 @@
 	return top
 }
 
-// nextInOrder returns the index in waiting of the request to start next, or -1 if the
-// limits of their groups allow none to start. If lower priorities have got less than the
+// nextInOrder returns the index in waiting of the request to start next, or -1 if none
+// waits. If lower priorities have got less than the
 // reserved starts, it is one of them.
 func (q *Queue) nextInOrder(now clock.Reading) int {
 	best := q.next(now, 0, nil)
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -58,7 +58,6 @@
 	transfers *blockingQueue
 	firstRuns *firstRuns
 	quality   targetQuality
-	weights   accountWeights
 	probing   atomic.Bool
 	log       logging.Logger
 }
@@ -114,7 +113,7 @@
 	}
 	// The queue uses the monotonic clock, ColdUntil is on the boot clock.
 	until := timesource.Now().Mono + t.ColdUntil - timesource.BootTime().Mono
-	req.weight = g.weights.of(g.agent.View().Routes, req.account)
+	req.weight = weightOf(g.agent.View().Routes, req.account)
 	entered := time.Now()
 	id, a := g.queue.acquire(waitCtx, req, targetLimits{target: t.Incarnation, earlierLimit: t.EarlierLimit, slots: t.Slots, coldUntil: until, coldRate: rate})
 	waited := time.Since(entered)
