--- a/coord/quota/allocator.go
+++ b/coord/quota/allocator.go
@@ -25,7 +25,7 @@
 	// this term, by process.
 	awaited  map[string]uint64
 	sessions map[string]*session // by process
-	hellos   map[string]hello    // by process
+	handshakes   map[string]handshake    // by process
 	ledgers  map[string]*ledger  // by name of the limit
 	// left are the incarnations that have ended by themselves, by process.
 	left map[string]uint64
@@ -44,7 +44,7 @@
 func (a *Allocator) Start(now time.Duration, term uint64, registered []Registration) {
 	*a = Allocator{
 		cfg: a.cfg, term: term, started: now, observedSince: now, awaited: map[string]uint64{},
-		sessions: map[string]*session{}, hellos: map[string]hello{}, ledgers: map[string]*ledger{}, left: map[string]uint64{}, countSentOnly: a.countSentOnly,
+		sessions: map[string]*session{}, handshakes: map[string]handshake{}, ledgers: map[string]*ledger{}, left: map[string]uint64{}, countSentOnly: a.countSentOnly,
 	}
 	a.SetRegistered(registered)
 	for _, r := range registered {
@@ -100,12 +100,12 @@
 		return a.recordLeft(now, process, s, r)
 	}
 	if s == nil || s.incarnation != r.Incarnation {
-		h := a.hellos[process]
+		h := a.handshakes[process]
 		if h.incarnation == r.Incarnation && r.Seq <= h.seq {
 			return nil
 		}
 		if h.incarnation != r.Incarnation || r.Term != a.term || r.Applied != h.seq || !r.Full {
-			a.hellos[process] = hello{incarnation: r.Incarnation, seq: r.Seq}
+			a.handshakes[process] = handshake{incarnation: r.Incarnation, seq: r.Seq}
 			return &Reply{Term: a.term, Seq: r.Seq, Resync: true}
 		}
 		s = a.establish(now, process, r.Incarnation)
@@ -127,7 +127,7 @@
 
 // establish makes an incarnation the session of its process. An earlier one has ended.
 func (a *Allocator) establish(now time.Duration, process string, incarnation uint64) *session {
-	delete(a.hellos, process)
+	delete(a.handshakes, process)
 	if old := a.sessions[process]; old != nil {
 		old.end(now)
 		for _, sh := range old.shares {
--- a/coord/quota/registration.go
+++ b/coord/quota/registration.go
@@ -68,7 +68,7 @@
 		return nil // of an earlier incarnation
 	}
 	a.left[process] = r.Incarnation
-	delete(a.hellos, process)
+	delete(a.handshakes, process)
 	if s != nil {
 		s.end(now)
 		for _, sh := range s.shares {
--- a/coord/quota/session.go
+++ b/coord/quota/session.go
@@ -17,10 +17,10 @@
 	countSentOnly bool
 }
 
-// hello is an incarnation of a process of which the leader has seen a report. It becomes
+// handshake is an incarnation of a process of which the leader has seen a report. It becomes
 // the session of the process once a later report shows that it has applied the reply: a
 // message of an incarnation that has ended may arrive late, but it answers nothing.
-type hello struct{ incarnation, seq uint64 }
+type handshake struct{ incarnation, seq uint64 }
 
 // share returns the share of a limit and creates it if needed.
 func (a *Allocator) share(s *session, name string) *share {
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -62,9 +62,9 @@
 
 // pickTarget returns the process of the next target to try. The first
 // maxNoWaitTargets targets are tried without waiting, as long as that is expected to
-// save time; if none can start the request at once, it queues at the target with the shortest expected wait, then at the
-// next one. pickTarget returns false if no target is left; in the first try it then
-// sets st.last to the refusal.
+// save time; if none can start the request at once, it queues at the target with the
+// shortest expected wait, then at the next one. pickTarget returns false if no target is
+// left; in the first try it then sets st.last to the refusal.
 func (in *Ingress) pickTarget(_ context.Context, st *requestState) (string, bool) {
 	st.view = in.agent.View()
 	st.recordBusyTarget()
