--- a/coord/quota/allocator.go
+++ b/coord/quota/allocator.go
@@ -23,10 +23,10 @@
 	registrations registrations
 	// awaited are the incarnations that may hold parts of limits and have not reported in
 	// this term, by process.
-	awaited  map[string]uint64
-	sessions map[string]*session // by process
-	handshakes   map[string]handshake    // by process
-	ledgers  map[string]*ledger  // by name of the limit
+	awaited    map[string]uint64
+	sessions   map[string]*session  // by process
+	handshakes map[string]handshake // by process
+	ledgers    map[string]*ledger   // by name of the limit
 	// left are the incarnations that have ended by themselves, by process.
 	left map[string]uint64
 	// limitsSet is set after the first SetLimits of the term.
--- a/coord/quota/registration.go
+++ b/coord/quota/registration.go
@@ -84,7 +84,8 @@
 }
 
 // Silent returns the registrations of processes that have left, or have not renewed for
-// so long that nothing of their allotments can be in force. They are to be removed: they get nothing from now on until they are registered anew.
+// so long that nothing of their allotments can be in force. They are to be removed: they
+// get nothing from now on until they are registered anew.
 func (a *Allocator) Silent(now time.Duration) []Registration {
 	var out []Registration
 	for address, r := range a.registrations.known {
