Compute the shortest expected wait in one place, and only where it is used

Three functions of the ingress went through the busy targets for the shortest wait. The gate estimated the wait for every request with a deferred body, although only tries without waiting need it. The end of a session of limits was written twice. Behaviour is unchanged; the tests of relay, quota and fleet pass.

--- a/coord/quota/allocator.go
+++ b/coord/quota/allocator.go
@@ -129,10 +129,7 @@
 func (a *Allocator) establish(now time.Duration, process string, incarnation uint64) *session {
 	delete(a.handshakes, process)
 	if old := a.sessions[process]; old != nil {
-		old.end(now)
-		for _, sh := range old.shares {
-			old.forget(sh)
-		}
+		old.close(now)
 	}
 	s := &session{incarnation: incarnation, needFull: true, shares: map[string]*share{}, countSentOnly: a.countSentOnly}
 	a.sessions[process] = s
@@ -201,9 +198,7 @@
 			s.needFull = true
 		}
 		if s.needFull && now-s.lastReply > a.cfg.SilentAfter {
-			for _, sh := range s.shares {
-				s.forget(sh)
-			}
+			s.forgetAll()
 			delete(a.sessions, process)
 		}
 	}
--- a/coord/quota/registration.go
+++ b/coord/quota/registration.go
@@ -70,10 +70,7 @@
 	a.left[process] = r.Incarnation
 	delete(a.handshakes, process)
 	if s != nil {
-		s.end(now)
-		for _, sh := range s.shares {
-			s.forget(sh)
-		}
+		s.close(now)
 		delete(a.sessions, process)
 	}
 	if a.awaited[process] == r.Incarnation {
--- a/coord/quota/session.go
+++ b/coord/quota/session.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// close ends everything that the process holds and forgets its shares.
+func (s *session) close(now time.Duration) {
+	s.end(now)
+	s.forgetAll()
+}
+
+func (s *session) forgetAll() {
+	for _, sh := range s.shares {
+		s.forget(sh)
+	}
+}
+
 // replace replaces what the leader knows by a full report.
 func (a *Allocator) replace(now time.Duration, s *session, items []Item) {
 	listed := map[string]bool{}
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -37,8 +37,10 @@
 	if upload == nil || upload.Length < 0 || upload.Length > httpserver.InlineBodyBytes {
 		return result{}, true
 	}
-	if wait := g.queue.expectedWait(req); req.noWait && wait > 0 {
-		return refused(dispatch.ReasonNoFreeSlot, max(wait, minRetryAfter)), false
+	if req.noWait {
+		if wait := g.queue.expectedWait(req); wait > 0 {
+			return refused(dispatch.ReasonNoFreeSlot, max(wait, minRetryAfter)), false
+		}
 	}
 	transferred := func(bool) {}
 	if upload.Length > maxHopBodyBytes {
--- a/router/relay/pick.go
+++ b/router/relay/pick.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -119,8 +118,7 @@
 	if len(st.busyTargets) == 0 {
 		return true
 	}
-	shortest := slices.MinFunc(st.busyTargets, func(x, y busyTarget) int { return cmp.Compare(x.wait, y.wait) })
-	worth := b.WorthTrying(now, shortest.wait)
+	worth := b.WorthTrying(now, st.busyTargets[st.shortestWait()].wait)
 	if !worth {
 		countSearchEnded()
 	}
@@ -133,15 +131,22 @@
 	if len(st.busyTargets) == 0 {
 		return "", false
 	}
+	best := st.shortestWait()
+	process := st.busyTargets[best].process
+	st.busyTargets = slices.Delete(st.busyTargets, best, best+1)
+	return process, true
+}
+
+// shortestWait returns the index of the busy target with the shortest expected wait. There
+// must be one.
+func (st *requestState) shortestWait() int {
 	best := 0
 	for i, b := range st.busyTargets {
 		if b.wait < st.busyTargets[best].wait {
 			best = i
 		}
 	}
-	process := st.busyTargets[best].process
-	st.busyTargets = slices.Delete(st.busyTargets, best, best+1)
-	return process, true
+	return best
 }
 
 // busyTarget is a target that had no free slot.
--- a/router/relay/quality.go
+++ b/router/relay/quality.go
@@ -140,10 +140,7 @@
 	if st.reached > 0 || len(st.exclude) != maxNoWaitTargets-1 || len(st.busyTargets) == 0 {
 		return false
 	}
-	wait := st.busyTargets[0].wait
-	for _, b := range st.busyTargets {
-		wait = min(wait, b.wait)
-	}
+	wait := st.busyTargets[st.shortestWait()].wait
 	objective := st.request.objective.Sub(st.request.request.Received)
 	return wait > min(objective/capacityWaitDivisor, maxCapacityWait)
 }
