--- /dev/null
+++ b/review/standin-2/deployment.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// deployment is a small deployment: five core machines in three zones, of which two may
+// be lost at once, as the site sahwa-enrol has them.
+type deployment struct {
+	program string
+	folder  string
+	record  *record
+	client  *http.Client
+	cores   []*machine
+	control string // port of the operator's calls
+}
+
+var zones = []string{"zone-a", "zone-a", "zone-b", "zone-b", "zone-c"}
+
+// memoryMB is the limit of a core process, in MiB; the site has the same.
+const memoryMB = 280
+
+func newDeployment(program string, r *record) (*deployment, error) {
+	folder, err := os.MkdirTemp("", "review-2-")
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{program: program, folder: folder, record: r, client: &http.Client{Timeout: 3 * time.Second}}
+	ports, err := freePorts(3)
+	if err != nil {
+		return d, err
+	}
+	d.control = strconv.Itoa(ports[0])
+	var seeds []string
+	for i := range zones {
+		m := &machine{deployment: d, name: fmt.Sprintf("core-%d", i+1), ip: fmt.Sprintf("127.83.%d.1", i+1)}
+		m.folder = filepath.Join(folder, m.name)
+		if i%2 == 0 {
+			seeds = append(seeds, net.JoinHostPort(m.ip, d.control))
+		}
+		d.cores = append(d.cores, m)
+	}
+	for i, m := range d.cores {
+		if err := m.install(i, seeds, ports[1:]); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+// freePorts returns consecutive ports of which the addresses of the machines have none
+// in use.
+func freePorts(n int) ([]int, error) {
+	for base := 20000 + os.Getpid()%20000; base < 60000; base += n {
+		free := true
+		for i := 0; i < n && free; i++ {
+			for z := range zones {
+				l, err := net.Listen("tcp", fmt.Sprintf("127.83.%d.1:%d", z+1, base+i))
+				if err != nil {
+					free = false
+					break
+				}
+				l.Close()
+			}
+		}
+		if free {
+			return []int{base, base + 1, base + 2}, nil
+		}
+	}
+	return nil, fmt.Errorf("no free ports")
+}
+
+func (d *deployment) close() {
+	for _, m := range d.cores {
+		m.kill()
+	}
+	os.RemoveAll(d.folder)
+}
+
+// machine runs one process of the program and restarts it when it ends, as the platform
+// does. A process that takes more memory than it may is killed.
+type machine struct {
+	deployment *deployment
+	name, ip   string
+	folder     string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	removed bool
+	// overLimit counts the kills for too much memory, peak is the highest figure seen
+	// since the last start, in MiB.
+	overLimit, peak int
+}
+
+func (m *machine) install(index int, seeds []string, internal []int) error {
+	data := filepath.Join(m.folder, "data")
+	if err := os.MkdirAll(data, 0o755); err != nil {
+		return err
+	}
+	zoneRegions := map[string]string{}
+	for _, z := range zones {
+		zoneRegions[z] = "region"
+	}
+	settings := map[string]any{
+		"node": m.name, "role": "control", "instanceClass": "core", "serves": []string{"control"}, "ip": m.ip,
+		"zone": zones[index], "region": "region", "zones": zoneRegions,
+		"listen": map[string]string{"control": net.JoinHostPort(m.ip, m.deployment.control)}, "internalPorts": internal,
+		"seeds": seeds, "bootstrap": true, "faultCounted": true, "dataDir": data, "discovery": "static", "entry": "static",
+		"limits":    map[string]any{"cpuShare": 0.96, "cores": 1, "memoryMb": memoryMB, "maxFds": 4096, "linkMbps": 1000.0, "diskMb": 256},
+		"heartbeat": "870ms", "contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "own", "places"},
+		"faultTolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0}, "grants": "heartbeat",
+		"bounds": map[string]any{
+			"stabilityWindow": "3000ms", "ack": "4000ms", "catchUp": "4s", "drain": "2000ms", "grace": "6s", "configApply": "2000ms",
+			"retryBudgetRatio": 0.2, "budgetWindow": "10s", "budgetSlack": 62, "evacuation": "5000ms", "recovery": "15s", "maxHold": "10000ms",
+		},
+	}
+	return m.writeSettings(settings)
+}
+
+func (m *machine) settingsPath() string { return filepath.Join(m.folder, "boot.json") }
+
+func (m *machine) writeSettings(settings map[string]any) error {
+	text, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settingsPath(), text, 0o644)
+}
+
+// notFirstStart clears the field that is set for the very first start only.
+func (m *machine) notFirstStart() error {
+	text, err := os.ReadFile(m.settingsPath())
+	if err != nil {
+		return err
+	}
+	settings := map[string]any{}
+	if err := json.Unmarshal(text, &settings); err != nil {
+		return err
+	}
+	settings["bootstrap"] = false
+	return m.writeSettings(settings)
+}
+
+const (
+	restartDelay = 300 * time.Millisecond
+	memoryCheck  = 5 * time.Millisecond
+)
+
+func (m *machine) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	logFile, err := os.OpenFile(filepath.Join(m.folder, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer logFile.Close()
+	process := exec.Command(m.deployment.program)
+	process.Env = []string{"BRAMLEYQUAY_NODE_FILE=" + m.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + m.folder, "LANG=C"}
+	process.Stdout, process.Stderr = logFile, logFile
+	if err := process.Start(); err != nil {
+		return err
+	}
+	m.process, m.removed, m.peak = process, false, 0
+	ended := make(chan struct{})
+	go m.watchMemory(process, ended)
+	go func() {
+		_ = process.Wait()
+		close(ended)
+		m.restart(process)
+	}()
+	return nil
+}
+
+// restart starts the process again, unless it was killed by kill.
+func (m *machine) restart(ended *exec.Cmd) {
+	m.mu.Lock()
+	again := m.process == ended && !m.removed
+	m.mu.Unlock()
+	if !again {
+		return
+	}
+	time.Sleep(restartDelay)
+	m.mu.Lock()
+	again = m.process == ended && !m.removed
+	m.mu.Unlock()
+	if again {
+		if err := m.start(); err != nil {
+			m.deployment.record.add("%s does not start: %v", m.name, err)
+		}
+	}
+}
+
+func (m *machine) watchMemory(process *exec.Cmd, ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-time.After(memoryCheck):
+		}
+		size := residentMB(process.Process.Pid)
+		m.mu.Lock()
+		m.peak = max(m.peak, size)
+		m.mu.Unlock()
+		if size <= memoryMB {
+			continue
+		}
+		m.mu.Lock()
+		m.overLimit++
+		m.mu.Unlock()
+		m.deployment.record.add("%s takes %d MiB of memory, more than %d: killed, and started again", m.name, size, memoryMB)
+		_ = process.Process.Kill()
+		return
+	}
+}
+
+// residentMB returns the memory that a process uses now, in MiB.
+func residentMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kib, _ := strconv.Atoi(fields[1])
+			return kib / 1024
+		}
+	}
+	return 0
+}
+
+// kill ends the process; it is not started again before the next call of start.
+func (m *machine) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.removed = true
+	if m.process != nil {
+		_ = m.process.Process.Kill()
+	}
+}
+
+func (m *machine) counters() (overLimit, peak int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.overLimit, m.peak
+}
+
+// dataMB returns the size of the machine's disk folder, in MB.
+func (m *machine) dataMB() int64 {
+	total := int64(0)
+	_ = filepath.Walk(filepath.Join(m.folder, "data"), func(_ string, info os.FileInfo, err error) error {
+		if err == nil {
+			total += info.Size()
+		}
+		return nil
+	})
+	return total / 1e6
+}
+
+// call sends one call of the operator to a machine. The status is 0 if there was no
+// answer.
+func (d *deployment) call(m *machine, method, path, base, body string) (int, []byte) {
+	req, err := http.NewRequest(method, "http://"+net.JoinHostPort(m.ip, d.control)+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	if base != "" {
+		req.Header.Set("Base-Version", base)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// order sends an order to one machine after the other until it is acknowledged.
+func (d *deployment) order(path, base, body string, until time.Time) (*machine, error) {
+	for i := 0; time.Now().Before(until); i++ {
+		m := d.cores[i%len(d.cores)]
+		status, answer := d.call(m, http.MethodPost, path, base, body)
+		switch {
+		case status >= 200 && status < 300:
+			return m, nil
+		case status >= 400 && status < 500:
+			return nil, fmt.Errorf("%s answers %d: %.200s", m.name, status, answer)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, fmt.Errorf("no acknowledgement in time for %s on version %s", path, base)
+}
