--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,20 +17,37 @@
 )
 
 // deployment is a small deployment: five core machines in three zones, of which two may
-// be lost at once, as the site sahwa-enrol has them.
+// be lost at once, as the site sahwa-enrol has them, and machines with a backend, which
+// a case adds.
 type deployment struct {
-	program string
-	folder  string
-	record  *record
-	client  *http.Client
-	cores   []*machine
-	control string // port of the operator's calls
+	program  string
+	folder   string
+	record   *record
+	client   *http.Client
+	cores    []*machine
+	sidecars []*machine
+	seeds    []string
+	ports    ports
 }
 
+// ports are the same on all machines. control is for the calls of the operator and of
+// the backends.
+type ports struct {
+	control, outbound, inbound, ready, app int
+	internal                               []int
+}
+
+const portCount = 7
+
 var zones = []string{"zone-a", "zone-a", "zone-b", "zone-b", "zone-c"}
 
-// memoryMB is the limit of a core process, in MiB; the site has the same.
-const memoryMB = 280
+const (
+	// coreMemoryMB and sidecarMemoryMB are the limits of processes, in MiB, as the site
+	// has them.
+	coreMemoryMB    = 280
+	sidecarMemoryMB = 284
+	heartbeat       = 870 * time.Millisecond
+)
 
 func newDeployment(program string, r *record) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
@@ -37,52 +55,62 @@
 		return nil, err
 	}
 	d := &deployment{program: program, folder: folder, record: r, client: &http.Client{Timeout: 3 * time.Second}}
-	ports, err := freePorts(3)
+	base, err := freePorts()
 	if err != nil {
-		return d, err
+		return nil, err
 	}
-	d.control = strconv.Itoa(ports[0])
-	var seeds []string
+	d.ports = ports{control: base, outbound: base + 1, inbound: base + 2, ready: base + 3, app: base + 4, internal: []int{base + 5, base + 6}}
 	for i := range zones {
-		m := &machine{deployment: d, name: fmt.Sprintf("core-%d", i+1), ip: fmt.Sprintf("127.83.%d.1", i+1)}
-		m.folder = filepath.Join(folder, m.name)
+		m := &machine{deployment: d, name: fmt.Sprintf("core-%d", i+1), ip: fmt.Sprintf("127.83.%d.1", i+1), zone: zones[i]}
 		if i%2 == 0 {
-			seeds = append(seeds, net.JoinHostPort(m.ip, d.control))
+			d.seeds = append(d.seeds, m.address(d.ports.control))
 		}
 		d.cores = append(d.cores, m)
 	}
-	for i, m := range d.cores {
-		if err := m.install(i, seeds, ports[1:]); err != nil {
-			return d, err
+	for _, m := range d.cores {
+		if err := m.installCore(); err != nil {
+			return nil, err
 		}
 	}
 	return d, nil
 }
 
-// freePorts returns consecutive ports of which the addresses of the machines have none
-// in use.
-func freePorts(n int) ([]int, error) {
-	for base := 20000 + os.Getpid()%20000; base < 60000; base += n {
-		free := true
-		for i := 0; i < n && free; i++ {
-			for z := range zones {
-				l, err := net.Listen("tcp", fmt.Sprintf("127.83.%d.1:%d", z+1, base+i))
-				if err != nil {
-					free = false
-					break
-				}
-				l.Close()
-			}
+// addSidecar adds a machine with a backend of a service.
+func (d *deployment) addSidecar(service string) (*machine, error) {
+	n := len(d.sidecars) + 1
+	m := &machine{deployment: d, name: fmt.Sprintf("sidecar-%d", n), ip: fmt.Sprintf("127.83.%d.1", 10+n), zone: zones[2*n%len(zones)]}
+	d.sidecars = append(d.sidecars, m)
+	return m, m.installSidecar(service)
+}
+
+// freePorts returns the first of portCount consecutive ports that are free on all
+// addresses that a deployment may have.
+func freePorts() (int, error) {
+	for base := 20000 + os.Getpid()%20000; base < 60000; base += portCount {
+		if arePortsFree(base) {
+			return base, nil
 		}
-		if free {
-			return []int{base, base + 1, base + 2}, nil
+	}
+	return 0, fmt.Errorf("no free ports")
+}
+
+func arePortsFree(base int) bool {
+	for machine := 1; machine <= 12; machine++ {
+		for port := base; port < base+portCount; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.83.%d.1:%d", machine, port))
+			if err != nil {
+				return false
+			}
+			l.Close()
 		}
 	}
-	return nil, fmt.Errorf("no free ports")
+	return true
 }
 
+func (d *deployment) machines() []*machine { return slices.Concat(d.cores, d.sidecars) }
+
 func (d *deployment) close() {
-	for _, m := range d.cores {
+	for _, m := range d.machines() {
 		m.kill()
 	}
 	os.RemoveAll(d.folder)
@@ -93,7 +121,8 @@
 type machine struct {
 	deployment *deployment
 	name, ip   string
-	folder     string
+	zone       string
+	memoryMB   int
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -103,32 +132,55 @@
 	overLimit, peak int
 }
 
-func (m *machine) install(index int, seeds []string, internal []int) error {
-	data := filepath.Join(m.folder, "data")
+func (m *machine) folder() string { return filepath.Join(m.deployment.folder, m.name) }
+
+func (m *machine) address(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
+
+func (m *machine) installCore() error {
+	data := filepath.Join(m.folder(), "data")
 	if err := os.MkdirAll(data, 0o755); err != nil {
 		return err
 	}
+	m.memoryMB = coreMemoryMB
+	settings := m.commonSettings("control", "core")
+	settings["listen"] = map[string]string{"control": m.address(m.deployment.ports.control)}
+	settings["faultCounted"], settings["dataDir"] = true, data
+	return m.writeSettings(settings)
+}
+
+func (m *machine) installSidecar(service string) error {
+	if err := os.MkdirAll(m.folder(), 0o755); err != nil {
+		return err
+	}
+	m.memoryMB = sidecarMemoryMB
+	p, settings := m.deployment.ports, m.commonSettings("sidecar", "sidecar")
+	settings["listen"] = map[string]string{
+		"control": m.address(p.control), "outbound": m.address(p.outbound), "inbound": m.address(p.inbound), "ready": m.address(p.ready),
+	}
+	settings["dataDir"], settings["appAddr"], settings["service"] = nil, m.address(p.app), service
+	return m.writeSettings(settings)
+}
+
+func (m *machine) commonSettings(serves, class string) map[string]any {
 	zoneRegions := map[string]string{}
 	for _, z := range zones {
 		zoneRegions[z] = "region"
 	}
-	settings := map[string]any{
-		"node": m.name, "role": "control", "instanceClass": "core", "serves": []string{"control"}, "ip": m.ip,
-		"zone": zones[index], "region": "region", "zones": zoneRegions,
-		"listen": map[string]string{"control": net.JoinHostPort(m.ip, m.deployment.control)}, "internalPorts": internal,
-		"seeds": seeds, "bootstrap": true, "faultCounted": true, "dataDir": data, "discovery": "static", "entry": "static",
-		"limits":    map[string]any{"cpuShare": 0.96, "cores": 1, "memoryMb": memoryMB, "maxFds": 4096, "linkMbps": 1000.0, "diskMb": 256},
-		"heartbeat": "870ms", "contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "own", "places"},
+	return map[string]any{
+		"node": m.name, "role": serves, "instanceClass": class, "serves": []string{serves}, "ip": m.ip,
+		"zone": m.zone, "region": "region", "zones": zoneRegions, "internalPorts": m.deployment.ports.internal,
+		"seeds": m.deployment.seeds, "bootstrap": true, "faultCounted": false, "discovery": "static", "entry": "static",
+		"limits":    map[string]any{"cpuShare": 0.96, "cores": 1, "memoryMb": m.memoryMB, "maxFds": 4096, "linkMbps": 1000.0, "diskMb": 256},
+		"heartbeat": heartbeat.String(), "contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "own", "places"},
 		"faultTolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0}, "grants": "heartbeat",
 		"bounds": map[string]any{
 			"stabilityWindow": "3000ms", "ack": "4000ms", "catchUp": "4s", "drain": "2000ms", "grace": "6s", "configApply": "2000ms",
 			"retryBudgetRatio": 0.2, "budgetWindow": "10s", "budgetSlack": 62, "evacuation": "5000ms", "recovery": "15s", "maxHold": "10000ms",
 		},
 	}
-	return m.writeSettings(settings)
 }
 
-func (m *machine) settingsPath() string { return filepath.Join(m.folder, "boot.json") }
+func (m *machine) settingsPath() string { return filepath.Join(m.folder(), "boot.json") }
 
 func (m *machine) writeSettings(settings map[string]any) error {
 	text, err := json.MarshalIndent(settings, "", "  ")
@@ -160,13 +212,13 @@
 func (m *machine) start() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	logFile, err := os.OpenFile(filepath.Join(m.folder, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	logFile, err := os.OpenFile(filepath.Join(m.folder(), "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
 	defer logFile.Close()
 	process := exec.Command(m.deployment.program)
-	process.Env = []string{"BRAMLEYQUAY_NODE_FILE=" + m.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + m.folder, "LANG=C"}
+	process.Env = []string{"BRAMLEYQUAY_NODE_FILE=" + m.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + m.folder(), "LANG=C"}
 	process.Stdout, process.Stderr = logFile, logFile
 	if err := process.Start(); err != nil {
 		return err
@@ -212,13 +264,13 @@
 		m.mu.Lock()
 		m.peak = max(m.peak, size)
 		m.mu.Unlock()
-		if size <= memoryMB {
+		if size <= m.memoryMB {
 			continue
 		}
 		m.mu.Lock()
 		m.overLimit++
 		m.mu.Unlock()
-		m.deployment.record.add("%s takes %d MiB of memory, more than %d: killed, and started again", m.name, size, memoryMB)
+		m.deployment.record.add("%s takes %d MiB of memory, more than %d: killed, and started again", m.name, size, m.memoryMB)
 		_ = process.Process.Kill()
 		return
 	}
@@ -258,7 +310,7 @@
 // dataMB returns the size of the machine's disk folder, in MB.
 func (m *machine) dataMB() int64 {
 	total := int64(0)
-	_ = filepath.Walk(filepath.Join(m.folder, "data"), func(_ string, info os.FileInfo, err error) error {
+	_ = filepath.Walk(filepath.Join(m.folder(), "data"), func(_ string, info os.FileInfo, err error) error {
 		if err == nil {
 			total += info.Size()
 		}
@@ -270,7 +322,7 @@
 // call sends one call of the operator to a machine. The status is 0 if there was no
 // answer.
 func (d *deployment) call(m *machine, method, path, base, body string) (int, []byte) {
-	req, err := http.NewRequest(method, "http://"+net.JoinHostPort(m.ip, d.control)+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+m.address(d.ports.control)+path, strings.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
