--- /dev/null
+++ b/review/standin-2/late_heartbeats.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	dividedService = "huvo11a"
+	allKeys        = 1 << 16
+	// maxShared is the longest time for which two backends may have the same keys.
+	maxShared = 500 * time.Millisecond
+)
+
+// lateHeartbeats takes one zone out after the other. The backend of the second zone gets
+// the keys of the first, and is to release all when its own zone is taken out; its
+// process is killed at that moment and starts again. Two heartbeats that were sent
+// before the backend had the keys arrive after the start. No two backends may have the
+// same keys for more than half a second.
+func lateHeartbeats(d *deployment, trouble bool) (bool, error) {
+	var holders []*holder
+	for i := range 2 {
+		m, err := d.addSidecar(dividedService)
+		if err != nil {
+			return false, err
+		}
+		holders = append(holders, newHolder(m, fmt.Sprintf("i-7f3a91c%d", i+1)))
+	}
+	for _, m := range d.machines() {
+		if err := m.start(); err != nil {
+			return false, err
+		}
+	}
+	if _, err := d.order("/-/config/replace", "00000000", dividedRoute, time.Now().Add(10*time.Second)); err != nil {
+		return false, err
+	}
+	for _, m := range d.machines() {
+		if err := m.notFirstStart(); err != nil {
+			return false, err
+		}
+	}
+	first, second := holders[0], holders[1]
+	go first.run()
+	go second.run()
+	if err := awaitAllKeys(holders); err != nil {
+		return false, err
+	}
+	shared := watchShared(first, second)
+	first.setManual()
+	time.Sleep(heartbeat)
+	// These two heartbeats are sent here and arrive later.
+	first.beat()
+	late1, sent1 := first.nextHeartbeat()
+	time.Sleep(heartbeat)
+	late2, sent2 := first.nextHeartbeat()
+	d.describeHolds("two heartbeats of the first backend are held up", holders)
+	if err := d.evacuate(second.machine.zone, "start"); err != nil {
+		return false, err
+	}
+	for i := 0; ; i++ {
+		time.Sleep(heartbeat)
+		first.beat()
+		if _, keys := first.held(); keys == allKeys {
+			break
+		}
+		if i == 6 {
+			return false, fmt.Errorf("the first backend does not get all keys")
+		}
+	}
+	got := time.Now()
+	d.describeHolds("the first backend has all keys", holders)
+	if err := d.evacuate(second.machine.zone, "finish"); err != nil {
+		return false, err
+	}
+	if err := d.evacuate(first.machine.zone, "start"); err != nil {
+		return false, err
+	}
+	time.Sleep(100 * time.Millisecond)
+	if trouble {
+		d.record.add("the process beside the first backend is killed")
+		first.machine.kill()
+		time.Sleep(restartDelay)
+		if err := first.machine.start(); err != nil {
+			return false, err
+		}
+		d.record.add("it is started")
+	}
+	// The heartbeat that the first backend sends now arrives late, too.
+	time.Sleep(time.Until(got.Add(heartbeat)))
+	late3, sent3 := first.nextHeartbeat()
+	time.Sleep(time.Until(got.Add(1200 * time.Millisecond)))
+	for i, late := range []struct {
+		body string
+		sent time.Time
+	}{{late1, sent1}, {late2, sent2}} {
+		status, answer := first.deliver(late.body)
+		d.record.add("late heartbeat %d, sent %.1f s ago, arrives: status %d, %d bytes", i+1, time.Since(late.sent).Seconds(), status, len(answer))
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Until(sent3.Add(3 * time.Second)))
+	status, _ := first.deliver(late3)
+	d.record.add("late heartbeat 3, sent %.1f s ago, arrives: status %d", time.Since(sent3).Seconds(), status)
+	time.Sleep(time.Until(got.Add(7 * time.Second)))
+	d.describeHolds("end", holders)
+	longest := shared()
+	d.record.add("both backends had the same keys for %.2f s at most", longest.Seconds())
+	return longest <= maxShared, nil
+}
+
+// awaitAllKeys waits until two holders have all keys between them for a while.
+func awaitAllKeys(holders []*holder) error {
+	calm := 0
+	for range 200 {
+		time.Sleep(100 * time.Millisecond)
+		_, a := holders[0].held()
+		_, b := holders[1].held()
+		if calm++; a == 0 || b == 0 || a+b != allKeys {
+			calm = 0
+		}
+		if calm >= 20 {
+			return nil
+		}
+	}
+	return fmt.Errorf("the backends do not get all keys")
+}
+
+// watchShared watches two holders and returns a function that ends this and returns the
+// longest time for which they had a key at the same time.
+func watchShared(a, b *holder) func() time.Duration {
+	done, result := make(chan struct{}), make(chan time.Duration)
+	go func() {
+		longest, since := time.Duration(0), time.Time{}
+		reported := false
+		for {
+			select {
+			case <-done:
+				result <- longest
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			n := sharedKeys(a, b)
+			switch {
+			case n == 0:
+				since = time.Time{}
+			case since.IsZero():
+				since = time.Now()
+			default:
+				longest = max(longest, time.Since(since))
+			}
+			if n > 0 && !reported {
+				a.machine.deployment.record.add("both backends have %d keys", n)
+			}
+			reported = n > 0
+		}
+	}()
+	return func() time.Duration { close(done); return <-result }
+}
+
+func (d *deployment) describeHolds(what string, holders []*holder) {
+	for _, h := range holders {
+		rows, keys := h.held()
+		d.record.add("%s: %s has %d keys in %d rows", what, h.id, keys, len(rows))
+	}
+}
+
+func (d *deployment) evacuate(zone, order string) error {
+	for i := range 20 {
+		m := d.cores[i%len(d.cores)]
+		if status, _ := d.call(m, http.MethodPost, "/-/evacuations/"+zone+"/"+order, "", ""); status >= 200 && status < 300 {
+			d.record.add("evacuation of %s, %s: acknowledged", zone, order)
+			return nil
+		}
+	}
+	return fmt.Errorf("evacuation of %s, %s: not acknowledged", zone, order)
+}
+
+const dividedRoute = `{"version":"00000001","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},` +
+	`"listeners":[{"host":"jepu9.example","rules":[{"name":"r-9dnn2ct","routeType":"safe","targetLatency":"500ms","priority":2,` +
+	`"match":{"pathPrefix":"/lepu270/"},"action":{"service":"huvo11a","timeout":"1000ms","attempts":2}}]}],` +
+	`"clusters":[{"name":"huvo11a","healthCheck":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldPeriod":"3s","coldPerS":12.0,` +
+	`"sharded":true,"warmup":"2s","grants":"heartbeat"}]}`
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,7 +12,7 @@
 )
 
 func main() {
-	cases := map[string]func(*deployment, bool) (bool, error){"restart-memory": restartMemory, "forgotten-departure": forgottenDeparture}
+	cases := map[string]func(*deployment, bool) (bool, error){"restart-memory": restartMemory, "forgotten-departure": forgottenDeparture, "late-heartbeats": lateHeartbeats}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE PROGRAM RECORD")
 		os.Exit(2)
