--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -28,6 +28,8 @@
 	sidecars []*machine
 	seeds    []string
 	ports    ports
+	// heartbeat is the interval of the backends' heartbeats.
+	heartbeat time.Duration
 }
 
 // ports are the same on all machines. control is for the calls of the operator and of
@@ -37,7 +39,11 @@
 	internal                               []int
 }
 
-const portCount = 7
+const (
+	portCount = 7
+	// maxMachines is the highest number of an address.
+	maxMachines = 14
+)
 
 var zones = []string{"zone-a", "zone-a", "zone-b", "zone-b", "zone-c"}
 
@@ -46,7 +52,8 @@
 	// has them.
 	coreMemoryMB    = 280
 	sidecarMemoryMB = 284
-	heartbeat       = 870 * time.Millisecond
+	// heartbeat is the interval of the site sahwa-enrol.
+	heartbeat = 870 * time.Millisecond
 )
 
 func newDeployment(program string, r *record) (*deployment, error) {
@@ -54,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{program: program, folder: folder, record: r, client: &http.Client{Timeout: 3 * time.Second}}
+	d := &deployment{program: program, folder: folder, record: r, client: &http.Client{Timeout: 3 * time.Second}, heartbeat: heartbeat}
 	base, err := freePorts()
 	if err != nil {
 		return nil, err
@@ -67,20 +74,44 @@
 		}
 		d.cores = append(d.cores, m)
 	}
+	return d, nil
+}
+
+// start installs and starts the core and a process beside each of n backends of a
+// service, and sets a first configuration.
+func (d *deployment) start(n int, service, configuration string) error {
 	for _, m := range d.cores {
 		if err := m.installCore(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return d, nil
+	for range n {
+		if err := d.addSidecar(service); err != nil {
+			return err
+		}
+	}
+	for _, m := range d.machines() {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	if _, err := d.order("/-/config/replace", "00000000", configuration, time.Now().Add(10*time.Second)); err != nil {
+		return err
+	}
+	for _, m := range d.machines() {
+		if err := m.notFirstStart(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // addSidecar adds a machine with a backend of a service.
-func (d *deployment) addSidecar(service string) (*machine, error) {
+func (d *deployment) addSidecar(service string) error {
 	n := len(d.sidecars) + 1
 	m := &machine{deployment: d, name: fmt.Sprintf("sidecar-%d", n), ip: fmt.Sprintf("127.83.%d.1", 10+n), zone: zones[2*n%len(zones)]}
 	d.sidecars = append(d.sidecars, m)
-	return m, m.installSidecar(service)
+	return m.installSidecar(service)
 }
 
 // freePorts returns the first of portCount consecutive ports that are free on all
@@ -95,7 +126,7 @@
 }
 
 func arePortsFree(base int) bool {
-	for machine := 1; machine <= 12; machine++ {
+	for machine := 1; machine <= maxMachines; machine++ {
 		for port := base; port < base+portCount; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.83.%d.1:%d", machine, port))
 			if err != nil {
@@ -171,7 +202,7 @@
 		"zone": m.zone, "region": "region", "zones": zoneRegions, "internalPorts": m.deployment.ports.internal,
 		"seeds": m.deployment.seeds, "bootstrap": true, "faultCounted": false, "discovery": "static", "entry": "static",
 		"limits":    map[string]any{"cpuShare": 0.96, "cores": 1, "memoryMb": m.memoryMB, "maxFds": 4096, "linkMbps": 1000.0, "diskMb": 256},
-		"heartbeat": heartbeat.String(), "contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "own", "places"},
+		"heartbeat": strconv.Itoa(int(m.deployment.heartbeat.Milliseconds())) + "ms", "contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "own", "places"},
 		"faultTolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0}, "grants": "heartbeat",
 		"bounds": map[string]any{
 			"stabilityWindow": "3000ms", "ack": "4000ms", "catchUp": "4s", "drain": "2000ms", "grace": "6s", "configApply": "2000ms",
@@ -212,6 +243,10 @@
 func (m *machine) start() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.startLocked()
+}
+
+func (m *machine) startLocked() error {
 	logFile, err := os.OpenFile(filepath.Join(m.folder(), "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -234,22 +269,16 @@
 	return nil
 }
 
-// restart starts the process again, unless it was killed by kill.
+// restart starts the process again after restartDelay, unless it was killed by kill.
 func (m *machine) restart(ended *exec.Cmd) {
+	time.Sleep(restartDelay)
 	m.mu.Lock()
-	again := m.process == ended && !m.removed
-	m.mu.Unlock()
-	if !again {
+	defer m.mu.Unlock()
+	if m.process != ended || m.removed {
 		return
 	}
-	time.Sleep(restartDelay)
-	m.mu.Lock()
-	again = m.process == ended && !m.removed
-	m.mu.Unlock()
-	if again {
-		if err := m.start(); err != nil {
-			m.deployment.record.add("%s does not start: %v", m.name, err)
-		}
+	if err := m.startLocked(); err != nil {
+		m.deployment.record.add("%s does not start: %v", m.name, err)
 	}
 }
 
--- a/review/standin-2/forgotten_departure.go
+++ b/review/standin-2/forgotten_departure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 	downTime = 700 * time.Millisecond
 	// requestInterval is the time between two requests of the clients.
 	requestInterval = 50 * time.Millisecond
+	// keyStep is the distance of the keys of successive requests.
+	keyStep = 9973
 )
 
 // forgottenDeparture lets one of two backends leave by a deregister, which is
@@ -24,12 +27,11 @@
 // them within a second. A heartbeat that was sent before the deregister arrives late.
 // The backend must get no request later than `drain` after the acknowledgement.
 func forgottenDeparture(d *deployment, trouble bool) (bool, error) {
+	if err := d.start(2, "huvo11a", oneRoute); err != nil {
+		return false, err
+	}
 	var backends []*backend
-	for i := range 2 {
-		m, err := d.addSidecar("huvo11a")
-		if err != nil {
-			return false, err
-		}
+	for i, m := range d.sidecars {
 		b, err := startBackend(m, fmt.Sprintf("i-7f3a91c%d", i+1), "huvo11a")
 		if err != nil {
 			return false, err
@@ -37,21 +39,8 @@
 		defer b.server.Close()
 		backends = append(backends, b)
 	}
-	for _, m := range d.machines() {
-		if err := m.start(); err != nil {
-			return false, err
-		}
-	}
-	if _, err := d.order("/-/config/replace", "00000000", oneRoute, time.Now().Add(10*time.Second)); err != nil {
-		return false, err
-	}
-	for _, m := range d.machines() {
-		if err := m.notFirstStart(); err != nil {
-			return false, err
-		}
-	}
 	for i, m := range d.sidecars {
-		stop := d.sendRequests(m, i+1)
+		stop := d.sendRequests(m, i+1, false)
 		defer stop()
 	}
 	time.Sleep(6 * time.Second)
@@ -99,8 +88,9 @@
 	`"clusters":[{"name":"huvo11a","healthCheck":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldPeriod":"3s","coldPerS":12.0}]}`
 
 // sendRequests sends requests to the process of a machine until the returned function is
-// called. The ids of the requests begin with a number.
-func (d *deployment) sendRequests(m *machine, number int) (stop func()) {
+// called. The ids of the requests begin with a number. Requests of a divided service have
+// keys from all parts of the key space in turn.
+func (d *deployment) sendRequests(m *machine, number int, divided bool) (stop func()) {
 	done := make(chan struct{})
 	var requests sync.WaitGroup
 	requests.Go(func() {
@@ -110,13 +100,18 @@
 				return
 			case <-time.After(requestInterval):
 			}
-			requests.Go(func() { d.sendRequest(m, fmt.Sprintf("%08x%08x", number, n+1)) })
+			key := -1
+			if divided {
+				key = n * keyStep % allKeys
+			}
+			requests.Go(func() { d.sendRequest(m, fmt.Sprintf("%08x%08x", number, n+1), key) })
 		}
 	})
 	return func() { close(done); requests.Wait() }
 }
 
-func (d *deployment) sendRequest(m *machine, id string) {
+// sendRequest sends a request with a key, or without one if key is negative.
+func (d *deployment) sendRequest(m *machine, id string, key int) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+m.address(d.ports.outbound)+"/lepu270/"+id, nil)
 	if err != nil {
 		return
@@ -124,6 +119,9 @@
 	req.Host = "jepu9.example"
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", "2000")
+	if key >= 0 {
+		req.Header.Set("Shard-Key", strconv.Itoa(key))
+	}
 	d.record.add("client sends request %s", id)
 	resp, err := d.client.Do(req)
 	if err != nil {
--- a/review/standin-2/holder.go
+++ b/review/standin-2/holder.go
@@ -4,18 +4,21 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
 // holder is a sound backend of a service that is divided by key, with grants in the
-// answers to its heartbeats. Requests are not played: only what it holds is judged.
+// answers to its heartbeats.
 type holder struct {
 	machine *machine
 	id      string
 	born    int64
+	server  *http.Server
 
 	mu       sync.Mutex
 	sequence int
@@ -27,6 +30,7 @@
 	highest map[int]int
 	token   int
 	manual  bool
+	runs    []time.Time
 }
 
 // row is a range of keys with a fencing token and a handover token.
@@ -35,8 +39,57 @@
 	handover        string
 }
 
-func newHolder(m *machine, id string) *holder {
-	return &holder{machine: m, id: id, born: time.Now().UnixMilli(), highest: map[int]int{}}
+// startHolders starts a holder on each machine with a process beside a backend.
+func (d *deployment) startHolders() ([]*holder, error) {
+	var holders []*holder
+	for i, m := range d.sidecars {
+		h := &holder{machine: m, id: fmt.Sprintf("i-7f3a91c%d", i+1), born: time.Now().UnixMilli(), highest: map[int]int{}}
+		l, err := net.Listen("tcp", m.address(d.ports.app))
+		if err != nil {
+			return nil, err
+		}
+		h.server = &http.Server{Handler: h}
+		go func() { _ = h.server.Serve(l) }()
+		go h.run()
+		holders = append(holders, h)
+	}
+	return holders, nil
+}
+
+// ServeHTTP runs a request on a key that the holder has.
+func (h *holder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	key, err := strconv.Atoi(r.Header.Get("Shard-Key"))
+	if target := r.Header.Get("Target-Instance"); err != nil || target != "" && target != h.id || !h.has(key) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.mu.Lock()
+	h.runs = append(h.runs, time.Now())
+	h.mu.Unlock()
+	h.machine.deployment.record.add("backend %s runs request %s on key %d", h.id, id, key)
+	w.Header().Set("Response-Signature", "3e1b.07."+id)
+	fmt.Fprintln(w, "answer to", id)
+}
+
+func (h *holder) has(key int) bool {
+	rows, _ := h.held()
+	return covered(rows, row{from: key, to: key})
+}
+
+// runsSince returns the number of runs from a time on.
+func (h *holder) runsSince(from time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, t := range h.runs {
+		if t.After(from) {
+			n++
+		}
+	}
+	return n
 }
 
 // run announces the holder until setManual is called.
@@ -51,7 +104,7 @@
 		if h.beat() {
 			time.Sleep(100 * time.Millisecond) // until the release is reported
 		} else {
-			time.Sleep(heartbeat)
+			time.Sleep(h.machine.deployment.heartbeat)
 		}
 	}
 }
@@ -62,6 +115,14 @@
 	h.manual = true
 }
 
+// resume lets the holder announce itself again.
+func (h *holder) resume() {
+	h.mu.Lock()
+	h.manual = false
+	h.mu.Unlock()
+	go h.run()
+}
+
 // nextHeartbeat returns the body of the next heartbeat.
 func (h *holder) nextHeartbeat() (body string, sent time.Time) {
 	h.mu.Lock()
--- a/review/standin-2/late_heartbeats.go
+++ b/review/standin-2/late_heartbeats.go
@@ -19,30 +19,16 @@
 // before the backend had the keys arrive after the start. No two backends may have the
 // same keys for more than half a second.
 func lateHeartbeats(d *deployment, trouble bool) (bool, error) {
-	var holders []*holder
-	for i := range 2 {
-		m, err := d.addSidecar(dividedService)
-		if err != nil {
-			return false, err
-		}
-		holders = append(holders, newHolder(m, fmt.Sprintf("i-7f3a91c%d", i+1)))
-	}
-	for _, m := range d.machines() {
-		if err := m.start(); err != nil {
-			return false, err
-		}
-	}
-	if _, err := d.order("/-/config/replace", "00000000", dividedRoute, time.Now().Add(10*time.Second)); err != nil {
+	if err := d.start(2, dividedService, dividedRoute); err != nil {
 		return false, err
 	}
-	for _, m := range d.machines() {
-		if err := m.notFirstStart(); err != nil {
-			return false, err
-		}
+	holders, err := d.startHolders()
+	if err != nil {
+		return false, err
 	}
+	defer holders[0].server.Close()
+	defer holders[1].server.Close()
 	first, second := holders[0], holders[1]
-	go first.run()
-	go second.run()
 	if err := awaitAllKeys(holders); err != nil {
 		return false, err
 	}
@@ -108,14 +94,17 @@
 	return longest <= maxShared, nil
 }
 
-// awaitAllKeys waits until two holders have all keys between them for a while.
+// awaitAllKeys waits until holders have all keys between them, each some, for a while.
 func awaitAllKeys(holders []*holder) error {
 	calm := 0
 	for range 200 {
 		time.Sleep(100 * time.Millisecond)
-		_, a := holders[0].held()
-		_, b := holders[1].held()
-		if calm++; a == 0 || b == 0 || a+b != allKeys {
+		sum, some := 0, true
+		for _, h := range holders {
+			_, keys := h.held()
+			sum, some = sum+keys, some && keys > 0
+		}
+		if calm++; !some || sum != allKeys {
 			calm = 0
 		}
 		if calm >= 20 {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,12 +7,16 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
 func main() {
-	cases := map[string]func(*deployment, bool) (bool, error){"restart-memory": restartMemory, "forgotten-departure": forgottenDeparture, "late-heartbeats": lateHeartbeats}
+	cases := map[string]func(*deployment, bool) (bool, error){
+		"restart-memory": restartMemory, "late-heartbeats": lateHeartbeats, "forgotten-departure": forgottenDeparture, "held-evacuation": heldEvacuation,
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE PROGRAM RECORD")
 		os.Exit(2)
@@ -33,6 +37,7 @@
 		return 2
 	}
 	defer d.close()
+	go endInTime(d)
 	held, err := run(d, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -46,6 +51,21 @@
 	return 1
 }
 
+// maxTime is the longest time of a script.
+const maxTime = 115 * time.Second
+
+// endInTime ends all processes and the script when its time is over or it is told to end.
+func endInTime(d *deployment) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	d.close()
+	os.Exit(2)
+}
+
 // record is the list of what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
--- a/review/standin-2/restart_memory.go
+++ b/review/standin-2/restart_memory.go
@@ -24,20 +24,10 @@
 // processes of the core at the same moment and starts them within a second. The newest
 // acknowledged version must be read back after `recovery`.
 func restartMemory(d *deployment, trouble bool) (bool, error) {
-	for _, m := range d.cores {
-		if err := m.start(); err != nil {
-			return false, err
-		}
-	}
-	if _, err := d.order("/-/config/replace", "00000000", firstConfiguration(), time.Now().Add(10*time.Second)); err != nil {
+	if err := d.start(0, "", firstConfiguration()); err != nil {
 		return false, err
 	}
 	d.record.add("version 00000001 with %d routes acknowledged", addedRoutes)
-	for _, m := range d.cores {
-		if err := m.notFirstStart(); err != nil {
-			return false, err
-		}
-	}
 	version, until := 1, time.Now().Add(changesTime)
 	for i := range changes {
 		_, err := d.order("/-/config/update", fmt.Sprintf("%08x", version), smallChange(version+1, 1000+i%200), until)
