--- a/review/standin-2/holder.go
+++ b/review/standin-2/holder.go
@@ -129,6 +129,7 @@
 	defer h.mu.Unlock()
 	h.expire()
 	h.sequence++
+	h.machine.deployment.record.add("%s sends heartbeat %d with %d rows", h.id, h.sequence, len(h.holds))
 	holds, released := [][]any{}, [][]any{}
 	for _, r := range h.holds {
 		holds = append(holds, []any{r.from, r.to, r.fence})
@@ -156,15 +157,32 @@
 	return h.take(answer, sent)
 }
 
+// beatLate sends a heartbeat at each interval of a time, which arrives later by a delay.
+// The holder does not wait for answers that take more than a second.
+func (h *holder) beatLate(from, until time.Time, delay time.Duration) {
+	var calls sync.WaitGroup
+	for at := from; at.Before(until); at = at.Add(h.machine.deployment.heartbeat) {
+		time.Sleep(time.Until(at))
+		body, sent := h.nextHeartbeat()
+		calls.Go(func() {
+			time.Sleep(time.Until(sent.Add(delay)))
+			h.deliver(body)
+		})
+	}
+	calls.Wait()
+}
+
 // deliver sends the bytes of a heartbeat.
 func (h *holder) deliver(body string) (int, []byte) {
 	d := h.machine.deployment
 	resp, err := d.client.Post("http://"+h.machine.address(d.ports.control)+"/-/instances/"+h.id+"/heartbeat", "application/json", strings.NewReader(body))
 	if err != nil {
+		d.record.add("a heartbeat of %s gets no answer", h.id)
 		return 0, nil
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
+	d.record.add("a heartbeat of %s is answered %d, %d bytes", h.id, resp.StatusCode, len(answer))
 	if err != nil {
 		return 0, nil
 	}
--- a/review/standin-2/late_heartbeats.go
+++ b/review/standin-2/late_heartbeats.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -11,12 +12,17 @@
 	allKeys        = 1 << 16
 	// maxShared is the longest time for which two backends may have the same keys.
 	maxShared = 500 * time.Millisecond
+	// lateBy3 is how late the heartbeats arrive after the kill, endAfter the time that is
+	// judged from then on.
+	lateBy3  = 3 * time.Second
+	endAfter = 7 * time.Second
 )
 
 // lateHeartbeats takes one zone out after the other. The backend of the second zone gets
 // the keys of the first, and is to release all when its own zone is taken out; its
 // process is killed at that moment and starts again. Two heartbeats that were sent
-// before the backend had the keys arrive after the start. No two backends may have the
+// before the backend had the keys arrive after the start; its heartbeats from then on are
+// late, too. No two backends may have the
 // same keys for more than half a second.
 func lateHeartbeats(d *deployment, trouble bool) (bool, error) {
 	if err := d.start(2, dividedService, dividedRoute); err != nil {
@@ -72,9 +78,10 @@
 		}
 		d.record.add("it is started")
 	}
-	// The heartbeat that the first backend sends now arrives late, too.
-	time.Sleep(time.Until(got.Add(heartbeat)))
-	late3, sent3 := first.nextHeartbeat()
+	// From now on the heartbeats of the first backend are sent in time and arrive late.
+	var held sync.WaitGroup
+	held.Go(func() { first.beatLate(got.Add(heartbeat), got.Add(endAfter), lateBy3) })
+	defer held.Wait()
 	time.Sleep(time.Until(got.Add(1200 * time.Millisecond)))
 	for i, late := range []struct {
 		body string
@@ -84,10 +91,7 @@
 		d.record.add("late heartbeat %d, sent %.1f s ago, arrives: status %d, %d bytes", i+1, time.Since(late.sent).Seconds(), status, len(answer))
 		time.Sleep(50 * time.Millisecond)
 	}
-	time.Sleep(time.Until(sent3.Add(3 * time.Second)))
-	status, _ := first.deliver(late3)
-	d.record.add("late heartbeat 3, sent %.1f s ago, arrives: status %d", time.Since(sent3).Seconds(), status)
-	time.Sleep(time.Until(got.Add(7 * time.Second)))
+	time.Sleep(time.Until(got.Add(endAfter)))
 	d.describeHolds("end", holders)
 	longest := shared()
 	d.record.add("both backends had the same keys for %.2f s at most", longest.Seconds())
--- a/review/standin-2/restart_memory.go
+++ b/review/standin-2/restart_memory.go
@@ -30,13 +30,14 @@
 	d.record.add("version 00000001 with %d routes acknowledged", addedRoutes)
 	version, until := 1, time.Now().Add(changesTime)
 	for i := range changes {
-		_, err := d.order("/-/config/update", fmt.Sprintf("%08x", version), smallChange(version+1, 1000+i%200), until)
+		m, err := d.order("/-/config/update", fmt.Sprintf("%08x", version), smallChange(version+1, 1000+i%200), until)
 		if err != nil {
 			return false, err
 		}
 		version++
+		d.record.add("version %08x acknowledged by %s", version, m.name)
 		if i%40 == 39 {
-			d.describe("version %08x acknowledged", version)
+			d.describe("after %d changes", i+1)
 		}
 	}
 	if trouble {
