Refuse responses whose status line is malformed

Callers saw: in fleet mode, an answer with status 000 of a target in trouble was passed on as an answer. An idempotent request that got one was not tried again.

Cause: all responses are parsed by net/http, which accepts what RFC 9112 section 4 does not allow: statuses below 100, "+20" and "-00", HTTP/0.9 and HTTP/2.0, control characters in the reason. httpclient also took 101 for an informational response, although no upgrade had been requested and what follows it is not HTTP. A peer's answer "000" with an outcome counted as the outcome, among them not-run; bqctl and grant calls took malformed answers for consent.

Change: package strictresponse checks the bytes of a connection before net/http parses them. It follows each response to its end, so that it knows where the next head begins, and fails at the first malformed line: the end of that line does not reach the reader, so that no head is complete. httpclient (targets, peers, grant calls) and the transports of gate, grants, ingress and bqctl read through it. Refused responses give the errors that exist: the request may have run, the connection is closed, an idempotent request may be tried elsewhere. A status over 599 is accepted as before: RFC 9110 section 15 has recipients treat it as 5xx.

On a connection of net/http, bytes that follow a response and answer no request end the connection.

Evidence, on with these tests: TestMalformedResponses (httpclient) failed for 9 of 20 status lines, TestMalformedAnswers of grantcall for 5 and of bqctl/client for 4, TestMalformedAnswerOfPeer for both of its answers, TestMalformedAnswersOfTargets for both, TestMalformedAnswers of ingress accepted 4 of 20 (gate already refused statuses below 200). All pass now; TestValidAnswers and TestValidResponses passed before and pass now. Why it works: a response reaches a caller only through a head that net/http has read to its empty line, and a malformed line ends the bytes before that.

--- a/router/bqctl/client/client.go
+++ b/router/bqctl/client/client.go
@@ -20,6 +20,7 @@
 
 	"bramleyquay.example/router/operator"
 	"bramleyquay.example/router/settings"
+	"bramleyquay.example/router/strictresponse"
 )
 
 // Error is the class of this package's errors.
@@ -107,7 +108,7 @@
 	transport.Proxy = nil
 	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &http.Client{
-		Transport:     transport,
+		Transport:     strictresponse.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/router/fleetdaemon/malformed_test.go
@@ -0,0 +1,54 @@
+package fleetdaemon_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// answerRaw makes a target send bytes instead of its answers, and then close the
+// connection.
+func (t *target) answerRaw(text string) {
+	t.behave = func(w http.ResponseWriter, r *http.Request) bool {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return true
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+		return true
+	}
+}
+
+// Guards against malformed answers of targets that reach callers as answers, against a
+// second run of a request that is not idempotent, and against a safe request that fails
+// because one of two targets sends such answers. The requests arrive at the process of the
+// target and at another one.
+func TestMalformedAnswersOfTargets(t *testing.T) {
+	keyed, plain, _ := startServingCluster(t)
+	for name, text := range map[string]string{
+		"status 000": "HTTP/1.1 000 None\r\nX-Signed: t\r\nContent-Length: 5\r\n\r\nhello",
+		"status 099": "HTTP/1.1 099 Odd\r\nX-Signed: t\r\nContent-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			plain[0].answerRaw(text)
+			plain[1].answerRaw(text)
+			for i, via := range []*target{plain[0], keyed[0]} {
+				id := fmt.Sprint(name, i)
+				status, body, _ := via.call("POST", "/unsafe/a", id, nil)
+				if status != http.StatusBadGateway {
+					t.Errorf("answered with status %d, %q", status, body)
+				}
+				is.Equal(plain[0].count(id)+plain[1].count(id), 1)
+			}
+			plain[1].behave = nil
+			status, body, _ := plain[0].call("GET", "/safe/a", name, nil)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, "p2 ran /safe/a for plain")
+		})
+	}
+}
--- a/router/gate/target.go
+++ b/router/gate/target.go
@@ -9,6 +9,7 @@
 
 	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/control"
+	"bramleyquay.example/router/strictresponse"
 )
 
 // Announcement is the message by which a target registers with its sidecar process.
@@ -49,9 +50,9 @@
 // target is the target that announced itself, and the connections to it.
 type target struct {
 	Announcement
-	transport *http.Transport
+	transport *strictresponse.Transport
 	// grants is a separate transport, so that requests cannot delay a grant.
-	grants *http.Transport
+	grants *strictresponse.Transport
 	// ctx ends when the target is gone.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -61,7 +62,7 @@
 	// One of the connections to the target is used for grants. A service with a lower
 	// limit of connections gets fewer slots instead, see limits.
 	connections := config.DefaultConnectionsPerTarget - 1
-	transport := &http.Transport{
+	transport := strictresponse.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
@@ -70,8 +71,9 @@
 		IdleConnTimeout:        0,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
-	}
-	t := &target{Announcement: a, transport: transport, grants: &http.Transport{MaxConnsPerHost: 1}}
+	})
+	grants := strictresponse.NewTransport(&http.Transport{MaxConnsPerHost: 1})
+	t := &target{Announcement: a, transport: transport, grants: grants}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
--- a/router/grantcall/client_test.go
+++ b/router/grantcall/client_test.go
@@ -16,6 +16,7 @@
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
 	"bramleyquay.example/router/grantcall"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 var format = grantcall.Format{
@@ -112,6 +113,37 @@
 	is.True(result.Refused)
 }
 
+// Guards against a malformed answer to a call that counts as the target's consent, or as a
+// call without effect.
+func TestMalformedAnswers(t *testing.T) {
+	for _, form := range responseforms.Malformed() {
+		t.Run(string(form.Part)+"/"+form.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(in); err == nil {
+					_, _ = io.WriteString(conn, form.Text)
+					_, _ = io.Copy(io.Discard, in) // until the client closes the connection
+				}
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			result := grantcall.New(l.Addr().String(), format).CallTarget(ctx, call(grant.ReleaseCall))
+			is.NoErr(ctx.Err()) // it was refused, not waited for
+			is.Equal(result.Outcome, grant.CallLost)
+		})
+	}
+}
+
 // lateTarget answers each call, and sends its answer to the first call of a connection once
 // more where the answer to the second one is expected. answer returns the bytes of the
 // answer to a call of a path with an id.
--- a/router/httpclient/conn.go
+++ b/router/httpclient/conn.go
@@ -9,6 +9,7 @@
 
 	"bramleyquay.example/coord/correlation"
 	"bramleyquay.example/router/netopt"
+	"bramleyquay.example/router/strictresponse"
 )
 
 // Connect opens a connection and keeps it for a later request. The error is a
@@ -99,14 +100,17 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	limited := &limitedReader{inner: raw}
-	return &persistConn{raw: raw, limited: limited, br: bufio.NewReader(limited)}, nil
+	checked := strictresponse.NewConn(raw, strictresponse.Several)
+	limited := &limitedReader{inner: checked}
+	return &persistConn{raw: raw, checked: checked, limited: limited, br: bufio.NewReader(limited)}, nil
 }
 
 // persistConn is a connection that can be used for several requests, one after the
 // other. expires is set when it becomes idle.
 type persistConn struct {
-	raw     net.Conn
+	raw net.Conn
+	// checked is raw for reading and writing.
+	checked *strictresponse.Conn
 	limited *limitedReader
 	br      *bufio.Reader
 	expires time.Time
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -47,6 +47,7 @@
 // run sends the request and reads its response. The boolean says whether the
 // connection can be reused.
 func (x *exchange) run(cfg Config) (*Response, bool, error) {
+	x.pc.checked.Begin(x.request.Method)
 	go func() {
 		err := x.send()
 		x.sent <- err
@@ -135,10 +136,10 @@
 func (x *exchange) send() error {
 	r := x.request
 	if !r.AwaitContinue && !r.hasLongBody() {
-		_, err := x.pc.raw.Write(append(encodeHead(r), r.Body...))
+		_, err := x.pc.checked.Write(append(encodeHead(r), r.Body...))
 		return err
 	}
-	if _, err := x.pc.raw.Write(encodeHead(r)); err != nil {
+	if _, err := x.pc.checked.Write(encodeHead(r)); err != nil {
 		return err
 	}
 	select {
@@ -147,7 +148,7 @@
 		return errNotContinued
 	}
 	if r.Source == nil {
-		_, err := x.pc.raw.Write(r.Body)
+		_, err := x.pc.checked.Write(r.Body)
 		return err
 	}
 	return x.sendSource(r.Source)
@@ -190,7 +191,7 @@
 		n, readErr := body.Read(buf[chunkHeadBytes : chunkHeadBytes+copyBufferBytes])
 		total += int64(n)
 		if n > 0 {
-			if _, err := x.pc.raw.Write(framePart(buf, n, s.Length < 0)); err != nil {
+			if _, err := x.pc.checked.Write(framePart(buf, n, s.Length < 0)); err != nil {
 				return err
 			}
 		}
@@ -198,7 +199,7 @@
 		case errors.Is(readErr, io.EOF) && s.Length >= 0 && total != s.Length:
 			return &SourceError{Cause: io.ErrUnexpectedEOF}
 		case errors.Is(readErr, io.EOF) && s.Length < 0:
-			_, err := x.pc.raw.Write([]byte("0" + crlf + crlf))
+			_, err := x.pc.checked.Write([]byte("0" + crlf + crlf))
 			return err
 		case errors.Is(readErr, io.EOF):
 			return nil
--- /dev/null
+++ b/router/httpclient/forms_test.go
@@ -0,0 +1,70 @@
+package httpclient_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/strictresponse/responseforms"
+)
+
+// Guards against malformed responses that count as the answers to requests, and against a
+// connection that is used again after one.
+func TestMalformedResponses(t *testing.T) {
+	for _, form := range responseforms.Malformed() {
+		t.Run(string(form.Part)+"/"+form.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := rawTarget(t, func(c net.Conn, br *bufio.Reader) {
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, form.Text)
+				}
+			})
+			for _, id := range []string{"1", "2"} {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				resp, err := c.Do(ctx, request(id))
+				if err == nil {
+					t.Fatalf("accepted: status %d, header %q, body %q", resp.Status, resp.Header, resp.Body)
+				}
+				is.NoErr(ctx.Err()) // it was refused, not waited for
+				var incomplete *httpclient.IncompleteResponseError
+				is.True(errors.As(err, &incomplete)) // the request may have run
+			}
+			is.Equal(c.ConnectionsOpened(), uint64(2))
+		})
+	}
+}
+
+// Guards against valid responses that are refused.
+func TestValidResponses(t *testing.T) {
+	for _, form := range responseforms.Valid() {
+		t.Run(form.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := rawTarget(t, func(c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(c, form.Text)
+					_, _ = br.ReadByte() // until the client closes the connection
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			resp, err := c.Do(ctx, request("1"))
+			is.NoErr(err)
+			is.True(string(resp.Body) == "hello" || !strings.HasSuffix(form.Text, "hello"))
+		})
+	}
+}
--- /dev/null
+++ b/router/ingress/forms_test.go
@@ -0,0 +1,104 @@
+package ingress_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/strictresponse/responseforms"
+)
+
+// openTarget is a target that sends the same bytes to each request and keeps the connection
+// open until the other end closes it.
+type openTarget struct {
+	text        atomic.Pointer[string]
+	connections atomic.Int64
+}
+
+func (o *openTarget) listen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			o.connections.Add(1)
+			go o.serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (o *openTarget) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // the answer does not depend on it
+		if _, err := io.WriteString(conn, *o.text.Load()); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against malformed answers of a target that reach a caller as answers, and against
+// a connection that is used again after one. Where the head is in order its answer may have
+// begun: the caller's connection is then aborted.
+func TestMalformedAnswers(t *testing.T) {
+	target := &openTarget{}
+	fx := newFixture(t, "plain", target.listen(t))
+	for _, form := range responseforms.Malformed() {
+		t.Run(string(form.Part)+"/"+form.Name, func(t *testing.T) {
+			target.text.Store(&form.Text)
+			fx.throughBoth(t, func(t *testing.T, base string) {
+				is := is.New(t)
+				before, begin := target.connections.Load(), time.Now()
+				for range 2 {
+					resp, body, err := do(t, http.MethodPost, base+"/plain/x", []byte("b"), "Bq-Timeout-Ms", "5000")
+					if err != nil && !form.InHead() {
+						continue // the connection was aborted, which no caller takes for an answer
+					}
+					is.NoErr(err)
+					if outcomeOf(resp) != "unknown" || resp.StatusCode != http.StatusBadGateway {
+						t.Fatalf("accepted: status %d, header %q, body %q", resp.StatusCode, resp.Header, body)
+					}
+				}
+				is.True(time.Since(begin) < 5*time.Second) // it was refused, not waited for
+				is.Equal(target.connections.Load(), before+2)
+			})
+		})
+	}
+	is.New(t).Equal(fx.gate.Status().Limiter.Running, 0) // every slot is free again
+}
+
+// Guards against valid answers that are refused.
+func TestValidAnswers(t *testing.T) {
+	target := &openTarget{}
+	fx := newFixture(t, "plain", target.listen(t))
+	for _, form := range responseforms.Valid() {
+		t.Run(form.Name, func(t *testing.T) {
+			target.text.Store(&form.Text)
+			fx.throughBoth(t, func(t *testing.T, base string) {
+				is := is.New(t)
+				resp, body, err := do(t, http.MethodPost, base+"/plain/x", []byte("b"))
+				is.NoErr(err)
+				is.Equal(outcomeOf(resp), "done")
+				is.True(string(body) == "hello" || resp.StatusCode == 204 || resp.StatusCode == 304)
+			})
+		})
+	}
+}
--- a/router/ingress/forwarder.go
+++ b/router/ingress/forwarder.go
@@ -11,6 +11,7 @@
 	"bramleyquay.example/coord/outcome"
 	"bramleyquay.example/router/call"
 	"bramleyquay.example/router/peer"
+	"bramleyquay.example/router/strictresponse"
 )
 
 const (
@@ -26,11 +27,11 @@
 
 // Forwarder sends calls to the gates of other processes. Its methods may be called
 // concurrently.
-type Forwarder struct{ transport *http.Transport }
+type Forwarder struct{ transport *strictresponse.Transport }
 
 // NewForwarder returns a forwarder that opens connections with d.
 func NewForwarder(d *peer.Dialer) *Forwarder {
-	return &Forwarder{transport: &http.Transport{
+	return &Forwarder{transport: strictresponse.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return d.Dial(ctx, addr, peer.ChannelHTTP)
 		},
@@ -39,7 +40,7 @@
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
-	}}
+	})}
 }
 
 // Forward sends the call to the gate at addr and blocks until the answer's header
--- /dev/null
+++ b/router/relay/malformed_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyquay.example/router/httpserver"
+)
+
+// rawGate sends the same bytes to each request and keeps its connections open.
+func rawGate(t *testing.T, text string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, text)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a malformed answer of another process that counts as the answer of its
+// target, or as a sign that the request did not run.
+func TestMalformedAnswerOfPeer(t *testing.T) {
+	hop := "Bq-Hop: " + encodeResult(result{outcome: done, reached: true}) + "\r\n"
+	notRunHop := "Bq-Hop: " + encodeResult(refused(reasonNoTarget, time.Second)) + "\r\n"
+	const length = "Content-Length: 5\r\n"
+	for name, text := range map[string]string{
+		"status 000":              "HTTP/1.1 000 None\r\n" + hop + length + "\r\nhello",
+		"refusal with status 000": "HTTP/1.1 000 None\r\n" + notRunHop + length + "\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := rawGate(t, text)
+			p := newPeers(DefaultHeaderNames, func(string) string { return address })
+			req := &routedRequest{request: &httpserver.Request{Method: "POST", URI: "/", Host: "h"}, header: http.Header{}, deadline: time.Now().Add(10 * time.Second)}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			for range 2 {
+				r := p.do(ctx, "p", req)
+				is.NoErr(ctx.Err()) // it was refused, not waited for
+				is.Equal(r.outcome, unknown)
+				is.True(r.reached)
+				is.True(r.response == nil)
+			}
+			is.Equal(p.client("p").ConnectionsOpened(), uint64(2))
+		})
+	}
+}
--- /dev/null
+++ b/router/strictresponse/head.go
@@ -0,0 +1,103 @@
+package strictresponse
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// head is what the head of a response says about the end of the response.
+type head struct {
+	status int
+	// length is the value of Content-Length.
+	hasLength bool
+	length    uint64
+	chunked   bool
+}
+
+// parseStatusLine parses the status line (RFC 9112, section 4). The blank before an empty
+// reason may be missing, and there may be several before the status.
+func (h *head) parseStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	major, _, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
+		return &FormatError{Reason: "the status line does not begin with a version of HTTP/1"}
+	}
+	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	if len(code) != 3 || !isDigits(code) {
+		return &FormatError{Reason: "the status is not a number of three digits"}
+	}
+	h.status, _ = strconv.Atoi(code) // it has three digits
+	switch {
+	case h.status < http.StatusContinue:
+		return &FormatError{Reason: "the status is below 100"}
+	case h.status == http.StatusSwitchingProtocols:
+		return &FormatError{Reason: "the server switches to a protocol that was not requested"}
+	case !httpguts.ValidHeaderFieldValue(reason):
+		return &FormatError{Reason: "the reason phrase has a control character"}
+	}
+	return nil
+}
+
+// parseField parses a line of the head.
+func (h *head) parseField(line string) error {
+	name, value := parseFieldLine(line)
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
+		return h.setLength(value)
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		if h.chunked || !strings.EqualFold(value, "chunked") {
+			return &FormatError{Reason: "the transfer coding is not chunked alone"}
+		}
+		h.chunked = true
+	}
+	return nil
+}
+
+// setLength sets the length of the body. A field may be repeated with the same value.
+func (h *head) setLength(value string) error {
+	length, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || !isDigits(value) {
+		return &FormatError{Reason: "Content-Length is not a number"}
+	}
+	if h.hasLength && h.length != uint64(length) {
+		return &FormatError{Reason: "Content-Length has two values"}
+	}
+	h.hasLength, h.length = true, uint64(length)
+	return nil
+}
+
+// parseFieldLine parses a field line, whose value comes without blanks around it.
+func parseFieldLine(line string) (name, value string) {
+	name, value, _ = strings.Cut(line, ":")
+	return name, strings.Trim(value, " \t")
+}
+
+// maxChunkDigits is the number of digits in which net/http reads the size of a chunk.
+const maxChunkDigits = 16
+
+// parseChunkSize parses the line before a chunk (RFC 9112, section 7.1). Extensions have no
+// meaning.
+func parseChunkSize(line string) (uint64, error) {
+	digits, _, _ := strings.Cut(line, ";")
+	digits = strings.TrimRight(digits, " \t")
+	size, err := strconv.ParseUint(digits, 16, 64)
+	if err != nil || len(digits) > maxChunkDigits {
+		return 0, &FormatError{Reason: "the size of a chunk is not a number"}
+	}
+	return size, nil
+}
+
+// cutCR removes the carriage return at the end of a line and reports whether there was one.
+func cutCR(line string) (string, bool) { return strings.CutSuffix(line, "\r") }
+
+func isDigits(s string) bool {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return false
+		}
+	}
+	return s != ""
+}
