Refuse responses without a length whose connection was reset

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The part reached the caller as a complete answer.

Cause: a response without a length ends with its connection, and a reset is the only sign that it was cut. The kernel reports the error of a socket to one call: if the goroutine that sends the request is the one that gets ECONNRESET, the read after it returns the end of the file, which both httpclient and net/http take for the end of the response. Without an upload only the reader can get it, so that these cases were recognized.

Change: at the end of such a response strictresponse.Conn asks for the state of the connection. CLOSE_WAIT means that the server has closed its side. Otherwise the first error of a write decides, or the one that is still pending: EPIPE means that the server had closed its side before the reset, so that the response is complete; any other one that it is not. Such a response gives an IncompleteResponseError, or aborts the caller's connection where its answer has begun (ingress, gate).

Ruled out: refusing each response without a length while the upload is in progress. RFC 9112 section 8 counts it as complete if the connection was closed in order, and a server may answer early.

--- a/router/fleetdaemon/malformed_test.go
+++ b/router/fleetdaemon/malformed_test.go
@@ -3,21 +3,27 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-// answerRaw makes a target send bytes instead of its answers, and then close the
-// connection.
-func (t *target) answerRaw(text string) {
+// answerRaw makes a target send bytes instead of its answers, and then close the connection
+// or reset it.
+func (t *target) answerRaw(text string, reset bool) {
 	t.behave = func(w http.ResponseWriter, r *http.Request) bool {
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			return true
 		}
 		_, _ = io.WriteString(conn, text)
+		if reset {
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
+		}
 		_ = conn.Close()
 		return true
 	}
@@ -35,8 +41,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			plain[0].answerRaw(text)
-			plain[1].answerRaw(text)
+			plain[0].answerRaw(text, false)
+			plain[1].answerRaw(text, false)
 			for i, via := range []*target{plain[0], keyed[0]} {
 				id := fmt.Sprint(name, i)
 				status, body, _ := via.call("POST", "/unsafe/a", id, nil)
@@ -52,3 +58,26 @@
 		})
 	}
 }
+
+// Guards against the begin of an answer without a length that reaches a caller as a
+// complete one, because the target reset the connection while the upload was still being
+// sent.
+func TestTargetResetsDuringUpload(t *testing.T) {
+	keyed, plain, _ := startServingCluster(t)
+	for _, p := range plain {
+		p.answerRaw("HTTP/1.1 200 OK\r\nX-Signed: t\r\n\r\nhello, world", true)
+	}
+	for name, via := range map[string]*target{"its process": plain[0], "another process": keyed[0]} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range 10 {
+				id := fmt.Sprint(name, i)
+				status, body := via.upload(id, 24<<20, false)
+				if status != http.StatusBadGateway {
+					t.Errorf("answered with status %d, %q", status, body)
+				}
+				is.Equal(plain[0].count(id)+plain[1].count(id), 1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/router/ingress/reset_test.go
@@ -0,0 +1,61 @@
+package ingress_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// resettingTarget sends the begin of an answer without a length before it has read the
+// body of the request, and then resets the connection.
+func resettingTarget(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello, world")
+					time.Sleep(5 * time.Millisecond)
+				}
+				_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against the begin of an answer without a length that reaches a caller as a
+// complete one, because the target reset the connection while the request was still being
+// sent.
+func TestResetDuringUpload(t *testing.T) {
+	const size = 24 << 20 // more than all buffers between caller and target
+	fx := newFixture(t, "plain", resettingTarget(t))
+	fx.throughBoth(t, func(t *testing.T, base string) {
+		is := is.New(t)
+		complete := 0
+		for range 40 {
+			resp, _, err := do(t, http.MethodPost, base+"/plain/x", make([]byte, size))
+			if err == nil && resp.StatusCode == http.StatusOK {
+				complete++
+			}
+			if err == nil && resp.StatusCode != http.StatusOK {
+				is.Equal(outcomeOf(resp), "unknown")
+			}
+		}
+		is.Equal(complete, 0)
+	})
+}
--- a/router/strictresponse/conn.go
+++ b/router/strictresponse/conn.go
@@ -4,6 +4,8 @@
 package strictresponse
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -35,6 +37,8 @@
 	mu     sync.Mutex // guards parser and failed
 	parser parser
 	failed error
+
+	writes writeState
 }
 
 // NewConn returns a connection on which nothing has been received yet.
@@ -71,6 +75,10 @@
 		}
 		return accepted, nil // the next call fails
 	}
+	if errors.Is(err, io.EOF) && c.parser.endsWithConn() && c.wasReset() {
+		c.failed = errReset
+		return accepted, errReset
+	}
 	return accepted, err
 }
 
--- a/router/strictresponse/parser.go
+++ b/router/strictresponse/parser.go
@@ -53,6 +53,9 @@
 
 func (p *parser) expectHead() { p.at, p.head = atStatusLine, head{} }
 
+// endsWithConn reports whether the end of the connection is the end of the response.
+func (p *parser) endsWithConn() bool { return p.at == atBodyUntilClose }
+
 // consume checks the next bytes. It returns how many of them may be passed on: all, or
 // without the end of the first malformed line and what follows it.
 func (p *parser) consume(data []byte) (int, error) {
