Refuse responses with malformed field lines

Callers saw: an answer in whose head a name held a blank, with that line passed on; and an answer with a body that was not the target's, where a blank stood behind the name Content-Length, or a line that continues the one before held it.

Cause: net/http accepts blanks in and behind names (the field is then another one, and a Content-Length or Transfer-Encoding written so is lost) and joins lines that begin with a blank or tab to the line before. RFC 9112 section 5.1 has a proxy remove blanks behind names, section 5.2 has it replace or refuse folded lines; neither may be passed on as it came.

Change: strictresponse checks each field line, also of informational responses and trailers: the name is a token, the value has no control character, the line does not begin with a blank, and no carriage return stands within it. Removing the blanks instead was ruled out: what a server in trouble meant by such a line is not known.

Evidence, on with these tests: TestMalformedResponses (httpclient) failed for 12 of 29 forms of field lines and trailers, and for a Transfer-Encoding with a blank behind its name; TestMalformedAnswers of grantcall and bqctl/client failed for the same 12, TestMalformedAnswerOfPeer for its 3, TestMalformedAnswersOfTargets for 3 of 4 (a control byte in a name was refused before). Where a length was lost, httpclient took all bytes up to the close of the connection as the body, or waited for it until the deadline. All pass now. Why it works: the line itself is refused, before net/http can read a name or a length from it.

--- a/router/fleetdaemon/malformed_test.go
+++ b/router/fleetdaemon/malformed_test.go
@@ -11,8 +11,8 @@
 	"github.com/matryer/is"
 )
 
-// answerRaw makes a target send bytes instead of its answers, and then close the connection
-// or reset it.
+// answerRaw makes a target send bytes instead of its answers, and then close the
+// connection or reset it.
 func (t *target) answerRaw(text string, reset bool) {
 	t.behave = func(w http.ResponseWriter, r *http.Request) bool {
 		conn, _, err := w.(http.Hijacker).Hijack()
@@ -35,9 +35,14 @@
 // target and at another one.
 func TestMalformedAnswersOfTargets(t *testing.T) {
 	keyed, plain, _ := startServingCluster(t)
+	const head = "HTTP/1.1 200 OK\r\nX-Signed: t\r\n"
 	for name, text := range map[string]string{
-		"status 000": "HTTP/1.1 000 None\r\nX-Signed: t\r\nContent-Length: 5\r\n\r\nhello",
-		"status 099": "HTTP/1.1 099 Odd\r\nX-Signed: t\r\nContent-Length: 5\r\n\r\nhello",
+		"status 000":                  "HTTP/1.1 000 None\r\nX-Signed: t\r\nContent-Length: 5\r\n\r\nhello",
+		"status 099":                  "HTTP/1.1 099 Odd\r\nX-Signed: t\r\nContent-Length: 5\r\n\r\nhello",
+		"blank in a name":             head + "X Y: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"blank behind Content-Length": head + "Content-Length : 5\r\n\r\nhello, world",
+		"folded Content-Length":       head + "X-Y: 1\r\n Content-Length: 5\r\n\r\nhello, world",
+		"control byte in a name":      head + "X\x01Y: 1\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/router/relay/malformed_test.go
+++ b/router/relay/malformed_test.go
@@ -49,8 +49,11 @@
 	notRunHop := "Bq-Hop: " + encodeResult(refused(reasonNoTarget, time.Second)) + "\r\n"
 	const length = "Content-Length: 5\r\n"
 	for name, text := range map[string]string{
-		"status 000":              "HTTP/1.1 000 None\r\n" + hop + length + "\r\nhello",
-		"refusal with status 000": "HTTP/1.1 000 None\r\n" + notRunHop + length + "\r\nhello",
+		"status 000":                  "HTTP/1.1 000 None\r\n" + hop + length + "\r\nhello",
+		"blank in a name":             "HTTP/1.1 200 OK\r\n" + hop + "X Y: 1\r\n" + length + "\r\nhello",
+		"folded line":                 "HTTP/1.1 200 OK\r\n" + hop + "X-Y: 1\r\n " + length + "\r\nhello",
+		"refusal with status 000":     "HTTP/1.1 000 None\r\n" + notRunHop + length + "\r\nhello",
+		"refusal, blank behind names": "HTTP/1.1 503 Busy\r\n" + notRunHop + "X-Y : 1\r\n" + length + "\r\nhello",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/router/strictresponse/head.go
+++ b/router/strictresponse/head.go
@@ -43,7 +43,10 @@
 
 // parseField parses a line of the head.
 func (h *head) parseField(line string) error {
-	name, value := parseFieldLine(line)
+	name, value, err := parseFieldLine(line)
+	if err != nil {
+		return err
+	}
 	switch {
 	case strings.EqualFold(name, "Content-Length"):
 		return h.setLength(value)
@@ -69,10 +72,22 @@
 	return nil
 }
 
-// parseFieldLine parses a field line, whose value comes without blanks around it.
-func parseFieldLine(line string) (name, value string) {
-	name, value, _ = strings.Cut(line, ":")
-	return name, strings.Trim(value, " \t")
+// parseFieldLine parses a field line (RFC 9112, section 5), whose value comes without blanks
+// around it. Lines that continue the one before are refused.
+func parseFieldLine(line string) (name, value string, err error) {
+	if line[0] == ' ' || line[0] == '\t' {
+		return "", "", &FormatError{Reason: "a field line begins with a blank"}
+	}
+	name, value, ok := strings.Cut(line, ":")
+	switch {
+	case !ok:
+		return "", "", &FormatError{Reason: "a field line has no colon"}
+	case !httpguts.ValidHeaderFieldName(name):
+		return "", "", &FormatError{Reason: "the name of a field is not a token"}
+	case !httpguts.ValidHeaderFieldValue(value):
+		return "", "", &FormatError{Reason: "the value of a field has a control character"}
+	}
+	return name, strings.Trim(value, " \t"), nil
 }
 
 // maxChunkDigits is the number of digits in which net/http reads the size of a chunk.
@@ -93,6 +108,13 @@
 // cutCR removes the carriage return at the end of a line and reports whether there was one.
 func cutCR(line string) (string, bool) { return strings.CutSuffix(line, "\r") }
 
+func checkCR(line string) error {
+	if strings.Contains(line, "\r") {
+		return &FormatError{Reason: "there is a carriage return within a line"}
+	}
+	return nil
+}
+
 func isDigits(s string) bool {
 	for i := range len(s) {
 		if s[i] < '0' || s[i] > '9' {
--- a/router/strictresponse/parser.go
+++ b/router/strictresponse/parser.go
@@ -107,6 +107,9 @@
 // behind it.
 func (p *parser) checkLine(line string) error {
 	text, hasCR := cutCR(line)
+	if err := checkCR(text); err != nil {
+		return err
+	}
 	switch p.at {
 	case atStatusLine:
 		p.at = atField
@@ -119,8 +122,10 @@
 	case atTrailer:
 		if text == "" {
 			p.endResponse()
+			return nil
 		}
-		return nil
+		_, _, err := parseFieldLine(text)
+		return err
 	}
 	// A line feed alone may end the lines of a head, but not those between chunks.
 	if !hasCR {
--- a/router/strictresponse/responseforms/forms.go
+++ b/router/strictresponse/responseforms/forms.go
@@ -8,8 +8,10 @@
 // The parts of a response, in their order on the connection.
 const (
 	StatusLine Part = "status line"
+	Fields     Part = "field lines"
 	Framing    Part = "framing"
 	Chunks     Part = "chunks"
+	Trailers   Part = "trailers"
 )
 
 // Form is a response to a GET or POST request.
@@ -21,7 +23,7 @@
 }
 
 // InHead reports whether the head alone shows that the response is malformed.
-func (f *Form) InHead() bool { return f.Part != Chunks }
+func (f *Form) InHead() bool { return f.Part != Chunks && f.Part != Trailers }
 
 const (
 	ok      = "HTTP/1.1 200 OK\r\n"
@@ -62,6 +64,32 @@
 		"blank before":              line(" HTTP/1.1 200 OK"),
 		"switch that was not asked": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + line("HTTP/1.1 200 OK"),
 	})
+	field := func(text string) string { return ok + length + text + "\r\n" + body }
+	add(Fields, map[string]string{ // section 5
+		"blank in a name":                  field("X Y: 1"),
+		"blank behind a name":              field("X-Y : 1"),
+		"tab behind a name":                field("X-Y\t: 1"),
+		"blank behind Content-Length":      ok + "Content-Length : 5\r\n" + body,
+		"control byte in a name":           field("X\x01Y: 1"),
+		"NUL in a name":                    field("X\x00Y: 1"),
+		"bare CR in a name":                field("X\rY: 1"),
+		"DEL in a name":                    field("X\x7fY: 1"),
+		"separator in a name":              field("X(Y): 1"),
+		"byte over 127 in a name":          field("X\xe9: 1"),
+		"empty name":                       field(": 1"),
+		"no colon":                         field("X-Y"),
+		"NUL in a value":                   field("X-Y: a\x00b"),
+		"control byte in a value":          field("X-Y: a\x01b"),
+		"DEL in a value":                   field("X-Y: a\x7fb"),
+		"bare CR in a value":               field("X-Y: a\rb"),
+		"folded line, blank":               field("X-Y: a\r\n b"),
+		"folded line, tab":                 field("X-Y: a\r\n\tb"),
+		"folded Content-Length":            ok + "X-Y: a\r\n Content-Length: 5\r\n" + body,
+		"folded value of a Content-Length": ok + "Content-Length:\r\n 5\r\n" + body,
+		"folded first line":                ok + " X-Y: a\r\n" + length + body,
+		"line of blanks":                   field("X-Y: a\r\n  "),
+		"malformed line in early hints":    "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + ok + length + body,
+	})
 	framed := func(text string) string { return ok + text + "\r\n" + body }
 	add(Framing, map[string]string{ // section 6
 		"empty length":            framed("Content-Length:"),
@@ -78,6 +106,7 @@
 		"chunked twice":           framed("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
 		"chunked twice in a list": framed("Transfer-Encoding: chunked, chunked"),
 		"coding that is not read": framed("Transfer-Encoding: gzip, chunked"),
+		"blank behind the coding": ok + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 	})
 	add(Chunks, map[string]string{ // section 7.1
 		"size that is no number":  chunked + "zz\r\nhello\r\n0\r\n\r\n",
@@ -91,6 +120,17 @@
 		"data longer than size":   chunked + "5\r\nhello, world\r\n0\r\n\r\n",
 		"bare LF behind a size":   chunked + "5\nhello\r\n0\r\n\r\n",
 		"bare LF behind data":     chunked + "5\r\nhello\n0\r\n\r\n",
+		"bare CR in an extension": chunked + "5;a\rb\r\nhello\r\n0\r\n\r\n",
+		"bare CR behind data":     chunked + "5\r\nhello\r0\r\n\r\n",
+	})
+	trailer := func(text string) string { return chunked + "5\r\nhello\r\n0\r\n" + text + "\r\n\r\n" }
+	add(Trailers, map[string]string{ // section 7.1.2
+		"blank in a name of a trailer":     trailer("X Y: 1"),
+		"blank behind a name of a trailer": trailer("X-Y : 1"),
+		"trailer without colon":            trailer("X-Y"),
+		"control byte in a trailer":        trailer("X-Y: a\x01b"),
+		"folded trailer":                   trailer("X-Y: a\r\n b"),
+		"folded first trailer":             trailer(" X-Y: a"),
 	})
 	return forms
 }
