Refuse responses with two ways to find their end

Callers saw (in tests, not reported): an answer in HTTP/1.0 with a transfer coding reached the caller with the sizes of the chunks as a part of its body; answers with both a Content-Length and a transfer coding were accepted, whatever the length said.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and Content-Length beside it. RFC 9112 section 6.1 counts the first as faulty framing, and section 6.3 has the second be handled as an error, because another recipient may find another end.

Change: strictresponse refuses both when the head ends.

--- a/router/fleetdaemon/malformed_test.go
+++ b/router/fleetdaemon/malformed_test.go
@@ -43,6 +43,7 @@
 		"blank behind Content-Length": head + "Content-Length : 5\r\n\r\nhello, world",
 		"folded Content-Length":       head + "X-Y: 1\r\n Content-Length: 5\r\n\r\nhello, world",
 		"control byte in a name":      head + "X\x01Y: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"coding in HTTP/1.0":          "HTTP/1.0 200 OK\r\nX-Signed: t\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/router/relay/malformed_test.go
+++ b/router/relay/malformed_test.go
@@ -52,6 +52,7 @@
 		"status 000":                  "HTTP/1.1 000 None\r\n" + hop + length + "\r\nhello",
 		"blank in a name":             "HTTP/1.1 200 OK\r\n" + hop + "X Y: 1\r\n" + length + "\r\nhello",
 		"folded line":                 "HTTP/1.1 200 OK\r\n" + hop + "X-Y: 1\r\n " + length + "\r\nhello",
+		"two framings":                "HTTP/1.1 200 OK\r\n" + hop + length + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 		"refusal with status 000":     "HTTP/1.1 000 None\r\n" + notRunHop + length + "\r\nhello",
 		"refusal, blank behind names": "HTTP/1.1 503 Busy\r\n" + notRunHop + "X-Y : 1\r\n" + length + "\r\nhello",
 	} {
--- a/router/strictresponse/head.go
+++ b/router/strictresponse/head.go
@@ -11,6 +11,8 @@
 // head is what the head of a response says about the end of the response.
 type head struct {
 	status int
+	// minor is the minor version of the protocol.
+	minor int
 	// length is the value of Content-Length.
 	hasLength bool
 	length    uint64
@@ -21,7 +23,7 @@
 // reason may be missing, and there may be several before the status.
 func (h *head) parseStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
-	major, _, ok := http.ParseHTTPVersion(version)
+	major, minor, ok := http.ParseHTTPVersion(version)
 	if !ok || major != 1 {
 		return &FormatError{Reason: "the status line does not begin with a version of HTTP/1"}
 	}
@@ -29,6 +31,7 @@
 	if len(code) != 3 || !isDigits(code) {
 		return &FormatError{Reason: "the status is not a number of three digits"}
 	}
+	h.minor = minor
 	h.status, _ = strconv.Atoi(code) // it has three digits
 	switch {
 	case h.status < http.StatusContinue:
@@ -72,6 +75,18 @@
 	return nil
 }
 
+// checkFraming checks that there is one way to find the end of the response (RFC 9112,
+// section 6).
+func (h *head) checkFraming() error {
+	switch {
+	case h.chunked && h.hasLength:
+		return &FormatError{Reason: "there is a transfer coding and a Content-Length"}
+	case h.chunked && h.minor == 0:
+		return &FormatError{Reason: "there is a transfer coding in HTTP/1.0"}
+	}
+	return nil
+}
+
 // parseFieldLine parses a field line (RFC 9112, section 5), whose value comes without blanks
 // around it. Lines that continue the one before are refused.
 func parseFieldLine(line string) (name, value string, err error) {
--- a/router/strictresponse/parser.go
+++ b/router/strictresponse/parser.go
@@ -165,6 +165,9 @@
 		p.expectHead() // an informational response, which another one follows
 		return nil
 	}
+	if err := h.checkFraming(); err != nil {
+		return err
+	}
 	switch {
 	case p.method == http.MethodHead, h.status == http.StatusNoContent, h.status == http.StatusNotModified, !h.chunked && h.hasLength && h.length == 0:
 		p.endResponse()
