Bound the head of a target's answer to a grant

An operator of a similar system reported that a faulty backend sent bytes without end in a head, and that the machine that had called it kept them all. Here the process beside the target (mode with hashed shards) kept up to 10 MiB of the head of an answer to a grant, the default of net/http, for at most the 150 ms of a grant, once every 200 ms.

Cause: the transport for grants had no limit of its own; that for requests has 64 KiB.

Change: both have 64 KiB.

--- a/router/gate/target.go
+++ b/router/gate/target.go
@@ -45,6 +45,8 @@
 	maxSlots = 100_000
 	// dialTimeout bounds the connection to a target on the same instance.
 	dialTimeout = time.Second
+	// maxAnswerHeadBytes bounds the head of a target's answer, which is held in memory.
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // target is the target that announced itself, and the connections to it.
@@ -70,9 +72,9 @@
 		// Connections stay open, because opening one costs about 1 ms.
 		IdleConnTimeout:        0,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: 64 << 10,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	})
-	grants := strictresponse.NewTransport(&http.Transport{MaxConnsPerHost: 1})
+	grants := strictresponse.NewTransport(&http.Transport{MaxConnsPerHost: 1, MaxResponseHeaderBytes: maxAnswerHeadBytes})
 	t := &target{Announcement: a, transport: transport, grants: grants}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
