End requests with an answer before a process has to stop

An operator of a similar system reported that in a planned stop of one sidecar machine, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Callers saw the same here in the mode with hashed shards: requests that were still in progress at the end of shutdownTimeoutMs got no answer. Where units did not move away in time, as with payments in the test, the listeners stayed open until the very end: payments that arrived 0.1 s before it were taken.

Cause: the wait for the units had the whole time, nothing was left for the requests, and nothing ended them.

Change: the callers' listener closes at half of the time at the latest, and at the last sixth, as in fleet mode, the contexts of requests whose answer has not begun are ended (call.Stopper). The failure is true for each: not-run while it waits for an owner, a slot or the records, unknown once it was sent; a dispatched payment, which otherwise outlasts its caller, is included and recorded as unknown. Answers that have begun go on until the end. Units that requests have held get the time of a lease to move after that.

Ruled out: refusing requests of other processes from half of the time on. Units that cannot move would be served by nobody until then.

--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"bramleyquay.example/coord/lease"
 	"bramleyquay.example/coord/shard"
 	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
 	"bramleyquay.example/router/controlnode"
 	"bramleyquay.example/router/gate"
 	"bramleyquay.example/router/ingress"
@@ -46,6 +47,8 @@
 	gate    *gate.Gate
 	ingress *ingress.Ingress
 	control *controlnode.Replica // nil without the control role
+	// requests ends those in progress when the process stops.
+	requests *call.Stopper
 
 	peers     *peer.Listener
 	listeners map[string]net.Listener
@@ -63,6 +66,7 @@
 		cfg: cfg, version: version, started: time.Now(), logs: logs,
 		log:       logging.ForComponent(logs, "daemon"),
 		rpc:       peer.NewServer(),
+		requests:  call.NewStopper(),
 		listeners: map[string]net.Listener{},
 		failed:    make(chan error, 8),
 	}
@@ -126,11 +130,11 @@
 	d.gate = gate.New(gate.Config{
 		Self: id, DataCentre: d.cfg.DataCentre, RequireFences: d.cfg.Target.ChecksFences,
 		MaxPaymentBody: gate.DefaultMaxPaymentBody, MaxRecordedBody: gate.DefaultMaxRecordedBody,
-		AnnounceTimeout: gate.DefaultAnnounceTimeout,
+		AnnounceTimeout: gate.DefaultAnnounceTimeout, Stopper: d.requests,
 	}, d.agent, d.client, logging.ForComponent(d.logs, "gate"))
 	d.agent.SetReporter(d.gate)
 	d.ingress = ingress.New(ingress.Config{
-		Self: id, DataCentre: d.cfg.DataCentre, MaxWaiting: ingress.DefaultMaxWaiting, Seed: shard.Hash(d.cfg.ID),
+		Self: id, DataCentre: d.cfg.DataCentre, MaxWaiting: ingress.DefaultMaxWaiting, Seed: shard.Hash(d.cfg.ID), Stopper: d.requests,
 	}, d.agent, d.gate, ingress.NewForwarder(d.dialer), logging.ForComponent(d.logs, "ingress"))
 	d.rpc.Handle(gate.MethodWriteRecords, peer.Bind(d.gate.WriteRecords))
 	d.rpc.Handle(gate.MethodFetchRecords, peer.Bind(d.gate.FetchRecords))
--- a/router/daemon/shutdown.go
+++ b/router/daemon/shutdown.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleyquay.example/coord/lease"
 	"bramleyquay.example/coord/raft"
 )
 
@@ -20,26 +21,51 @@
 
 // shutdown stops the process gracefully: it moves the control leadership and the
 // units away, closes the listeners and waits for the requests in progress, so that
-// none is cut off. It blocks at most for the configured time-out or until kill is
-// cancelled, and returns an error if requests are still in progress then.
+// none is cut off. Those that have not ended by the last part of the configured
+// time-out are ended with a failure that states whether they may have run. It blocks
+// at most for the time-out or until kill is cancelled, and returns an error if
+// requests are still in progress then.
 func (d *Daemon) shutdown(kill context.Context) error {
 	limit := time.Duration(d.cfg.ShutdownTimeoutMs) * time.Millisecond
-	ctx, cancel := context.WithTimeout(kill, limit)
+	schedule := newStopSchedule(time.Now(), limit)
+	ctx, cancel := context.WithDeadline(kill, schedule.end)
 	defer cancel()
 	d.log.Infof("graceful shutdown started, time limit %s", limit)
+	end := time.AfterFunc(time.Until(schedule.endRequests), func() {
+		d.log.Warnf("requests in progress are ended")
+		d.requests.EndRequests()
+	})
+	defer end.Stop()
 	d.agent.Leave()
-	d.transferLeadership(ctx)
-	if !d.awaitRelease(ctx) {
-		d.log.Warnf("units did not move away in time; other members take them over when the lease has expired")
-	}
-	pause(ctx, leavePropagationTime)
+	moving, stopMoving := context.WithDeadline(ctx, schedule.closeListeners)
+	defer stopMoving()
+	released := d.moveAway(moving)
 	if err := d.closeServers(ctx); err != nil {
 		return err
 	}
+	if !released {
+		// Units that requests in progress have held can move now. After a lease, other
+		// members take them over in any case.
+		leased, cancel := context.WithTimeout(ctx, lease.Default().Duration)
+		defer cancel()
+		d.awaitRelease(leased)
+	}
 	d.log.Infof("graceful shutdown is complete")
 	return nil
 }
 
+// moveAway moves the control leadership and the units to other processes, until ctx
+// ends. It reports whether the units have moved.
+func (d *Daemon) moveAway(ctx context.Context) bool {
+	d.transferLeadership(ctx)
+	released := d.awaitRelease(ctx)
+	if !released {
+		d.log.Warnf("units did not move away in time; other members take them over when the lease has expired")
+	}
+	pause(ctx, leavePropagationTime)
+	return released
+}
+
 func (d *Daemon) transferLeadership(ctx context.Context) {
 	if d.control == nil {
 		return
--- a/router/gate/config.go
+++ b/router/gate/config.go
@@ -6,6 +6,7 @@
 	"bramleyquay.example/coord/admission"
 	"bramleyquay.example/coord/config"
 	"bramleyquay.example/coord/table"
+	"bramleyquay.example/router/call"
 )
 
 // Config is the configuration of the gate of one process.
@@ -25,6 +26,8 @@
 	AnnounceTimeout time.Duration
 	// RequireFences makes the gate refuse targets that do not check fences.
 	RequireFences bool
+	// Stopper ends requests of other processes before the process ends; nil for none.
+	Stopper *call.Stopper
 }
 
 // Default values of Config; the sizes are in bytes.
--- a/router/gate/paymentdispatch.go
+++ b/router/gate/paymentdispatch.go
@@ -43,7 +43,13 @@
 	}
 	// A dispatched payment runs on until its deadline if its caller disconnects,
 	// so that a retry gets the answer instead of an unknown outcome.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
+	caller := ctx
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), c.Deadline)
+	context.AfterFunc(caller, func() {
+		if call.IsStopping(caller) {
+			cancel()
+		}
+	})
 	resp, refusal := p.gate.run(ctx, c, unit)
 	if refusal != nil {
 		cancel()
--- a/router/gate/peerhttp.go
+++ b/router/gate/peerhttp.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
@@ -20,7 +21,7 @@
 		call.WriteRefusal(w, refusal)
 		return
 	}
-	resp, refusal := g.Do(r.Context(), c)
+	resp, refusal := g.cfg.Stopper.Do(r.Context(), func(ctx context.Context) (*call.Response, *outcome.Refusal) { return g.Do(ctx, c) })
 	w.Header().Set(call.HeaderLoad, g.loadHeader())
 	if refusal != nil {
 		g.nameOwner(c, refusal)
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -49,6 +49,8 @@
 	// Seed is the seed of the random choices of balancers and retry policies. The
 	// choice of a random peer in followOwnerHints does not use it.
 	Seed uint64
+	// Stopper ends requests in progress before the process ends; nil for none.
+	Stopper *call.Stopper
 }
 
 // DefaultMaxWaiting bounds the memory of waiting requests to about 100 MB.
@@ -97,7 +99,7 @@
 		call.WriteRefusal(w, refusal)
 		return
 	}
-	resp, refusal := in.Do(r.Context(), c)
+	resp, refusal := in.cfg.Stopper.Do(r.Context(), func(ctx context.Context) (*call.Response, *outcome.Refusal) { return in.Do(ctx, c) })
 	recordRequest(c.Service, begin, refusal)
 	if refusal != nil {
 		forCaller := *refusal
--- a/router/ingress/owner.go
+++ b/router/ingress/owner.go
@@ -91,11 +91,15 @@
 	return later
 }
 
-// deadlineRefusal returns the refusal of a call whose deadline has passed. last is
-// the refusal of its last try.
-func deadlineRefusal(last *outcome.Refusal) *outcome.Refusal {
+// endRefusal returns the refusal of a call whose context has ended while it waited:
+// its deadline has passed, its caller has left, or the process stops. last is the
+// refusal of its last try.
+func endRefusal(ctx context.Context, last *outcome.Refusal) *outcome.Refusal {
 	r := *last
 	r.Detail = "the deadline passed; last: " + last.Error()
+	if call.IsStopping(ctx) {
+		r.Detail = "the process stops; last: " + last.Error()
+	}
 	if r.Outcome == outcome.NotRun {
 		r.RetryAfter = ownerPollInterval
 	}
@@ -122,7 +126,7 @@
 	case <-ctx.Done():
 	}
 	if ctx.Err() != nil {
-		return deadlineRefusal(last)
+		return endRefusal(ctx, last)
 	}
 	return nil
 }
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -21,7 +21,8 @@
 	Target     Target  `json:"target"`
 	Log        Log     `json:"log"`
 	// ShutdownTimeoutMs bounds a planned stop, in milliseconds. A longer time
-	// interrupts fewer requests and delays a restart.
+	// interrupts fewer requests and delays a restart. Requests that have not ended
+	// by its last sixth get a failure that states whether they may have run.
 	ShutdownTimeoutMs int64 `json:"shutdownTimeoutMs"`
 	TLS               TLS   `json:"tls"`
 }
