--- a/router/fleetdaemon/stop_test.go
+++ b/router/fleetdaemon/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -226,3 +227,45 @@
 	t.Logf("%d requests ran", n)
 	is.True(n > 0)
 }
+
+// Guards against requests that may run once at most, are taken late in the grace time of a
+// stop and passed on, and end without an answer, and against an answer that says of one that
+// has reached a target that it has not run. Callers at the other process are included.
+func TestLateRequestsInStop(t *testing.T) {
+	is := is.New(t)
+	p := startStopCluster(t)
+	never := make(chan struct{})
+	t.Cleanup(func() { close(never) })
+	for _, m := range p {
+		m.behave = func(http.ResponseWriter, *http.Request) bool { <-never; return true }
+	}
+	ran := func(id string) bool { return p[0].count(id)+p[1].count(id) > 0 }
+	p[0].stop()
+	begin := time.Now()
+	var callers sync.WaitGroup
+	var answered, cut atomic.Int64
+	for i := 0; time.Since(begin) < stopTimeout; i++ {
+		for n, via := range p {
+			callers.Go(func() {
+				id, sent := fmt.Sprintf("late-%d-%d", i, n), time.Since(begin)
+				status, text, _ := via.call("POST", "/unsafe/late", id, map[string]string{"X-Deadline-Ms": "20000"})
+				switch {
+				case status == http.StatusServiceUnavailable && ran(id):
+					t.Errorf("%s, sent after %v, has run: status %d, %s", id, sent, status, text)
+				case status != 0:
+					answered.Add(1)
+				case ran(id):
+					cut.Add(1)
+					t.Logf("%s, sent after %v, ended after %v: %s", id, sent, time.Since(begin), text)
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.NoErr(<-p[0].done)
+	p[1].stop()
+	callers.Wait()
+	t.Logf("answered %d, cut %d", answered.Load(), cut.Load())
+	is.Equal(cut.Load(), int64(0))
+	is.True(answered.Load() > 0)
+}
