Check field lines without copying them

Each line of a head was copied to a string for its check. The checks now work on the bytes that were read; isToken and hasControl are httpguts' rules for bytes.

The tests of malformed and valid responses pass as before.

--- a/router/strictresponse/head.go
+++ b/router/strictresponse/head.go
@@ -1,6 +1,7 @@
 package strictresponse
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,8 +22,8 @@
 
 // parseStatusLine parses the status line (RFC 9112, section 4). The blank before an empty
 // reason may be missing, and there may be several before the status.
-func (h *head) parseStatusLine(line string) error {
-	version, rest, _ := strings.Cut(line, " ")
+func (h *head) parseStatusLine(line []byte) error {
+	version, rest, _ := strings.Cut(string(line), " ")
 	major, minor, ok := http.ParseHTTPVersion(version)
 	if !ok || major != 1 {
 		return &FormatError{Reason: "the status line does not begin with a version of HTTP/1"}
@@ -44,17 +45,23 @@
 	return nil
 }
 
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+	chunked          = []byte("chunked")
+)
+
 // parseField parses a line of the head.
-func (h *head) parseField(line string) error {
+func (h *head) parseField(line []byte) error {
 	name, value, err := parseFieldLine(line)
 	if err != nil {
 		return err
 	}
 	switch {
-	case strings.EqualFold(name, "Content-Length"):
-		return h.setLength(value)
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		if h.chunked || !strings.EqualFold(value, "chunked") {
+	case bytes.EqualFold(name, contentLength):
+		return h.setLength(string(value))
+	case bytes.EqualFold(name, transferEncoding):
+		if h.chunked || !bytes.EqualFold(value, chunked) {
 			return &FormatError{Reason: "the transfer coding is not chunked alone"}
 		}
 		h.chunked = true
@@ -89,20 +96,40 @@
 
 // parseFieldLine parses a field line (RFC 9112, section 5), whose value comes without blanks
 // around it. Lines that continue the one before are refused.
-func parseFieldLine(line string) (name, value string, err error) {
+func parseFieldLine(line []byte) (name, value []byte, err error) {
 	if line[0] == ' ' || line[0] == '\t' {
-		return "", "", &FormatError{Reason: "a field line begins with a blank"}
+		return nil, nil, &FormatError{Reason: "a field line begins with a blank"}
 	}
-	name, value, ok := strings.Cut(line, ":")
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
-		return "", "", &FormatError{Reason: "a field line has no colon"}
-	case !httpguts.ValidHeaderFieldName(name):
-		return "", "", &FormatError{Reason: "the name of a field is not a token"}
-	case !httpguts.ValidHeaderFieldValue(value):
-		return "", "", &FormatError{Reason: "the value of a field has a control character"}
+		return nil, nil, &FormatError{Reason: "a field line has no colon"}
+	case !isToken(name):
+		return nil, nil, &FormatError{Reason: "the name of a field is not a token"}
+	case hasControl(value):
+		return nil, nil, &FormatError{Reason: "the value of a field has a control character"}
+	}
+	return name, bytes.Trim(value, " \t"), nil
+}
+
+// isToken and hasControl check bytes as httpguts checks strings, without a copy of each
+// line.
+func isToken(name []byte) bool {
+	for _, c := range name {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+func hasControl(value []byte) bool {
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
 	}
-	return name, strings.Trim(value, " \t"), nil
+	return false
 }
 
 // maxChunkDigits is the number of digits in which net/http reads the size of a chunk.
@@ -110,8 +137,8 @@
 
 // parseChunkSize parses the line before a chunk (RFC 9112, section 7.1). Extensions have no
 // meaning.
-func parseChunkSize(line string) (uint64, error) {
-	digits, _, _ := strings.Cut(line, ";")
+func parseChunkSize(line []byte) (uint64, error) {
+	digits, _, _ := strings.Cut(string(line), ";")
 	digits = strings.TrimRight(digits, " \t")
 	size, err := strconv.ParseUint(digits, 16, 64)
 	if err != nil || len(digits) > maxChunkDigits {
@@ -120,16 +147,6 @@
 	return size, nil
 }
 
-// cutCR removes the carriage return at the end of a line and reports whether there was one.
-func cutCR(line string) (string, bool) { return strings.CutSuffix(line, "\r") }
-
-func checkCR(line string) error {
-	if strings.Contains(line, "\r") {
-		return &FormatError{Reason: "there is a carriage return within a line"}
-	}
-	return nil
-}
-
 func isDigits(s string) bool {
 	for i := range len(s) {
 		if s[i] < '0' || s[i] > '9' {
--- a/router/strictresponse/parser.go
+++ b/router/strictresponse/parser.go
@@ -95,8 +95,11 @@
 		p.line = append(p.line, data...)
 		return len(data), nil
 	}
-	line := string(append(p.line, data[:end]...))
-	p.line = nil
+	line := data[:end]
+	if len(p.line) > 0 {
+		line = append(p.line, line...)
+		p.line = nil
+	}
 	if err := p.checkLine(line); err != nil {
 		return end, err
 	}
@@ -105,22 +108,22 @@
 
 // checkLine checks a line, which comes without its line feed, and moves to the position
 // behind it.
-func (p *parser) checkLine(line string) error {
-	text, hasCR := cutCR(line)
-	if err := checkCR(text); err != nil {
-		return err
+func (p *parser) checkLine(line []byte) error {
+	text, hasCR := bytes.CutSuffix(line, []byte("\r"))
+	if bytes.IndexByte(text, '\r') >= 0 {
+		return &FormatError{Reason: "there is a carriage return within a line"}
 	}
 	switch p.at {
 	case atStatusLine:
 		p.at = atField
 		return p.head.parseStatusLine(text)
 	case atField:
-		if text == "" {
+		if len(text) == 0 {
 			return p.endHead()
 		}
 		return p.head.parseField(text)
 	case atTrailer:
-		if text == "" {
+		if len(text) == 0 {
 			p.endResponse()
 			return nil
 		}
@@ -131,9 +134,14 @@
 	if !hasCR {
 		return &FormatError{Reason: "a line of the chunked coding has no carriage return"}
 	}
+	return p.checkChunkLine(text)
+}
+
+// checkChunkLine checks the line before a chunk, or the empty one behind it.
+func (p *parser) checkChunkLine(text []byte) error {
 	if p.at == atChunkEnd {
 		p.at = atChunkSize
-		if text != "" {
+		if len(text) > 0 {
 			return &FormatError{Reason: "a chunk is longer than its size"}
 		}
 		return nil
