Share the stand-ins of the tests of malformed answers

In a stop, the timer that ends requests is stopped once none is in progress, so that its log line does not appear while only units are waited for.

--- a/router/bqctl/client/malformed_test.go
+++ b/router/bqctl/client/malformed_test.go
@@ -20,22 +20,12 @@
 		t.Run(string(form.Part)+"/"+form.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer func() { _ = l.Close() }()
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-						_, _ = io.WriteString(conn, strings.ReplaceAll(form.Text, "hello", "{   }"))
-					}
-					_ = conn.Close()
+			address := responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(form.Text, "hello", "{   }"))
 				}
-			}()
-			_, err = call(t, l.Addr().String())
+			})
+			_, err := call(t, address)
 			is.Equal(code(err), operator.CodeUnknown)
 		})
 	}
--- a/router/call/stopping.go
+++ b/router/call/stopping.go
@@ -23,8 +23,8 @@
 	return s
 }
 
-// EndRequests ends the bound contexts, and all that are bound later, with the cause
-// httpserver.ErrStopping.
+// EndRequests ends the contexts of the calls of Do that are in progress, and of all later
+// ones, with the cause httpserver.ErrStopping.
 func (s *Stopper) EndRequests() { s.end(httpserver.ErrStopping) }
 
 // Do runs do with a context that EndRequests ends, until do returns: the body of the
--- a/router/daemon/shutdown.go
+++ b/router/daemon/shutdown.go
@@ -35,12 +35,13 @@
 		d.log.Warnf("requests in progress are ended")
 		d.requests.EndRequests()
 	})
-	defer end.Stop()
 	d.agent.Leave()
 	moving, stopMoving := context.WithDeadline(ctx, schedule.closeListeners)
 	defer stopMoving()
 	released := d.moveAway(moving)
-	if err := d.closeServers(ctx); err != nil {
+	err := d.closeServers(ctx)
+	end.Stop()
+	if err != nil {
 		return err
 	}
 	if !released {
--- a/router/daemon/stopschedule.go
+++ b/router/daemon/stopschedule.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// acceptShare is the part of the shutdown timeout after which the listeners close, if
-	// the units have not moved away before: requests accepted by then have time to end.
+	// acceptShare divides the shutdown timeout: after the first part the listeners close,
+	// if the units have not moved away before. Requests accepted by then have time to end.
 	acceptShare = 2
 	// lastShare is the last part of the shutdown timeout, at the begin of which requests
 	// in progress are ended with a failure, so that it can be written.
--- a/router/gate/grants_test.go
+++ b/router/gate/grants_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/gate"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 // Guards against the answer to a grant that fills the memory of the process because its
@@ -22,32 +23,20 @@
 func TestAnswerToGrantWithoutEnd(t *testing.T) {
 	const maxGrowth = 16 << 20 // as in package httpclient
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
 	var grants atomic.Int64
 	part := []byte(strings.Repeat("A: "+strings.Repeat("x", 60)+"\r\n", 64))
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				grants.Add(1)
-				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
-				for err == nil {
-					_, err = conn.Write(part)
-				}
-			}()
+	address := responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
 		}
-	}()
+		grants.Add(1)
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			_, err = conn.Write(part)
+		}
+	})
 	fx := newFixture(t, 1)
-	is.Equal(fx.gate.Announce(gate.Announcement{Service: "keyed", Address: l.Addr().String(), Slots: 1, ChecksFences: true, Incarnation: 6}), "")
+	is.Equal(fx.gate.Announce(gate.Announcement{Service: "keyed", Address: address, Slots: 1, ChecksFences: true, Incarnation: 6}), "")
 	var m runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&m)
--- a/router/grantcall/client_test.go
+++ b/router/grantcall/client_test.go
@@ -120,24 +120,15 @@
 		t.Run(string(form.Part)+"/"+form.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer func() { _ = l.Close() }()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
+			address := responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
 				if _, err := http.ReadRequest(in); err == nil {
 					_, _ = io.WriteString(conn, form.Text)
 					_, _ = io.Copy(io.Discard, in) // until the client closes the connection
 				}
-			}()
+			})
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
-			result := grantcall.New(l.Addr().String(), format).CallTarget(ctx, call(grant.ReleaseCall))
+			result := grantcall.New(address, format).CallTarget(ctx, call(grant.ReleaseCall))
 			is.NoErr(ctx.Err()) // it was refused, not waited for
 			is.Equal(result.Outcome, grant.CallLost)
 		})
--- a/router/ingress/answers_test.go
+++ b/router/ingress/answers_test.go
@@ -17,8 +17,8 @@
 // rawTarget is a target that answers with the bytes that a test gives. Unless
 // keepOpen is set, it closes the connection after any answer but completeAnswer.
 type rawTarget struct {
-	requests atomic.Int64
-	keepOpen bool
+	requests, connections atomic.Int64
+	keepOpen              bool
 	// answer returns the bytes of the answer to request n, counted from 1.
 	answer func(n int64, r *http.Request) string
 }
@@ -35,6 +35,7 @@
 			if err != nil {
 				return
 			}
+			rt.connections.Add(1)
 			go rt.serve(conn)
 		}
 	}()
--- a/router/ingress/endless_test.go
+++ b/router/ingress/endless_test.go
@@ -13,40 +13,28 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 // endlessTarget answers each request with head and then sends part again and again until
 // the other end closes the connection. open counts its connections that are not closed yet.
 func endlessTarget(t *testing.T, head, part string) (address string, open *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	open = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			open.Add(1)
-			go func() {
-				defer open.Add(-1)
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body) // the answer does not depend on it
-				_, err = io.WriteString(conn, head)
-				for again := []byte(part); err == nil; {
-					_, err = conn.Write(again)
-				}
-			}()
+	address = responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
+		open.Add(1)
+		defer open.Add(-1)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
-	}()
-	return l.Addr().String(), open
+		_, _ = io.Copy(io.Discard, r.Body) // the answer does not depend on it
+		_, err = io.WriteString(conn, head)
+		for again := []byte(part); err == nil; {
+			_, err = conn.Write(again)
+		}
+	})
+	return address, open
 }
 
 // heapPeak samples the memory in use until stop is called, which returns the growth.
--- a/router/ingress/extra_bytes_test.go
+++ b/router/ingress/extra_bytes_test.go
@@ -1,10 +1,7 @@
 package ingress_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,33 +13,11 @@
 // Guards against bytes behind the answer to one request that reach the next caller as the
 // answer to its request.
 func TestBytesBehindAnswer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body) // the answer does not depend on it
-					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
-					_, _ = io.WriteString(conn, answer+answer)
-				}
-			}()
-		}
-	}()
-	fx := newFixture(t, "plain", l.Addr().String())
+	target := &rawTarget{keepOpen: true, answer: func(_ int64, r *http.Request) string {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		return answer + answer
+	}}
+	fx := newFixture(t, "plain", target.listen(t))
 	fx.throughBoth(t, func(t *testing.T, base string) {
 		const callers, requests = 16, 250
 		var foreign atomic.Int64
--- a/router/ingress/forms_test.go
+++ b/router/ingress/forms_test.go
@@ -1,11 +1,7 @@
 package ingress_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,56 +10,16 @@
 	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
-// openTarget is a target that sends the same bytes to each request and keeps the connection
-// open until the other end closes it.
-type openTarget struct {
-	text        atomic.Pointer[string]
-	connections atomic.Int64
-}
-
-func (o *openTarget) listen(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			o.connections.Add(1)
-			go o.serve(conn)
-		}
-	}()
-	return l.Addr().String()
-}
-
-func (o *openTarget) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body) // the answer does not depend on it
-		if _, err := io.WriteString(conn, *o.text.Load()); err != nil {
-			return
-		}
-	}
-}
-
 // Guards against malformed answers of a target that reach a caller as answers, and against
 // a connection that is used again after one. Where the head is in order its answer may have
 // begun: the caller's connection is then aborted.
 func TestMalformedAnswers(t *testing.T) {
-	target := &openTarget{}
+	var text string
+	target := &rawTarget{keepOpen: true, answer: func(int64, *http.Request) string { return text }}
 	fx := newFixture(t, "plain", target.listen(t))
 	for _, form := range responseforms.Malformed() {
 		t.Run(string(form.Part)+"/"+form.Name, func(t *testing.T) {
-			target.text.Store(&form.Text)
+			text = form.Text
 			fx.throughBoth(t, func(t *testing.T, base string) {
 				is := is.New(t)
 				before, begin := target.connections.Load(), time.Now()
@@ -87,11 +43,12 @@
 
 // Guards against valid answers that are refused.
 func TestValidAnswers(t *testing.T) {
-	target := &openTarget{}
+	var text string
+	target := &rawTarget{keepOpen: true, answer: func(int64, *http.Request) string { return text }}
 	fx := newFixture(t, "plain", target.listen(t))
 	for _, form := range responseforms.Valid() {
 		t.Run(form.Name, func(t *testing.T) {
-			target.text.Store(&form.Text)
+			text = form.Text
 			fx.throughBoth(t, func(t *testing.T, base string) {
 				is := is.New(t)
 				resp, body, err := do(t, http.MethodPost, base+"/plain/x", []byte("b"))
--- a/router/ingress/reset_test.go
+++ b/router/ingress/reset_test.go
@@ -9,33 +9,20 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 // resettingTarget sends the begin of an answer without a length before it has read the
 // body of the request, and then resets the connection.
-func resettingTarget(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello, world")
-					time.Sleep(5 * time.Millisecond)
-				}
-				_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
-				_ = conn.Close()
-			}()
+func resettingTarget(t *testing.T) (address string) {
+	return responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello, world")
+			time.Sleep(5 * time.Millisecond)
 		}
-	}()
-	return l.Addr().String()
+		_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
+	})
 }
 
 // Guards against the begin of an answer without a length that reaches a caller as a
--- a/router/relay/malformed_test.go
+++ b/router/relay/malformed_test.go
@@ -12,34 +12,19 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpserver"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 // rawGate sends the same bytes to each request and keeps its connections open.
 func rawGate(t *testing.T, text string) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
+	return responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
 		for {
-			conn, err := l.Accept()
-			if err != nil {
+			if _, err := http.ReadRequest(in); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for {
-					if _, err := http.ReadRequest(in); err != nil {
-						return
-					}
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
+			_, _ = io.WriteString(conn, text)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a malformed answer of another process that counts as the answer of its
--- a/router/strictresponse/responseforms/forms.go
+++ b/router/strictresponse/responseforms/forms.go
@@ -1,5 +1,5 @@
-// Package responseforms lists responses of HTTP/1.1 servers, valid and malformed ones, for
-// the tests of everything that reads responses.
+// Package responseforms lists responses of HTTP/1.1 servers, valid and malformed ones, and
+// serves raw bytes, for the tests of everything that reads responses.
 package responseforms
 
 // Part says which part of a response a malformed form concerns.
--- /dev/null
+++ b/router/strictresponse/responseforms/serve.go
@@ -0,0 +1,31 @@
+package responseforms
+
+import (
+	"bufio"
+	"net"
+	"testing"
+)
+
+// Serve starts a server for the time of a test. It passes each connection to handle, and
+// closes the connection when handle returns. It returns the server's address.
+func Serve(t testing.TB, handle func(conn net.Conn, in *bufio.Reader)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				handle(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
