Name the reason for which a response is malformed

Cause: strictresponse holds back the end of a malformed line only, and net/http takes the begin for a line and fails at it before it gets the error of the connection.

Change: httpclient and strictresponse.Transport return the error of the connection if it has one (Conn.Err).

--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -62,6 +62,9 @@
 	if err == nil {
 		return resp, reuse, nil
 	}
+	if malformed := x.pc.checked.Err(); malformed != nil {
+		err = malformed
+	}
 	select {
 	case sendErr := <-x.sent:
 		var source *SourceError
--- a/router/httpclient/forms_test.go
+++ b/router/httpclient/forms_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/strictresponse"
 	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
@@ -42,6 +43,8 @@
 				is.NoErr(ctx.Err()) // it was refused, not waited for
 				var incomplete *httpclient.IncompleteResponseError
 				is.True(errors.As(err, &incomplete)) // the request may have run
+				var malformed *strictresponse.FormatError
+				is.True(errors.As(err, &malformed))
 			}
 			is.Equal(c.ConnectionsOpened(), uint64(2))
 		})
--- a/router/strictresponse/conn.go
+++ b/router/strictresponse/conn.go
@@ -61,7 +61,7 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.failure(); err != nil {
+	if err := c.Err(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
@@ -82,7 +82,9 @@
 	return accepted, err
 }
 
-func (c *Conn) failure() error {
+// Err returns the error with which Read fails from now on, or nil. net/http may report
+// another one, because it takes the begin of the malformed line for a line.
+func (c *Conn) Err() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.failed
--- a/router/strictresponse/transport.go
+++ b/router/strictresponse/transport.go
@@ -8,8 +8,8 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.Transport for HTTP/1.1 whose connections are checked. Its RoundTrip
-// fails, or reading the body does, with an error that wraps a *FormatError.
+// Transport is an http.Transport for HTTP/1.1 whose connections are checked. For a malformed
+// head RoundTrip returns a *FormatError.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport that opens connections as t does. It changes t, which
@@ -28,12 +28,18 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn *Conn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
+			conn = c
 			c.Begin(r.Method)
 		}
 	}})
-	return t.Transport.RoundTrip(r.WithContext(ctx))
+	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err != nil && conn != nil && conn.Err() != nil {
+		err = conn.Err()
+	}
+	return resp, err
 }
 
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/router/strictresponse/transport_test.go
+++ b/router/strictresponse/transport_test.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n")
 		_, _ = bufio.NewReader(conn).ReadByte() // until the client closes the connection
 		_ = conn.Close()
 	}))
