Do not use a connection again after a bare line feed behind a response

Cause: bytes behind a response end the use of its connection, because they are found in the buffer.

Change: a connection whose check has failed is not used again either.

Evidence: TestMalformedBytesBehindResponse failed for the line feed and passed for the other six forms; on it passes.

--- a/router/httpclient/conn.go
+++ b/router/httpclient/conn.go
@@ -121,7 +121,7 @@
 // usable reports whether an idle connection that has not expired can take a request:
 // the server has not closed it, and no unexpected bytes have arrived.
 func (pc *persistConn) usable() bool {
-	return pc.br.Buffered() == 0 && isOpenIdle(pc.raw)
+	return pc.br.Buffered() == 0 && pc.checked.Err() == nil && isOpenIdle(pc.raw)
 }
 
 // abort closes the connection while a request is in progress. With reset it discards
--- a/router/httpclient/forms_test.go
+++ b/router/httpclient/forms_test.go
@@ -71,3 +71,28 @@
 		})
 	}
 }
+
+// Guards against a request on a connection on which bytes that are no response have arrived
+// behind the last response: it would fail although the server can answer it.
+func TestMalformedBytesBehindResponse(t *testing.T) {
+	for name, behind := range map[string]string{
+		"line": "garbage\r\n", "empty line": "\r\n", "line feed": "\n", "part of a line": "garbage", "malformed response": "HTTP/1.1 000 None\r\n\r\n",
+		"late copy": response("1", "ok"), "malformed late copy": "HTTP/1.1 200 OK\r\nX-Id : 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := startTarget(t, func(conn, _ int) (string, bool) {
+				if conn == 0 {
+					return response("1", "ok") + behind, false
+				}
+				return response("2", "ok"), false
+			})
+			for _, id := range []string{"1", "2"} {
+				resp, err := c.Do(context.Background(), request(id))
+				is.NoErr(err)
+				is.Equal(string(resp.Body), "ok")
+			}
+			is.Equal(c.ConnectionsOpened(), uint64(2))
+		})
+	}
+}
