Ask in one place whether the process stops, and divide a stop without a type

- call.IsStopping repeated relay.isStopping: both are httpserver.IsStopping now, beside ErrStopping.
- daemon.stopSchedule held three times that follow from the timeout where they are used; the two shares stand in shutdown.go.
- httpclient asked for bytes behind a response in two places: persistConn.hasExtraBytes.

Left as it is: a request with hashed shards has two client traces, which net/http joins by reflection.

--- a/router/call/stopping.go
+++ b/router/call/stopping.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"bramleyquay.example/coord/outcome"
 	"bramleyquay.example/router/httpserver"
@@ -43,8 +42,3 @@
 	_ = resp.Body.Close() // its context has ended, so that it cannot be read completely
 	return nil, outcome.NewUnknown(outcome.ReasonUpstreamBroken, httpserver.ErrStopping.Error())
 }
-
-// IsStopping reports whether EndRequests has ended a context.
-func IsStopping(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), httpserver.ErrStopping)
-}
--- a/router/call/stopping_test.go
+++ b/router/call/stopping_test.go
@@ -10,6 +10,7 @@
 
 	"bramleyquay.example/coord/outcome"
 	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/httpserver"
 )
 
 // answerThen returns a function for Stopper.Do that calls then and answers. body gets the
@@ -40,7 +41,7 @@
 
 	_, refusal = s.Do(t.Context(), func(ctx context.Context) (*call.Response, *outcome.Refusal) {
 		<-ctx.Done() // at once, since requests have been ended
-		is.True(call.IsStopping(ctx))
+		is.True(httpserver.IsStopping(ctx))
 		return nil, outcome.NewNotRun(outcome.ReasonDraining, "")
 	})
 	is.Equal(refusal.Outcome, outcome.NotRun)
--- a/router/daemon/shutdown.go
+++ b/router/daemon/shutdown.go
@@ -17,6 +17,12 @@
 	// other processes learn with their next renewal that this one owns nothing
 	// any more. It is longer than lease.Config.RenewInterval (250 ms).
 	leavePropagationTime = 300 * time.Millisecond
+	// acceptShare divides the shutdown timeout: after the first part the listeners close,
+	// if the units have not moved away before. Requests accepted by then have time to end.
+	acceptShare = 2
+	// lastShare is the last part of the shutdown timeout, at the begin of which requests
+	// in progress are ended with a failure, so that it can be written.
+	lastShare = 6
 )
 
 // shutdown stops the process gracefully: it moves the control leadership and the
@@ -27,17 +33,16 @@
 // requests are still in progress then.
 func (d *Daemon) shutdown(kill context.Context) error {
 	limit := time.Duration(d.cfg.ShutdownTimeoutMs) * time.Millisecond
-	schedule := newStopSchedule(time.Now(), limit)
-	ctx, cancel := context.WithDeadline(kill, schedule.end)
+	ctx, cancel := context.WithTimeout(kill, limit)
 	defer cancel()
 	d.log.Infof("graceful shutdown started, time limit %s", limit)
-	end := time.AfterFunc(time.Until(schedule.endRequests), func() {
+	end := time.AfterFunc(limit-limit/lastShare, func() {
 		d.log.Warnf("requests in progress are ended")
 		d.requests.EndRequests()
 	})
-	d.agent.Leave()
-	moving, stopMoving := context.WithDeadline(ctx, schedule.closeListeners)
+	moving, stopMoving := context.WithTimeout(ctx, limit/acceptShare)
 	defer stopMoving()
+	d.agent.Leave()
 	released := d.moveAway(moving)
 	err := d.closeServers(ctx)
 	end.Stop()
--- a/router/gate/paymentdispatch.go
+++ b/router/gate/paymentdispatch.go
@@ -13,6 +13,7 @@
 	"bramleyquay.example/coord/idempotency"
 	"bramleyquay.example/coord/outcome"
 	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/httpserver"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -46,7 +47,7 @@
 	caller := ctx
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), c.Deadline)
 	context.AfterFunc(caller, func() {
-		if call.IsStopping(caller) {
+		if httpserver.IsStopping(caller) {
 			cancel()
 		}
 	})
--- a/router/httpclient/conn.go
+++ b/router/httpclient/conn.go
@@ -121,7 +121,13 @@
 // usable reports whether an idle connection that has not expired can take a request:
 // the server has not closed it, and no unexpected bytes have arrived.
 func (pc *persistConn) usable() bool {
-	return pc.br.Buffered() == 0 && pc.checked.Err() == nil && isOpenIdle(pc.raw)
+	return !pc.hasExtraBytes() && isOpenIdle(pc.raw)
+}
+
+// hasExtraBytes reports whether bytes behind the last response have been read. Those that
+// the check has refused are not in the buffer.
+func (pc *persistConn) hasExtraBytes() bool {
+	return pc.br.Buffered() > 0 || pc.checked.Err() != nil
 }
 
 // abort closes the connection while a request is in progress. With reset it discards
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -239,7 +239,7 @@
 // response hr, and sets expires.
 func (x *exchange) reusable(cfg Config, hr *http.Response) bool {
 	pc := x.pc
-	if hr.Close || hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 || pc.br.Buffered() > 0 || pc.checked.Err() != nil {
+	if hr.Close || hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 || pc.hasExtraBytes() {
 		return false
 	}
 	if x.continued() { // otherwise no byte of the body is sent
--- a/router/httpserver/stopping.go
+++ b/router/httpserver/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -11,6 +12,9 @@
 // wraps context.Canceled.
 var ErrStopping = fmt.Errorf("the process stops: %w", context.Canceled)
 
+// IsStopping reports whether ctx has ended because this process stops.
+func IsStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // EndRequests cancels the contexts of the requests in progress, and of those that are
 // read later, with the cause ErrStopping. Their handlers must return what is true then:
 // the responses behind them on their connections are written after theirs. It does not
--- a/router/ingress/owner.go
+++ b/router/ingress/owner.go
@@ -7,6 +7,7 @@
 	"bramleyquay.example/coord/outcome"
 	"bramleyquay.example/coord/table"
 	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/httpserver"
 )
 
 // ownerPollInterval is the time after which the owner is tried again if no newer
@@ -97,7 +98,7 @@
 func endRefusal(ctx context.Context, last *outcome.Refusal) *outcome.Refusal {
 	r := *last
 	r.Detail = "the deadline passed; last: " + last.Error()
-	if call.IsStopping(ctx) {
+	if httpserver.IsStopping(ctx) {
 		r.Detail = "the process stops; last: " + last.Error()
 	}
 	if r.Outcome == outcome.NotRun {
--- a/router/relay/ingress.go
+++ b/router/relay/ingress.go
@@ -115,7 +115,7 @@
 	in.budgets.countRequest(st.request.service, len(st.view.Members))
 	in.run(runCtx, st)
 	in.settleQuota(st)
-	return in.answer(st, ctx.Err() != nil && !isStopping(ctx))
+	return in.answer(st, ctx.Err() != nil && !httpserver.IsStopping(ctx))
 }
 
 // prepare finds the route, account, service and key of a request and sets its deadlines.
--- a/router/relay/stopping.go
+++ b/router/relay/stopping.go
@@ -12,15 +12,10 @@
 // process.
 const reasonStopping = "process stops"
 
-// isStopping reports whether ctx has ended because this process stops.
-func isStopping(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), httpserver.ErrStopping)
-}
-
 // endReason returns the reason of a request that waited until ctx ended.
 func endReason(ctx context.Context) string {
 	switch {
-	case isStopping(ctx):
+	case httpserver.IsStopping(ctx):
 		return reasonStopping
 	case errors.Is(context.Cause(ctx), errMustAnswer):
 		return dispatch.ReasonDeadlinePassed
