Serve raw bytes by one accept loop in three more tests

responseforms.Serve replaces the loops of rawTarget (httpclient, ingress) and lateTarget (grantcall), which did the same. No assertion is changed; the tests pass.

--- a/router/grantcall/client_test.go
+++ b/router/grantcall/client_test.go
@@ -140,36 +140,22 @@
 // answer to a call of a path with an id.
 func lateTarget(t *testing.T, answer func(path, id string) string) *grantcall.Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
+	address := responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
+		first := ""
 		for {
-			conn, err := l.Accept()
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in, first := bufio.NewReader(conn), ""
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					text := answer(r.URL.Path, r.Header.Get("X-Id"))
-					if _, err := io.WriteString(conn, first+text); err != nil {
-						return
-					}
-					first = text
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			text := answer(r.URL.Path, r.Header.Get("X-Id"))
+			if _, err := io.WriteString(conn, first+text); err != nil {
+				return
+			}
+			first = text
 		}
-	}()
-	return grantcall.New(l.Addr().String(), format)
+	})
+	return grantcall.New(address, format)
 }
 
 // Guards against the late copy of the answer to a grant that counts as the answer to the
--- a/router/httpclient/upload_test.go
+++ b/router/httpclient/upload_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 func lengthOf(body []byte) string { return strconv.Itoa(len(body)) }
@@ -23,24 +24,7 @@
 // rawTarget starts a server that passes each connection to handle.
 func rawTarget(t *testing.T, handle func(c net.Conn, br *bufio.Reader)) *httpclient.Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				handle(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return httpclient.New(httpclient.Config{Address: l.Addr().String(), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20, StallTimeout: 10 * time.Second})
+	return httpclient.New(httpclient.Config{Address: responseforms.Serve(t, handle), RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20, StallTimeout: 10 * time.Second})
 }
 
 func upload(id, body string) *httpclient.Request {
--- a/router/ingress/answers_test.go
+++ b/router/ingress/answers_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 // rawTarget is a target that answers with the bytes that a test gives. Unless
@@ -24,27 +25,11 @@
 }
 
 func (rt *rawTarget) listen(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			rt.connections.Add(1)
-			go rt.serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	return responseforms.Serve(t, rt.serve)
 }
 
-func (rt *rawTarget) serve(conn net.Conn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
+func (rt *rawTarget) serve(conn net.Conn, in *bufio.Reader) {
+	rt.connections.Add(1)
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
