Acknowledge a change of the control group once it is committed

What operators saw: `bqctl control remove` reported success, the leader crashed right after it, and the control group had no quorum from then on.

Cause: ChangeMembership returned when the change was in the leader's log, before it was synced or sent. If the leader ends at this moment, the change is lost. The others still count the replica that was reported as removed: with it and the crashed leader two of four voters are gone. The longer the sync of the log takes, the longer this is possible.

Ruled out: the checked connections of bqctl and the other changes for broken answers.

Change: ChangeMembership waits for the commit like Propose does; both use proposeAndWait. The result of a removal reads "is removed" instead of "is being removed".

--- a/router/controlnode/propose.go
+++ b/router/controlnode/propose.go
@@ -19,19 +19,30 @@
 	if err != nil {
 		return control.Result{}, Error.Wrap(err)
 	}
+	return r.proposeAndWait(ctx, func() (raft.EntryID, error) {
+		at, err := r.raft.Propose(data)
+		if err != nil {
+			return at, r.proposalError(err)
+		}
+		return at, nil
+	})
+}
+
+// proposeAndWait calls propose on the replica's goroutine if this replica is the
+// active leader. It blocks until the proposed entry is applied, ctx ends or the
+// replica stops. An error of propose is returned as it is.
+func (r *Replica) proposeAndWait(ctx context.Context, propose func() (raft.EntryID, error)) (control.Result, error) {
 	result := make(chan raftdriver.ProposalResult[control.Result], 1)
 	var refused error
-	err = r.do(ctx, func() {
+	err := r.do(ctx, func() {
 		if !r.isActiveLeader() {
 			refused = r.notLeader()
 			return
 		}
-		at, err := r.raft.Propose(data)
-		if err != nil {
-			refused = r.proposalError(err)
-			return
+		var at raft.EntryID
+		if at, refused = propose(); refused == nil {
+			r.proposals.Register(at, result)
 		}
-		r.proposals.Register(at, result)
 	})
 	if err == nil {
 		err = refused
@@ -75,22 +86,14 @@
 	return refused
 }
 
-// ChangeMembership proposes a change of the control group by one replica. It
-// does not wait until the change is committed. Other replicas than the leader
-// return *peer.NotLeaderError.
+// ChangeMembership changes the control group by one replica. It blocks until the
+// change is committed, ctx ends or the replica stops: a change that only the
+// leader has is lost if the leader crashes. After an error other than
+// *peer.NotLeaderError and *raft.MembershipError the change may still take
+// effect. Other replicas than the leader return *peer.NotLeaderError.
 func (r *Replica) ChangeMembership(ctx context.Context, c raft.MembershipChange) error {
-	var refused error
-	err := r.do(ctx, func() {
-		if !r.isActiveLeader() {
-			refused = r.notLeader()
-			return
-		}
-		_, refused = r.raft.ProposeMembership(c)
-	})
-	if err != nil {
-		return err
-	}
-	return refused
+	_, err := r.proposeAndWait(ctx, func() (raft.EntryID, error) { return r.raft.ProposeMembership(c) })
+	return err
 }
 
 // Transfer starts a transfer of leadership to the active voter with the most
--- a/router/operator/control.go
+++ b/router/operator/control.go
@@ -49,7 +49,7 @@
 	// automatic actions on or off.
 	Automation(ctx context.Context, request AutomationRequest) (AutomationReply, error)
 	// ControlChange adds, promotes or removes a replica of the control group. It
-	// returns before the change is committed.
+	// returns once the change is committed.
 	ControlChange(ctx context.Context, request ControlChangeRequest) (Result, error)
 	// Status returns the state of the cluster as the leader sees it.
 	Status(ctx context.Context) (Status, error)
--- a/router/operatorrpc/membership.go
+++ b/router/operatorrpc/membership.go
@@ -10,9 +10,8 @@
 	"bramleyquay.example/router/peer"
 )
 
-// ControlChange implements operator.ControlPlane. It returns once the change is in
-// the leader's log, before it is committed. ChangeID, Author and Address are not
-// used; a retry is recognized by the state of the group.
+// ControlChange implements operator.ControlPlane. ChangeID, Author and Address are
+// not used; a retry is recognized by the state of the group.
 func (svc *Service) ControlChange(ctx context.Context, req operator.ControlChangeRequest) (operator.Result, error) {
 	kind, text := changeKind(req.Op)
 	err := svc.node.ChangeMembership(ctx, raft.MembershipChange{Kind: kind, ID: raft.ID(req.ID)})
@@ -44,6 +43,6 @@
 	case operator.ControlPromote:
 		return raft.Promote, "becomes a voter"
 	default:
-		return raft.Remove, "is being removed"
+		return raft.Remove, "is removed"
 	}
 }
