Remove checks of statuses below 200 that cannot be reached

strictresponse refuses a status below 100 and 101, and the transport skips all others below 200. gate.dispatch still had a branch for them, and httpclient still told statuses below 100 from informational ones.

Behaviour is the same: TestBrokenAnswerIsNeverComplete ("status below 100", "switched protocols") and TestMalformedAnswers pass unchanged.

--- a/router/gate/dispatch.go
+++ b/router/gate/dispatch.go
@@ -70,15 +70,7 @@
 		p.end(sample, connections.Any(), begin)
 		return nil, targetError(err, connections.Any())
 	}
-	refusal := refusedByTarget(resp)
-	if refusal == nil && resp.StatusCode < http.StatusOK {
-		// An upgrade is not passed on, and net/http cannot send other answers below
-		// 200 as final ones.
-		_ = resp.Body.Close()
-		sample.Failed = true
-		refusal = outcome.NewUnknown(outcome.ReasonUpstreamBroken, "the target's answer is not a final one: "+resp.Status)
-	}
-	if refusal != nil {
+	if refusal := refusedByTarget(resp); refusal != nil {
 		if refusal.Reason == outcome.ReasonLeaseExpired {
 			g.requestGrant()
 		}
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -93,7 +93,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
+		if hr.StatusCode < http.StatusOK {
 			if hr.StatusCode == http.StatusContinue {
 				x.allowBody()
 			}
