Release the wait for a stop when a payment has its answer

Each dispatched payment registers a function for the end of its caller's context. It was never released, so that the end of each payment started a goroutine that had nothing to do. Once do has returned, the body is released or closed by call.Stopper, as before.

TestRequestsInStopAreAnswered (payments) and the tests of gate pass unchanged.

--- a/router/gate/paymentdispatch.go
+++ b/router/gate/paymentdispatch.go
@@ -46,11 +46,12 @@
 	// so that a retry gets the answer instead of an unknown outcome.
 	caller := ctx
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), c.Deadline)
-	context.AfterFunc(caller, func() {
+	release := context.AfterFunc(caller, func() {
 		if httpserver.IsStopping(caller) {
 			cancel()
 		}
 	})
+	defer release()
 	resp, refusal := p.gate.run(ctx, c, unit)
 	if refusal != nil {
 		cancel()
