--- a/router/strictresponse/parser.go
+++ b/router/strictresponse/parser.go
@@ -21,8 +21,8 @@
 	atTrailer
 )
 
-// maxLineBytes bounds a line. The readers of connections have limits of their own for heads,
-// which are not higher.
+// maxLineBytes bounds a line, which is held in memory until its end. Readers bound whole
+// heads and trailers themselves.
 const maxLineBytes = 64 << 10
 
 // parser follows the bytes of responses and checks their lines. It must find the end of each
