Share the responses without end, and the measure of the heap

TestBytesWithoutEnd (httpclient) and TestAnswersWithoutEnd (ingress) each had the same eleven responses and a server for them, and five tests each sampled the heap themselves. responseforms.Endless lists the responses and serves them; memory/heappeak samples.

The heap is sampled as often as before, in TestLargeAnswerIsStreamed more often, and all begin from a heap without garbage, which can only raise the measured growth. Without the bound of its fault TestAnswerToGrantWithoutEnd still fails.

--- a/router/fleetdaemon/upload_test.go
+++ b/router/fleetdaemon/upload_test.go
@@ -7,13 +7,14 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/router/memory/heappeak"
 )
 
 // pattern is a body of n bytes that is generated while it is read.
@@ -152,23 +153,7 @@
 	is := is.New(t)
 	keyed, plain, _ := startServingCluster(t)
 	digestUploads(plain[:]...)
-	runtime.GC()
-	var before runtime.MemStats
-	runtime.ReadMemStats(&before)
-	var peak atomic.Uint64
-	stop := make(chan struct{})
-	go func() {
-		for {
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			peak.Store(max(peak.Load(), m.HeapAlloc))
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}()
+	growth := heappeak.Measure(10 * time.Millisecond)
 	want, _ := digest(&pattern{n: 4 << 20})
 	var served, wrong atomic.Int32
 	var wg sync.WaitGroup
@@ -184,11 +169,11 @@
 		})
 	}
 	wg.Wait()
-	close(stop)
-	t.Logf("%d served, heap %d MiB before, %d MiB at most", served.Load(), before.HeapAlloc>>20, peak.Load()>>20)
+	grown := growth()
+	t.Logf("%d served, heap grew by %d MiB at most", served.Load(), grown>>20)
 	is.Equal(wrong.Load(), int32(0))
 	is.True(served.Load() > 0)
-	is.True(peak.Load() < before.HeapAlloc+(64<<20))
+	is.True(grown < 64<<20)
 }
 
 // Guards against more bytes of bodies at a target than its memory may hold, against bodies
--- a/router/gate/grants_test.go
+++ b/router/gate/grants_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/gate"
+	"bramleyquay.example/router/memory/heappeak"
 	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
@@ -37,18 +37,14 @@
 	})
 	fx := newFixture(t, 1)
 	is.Equal(fx.gate.Announce(gate.Announcement{Service: "keyed", Address: address, Slots: 1, ChecksFences: true, Incarnation: 6}), "")
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	before, highest := m.HeapAlloc, m.HeapAlloc
+	growth := heappeak.Measure(time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go fx.gate.RunGrants(ctx)
 	for end := time.Now().Add(3 * time.Second); grants.Load() < 5 && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		runtime.ReadMemStats(&m)
-		highest = max(highest, m.HeapAlloc)
 	}
+	grown := growth()
 	is.True(grants.Load() >= 5)
-	t.Logf("grew by %d KiB", (highest-before)>>10)
-	is.True(highest-before < maxGrowth)
+	t.Logf("grew by %d KiB", grown>>10)
+	is.True(grown < maxGrowth)
 }
--- a/router/httpclient/endless_test.go
+++ b/router/httpclient/endless_test.go
@@ -1,111 +1,49 @@
 package httpclient_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
-	"net/http"
-	"runtime"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/memory/heappeak"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
-// endlessTarget answers with head and then sends part again and again until the
-// client closes the connection, which closed reports.
-func endlessTarget(t *testing.T, head, part string) (address string, closed <-chan struct{}) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, err = io.WriteString(c, head)
-		for err == nil {
-			_, err = io.WriteString(c, part)
-		}
-	}()
-	return l.Addr().String(), done
-}
-
 // Guards against bytes without end that fill the memory, or occupy the connection and
 // its slot until the deadline.
 func TestBytesWithoutEnd(t *testing.T) {
-	fill := strings.Repeat("x", 4096)
-	ok := "HTTP/1.1 200 OK\r\n"
-	for name, c := range map[string]struct{ head, part string }{
-		"no answer":               {"", fill},
-		"status line":             {"HTTP/1.1 200 ", fill},
-		"header line":             {ok + "A: ", fill},
-		"headers":                 {ok, "A: " + fill + "\r\n"},
-		"informational answers":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"continue answers":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-		"body until close":        {ok + "\r\n", fill},
-		"chunks":                  {ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + fill + "\r\n"},
-		"chunk extension":         {ok + "Transfer-Encoding: chunked\r\n\r\n1;", fill},
-		"chunk extensions":        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1;" + fill[:2000] + "\r\nx\r\n"},
-		"trailer line":            {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", fill},
-		"trailers":                {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + fill + "\r\n"},
-		"answers to other ids":    {"", ok + "X-Id: 0\r\nContent-Length: 0\r\n\r\n"},
-		"answers with other body": {"", ok + "X-Id: 0\r\nContent-Length: 4096\r\n\r\n" + fill},
-	} {
-		t.Run(name, func(t *testing.T) {
+	const length = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: "
+	forms := append(responseforms.Endless(),
+		responseforms.EndlessForm{Name: "continue answers", Part: "HTTP/1.1 100 Continue\r\n\r\n"},
+		responseforms.EndlessForm{Name: "answers to other ids", Part: length + "0\r\n\r\n"},
+		responseforms.EndlessForm{Name: "answers with other body", Part: length + "4096\r\n\r\n" + strings.Repeat("x", 4096)},
+	)
+	for _, form := range forms {
+		t.Run(form.Name, func(t *testing.T) {
 			is := is.New(t)
-			address, closed := endlessTarget(t, c.head, c.part)
+			address, awaitClosed := form.Serve(t)
 			client := httpclient.New(httpclient.Config{Address: address, RequestIDHeader: "X-Id", DialTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20})
-			var peak atomic.Uint64
-			stop := make(chan struct{})
-			go samplePeak(&peak, stop)
-			var before runtime.MemStats
-			runtime.ReadMemStats(&before)
+			growth := heappeak.Measure(5 * time.Millisecond)
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			_, err := client.Do(ctx, request("1"))
-			close(stop)
+			grown := growth()
 			var incomplete *httpclient.IncompleteResponseError
 			is.True(errors.As(err, &incomplete))
 			is.NoErr(ctx.Err()) // it ended long before the deadline
-			is.True(peak.Load() < before.HeapAlloc+(16<<20))
-			select {
-			case <-closed:
-			case <-time.After(10 * time.Second):
-				t.Error("the connection stays open")
-			}
+			is.True(grown < 16<<20)
+			awaitClosed()
 		})
 	}
 }
 
-func samplePeak(peak *atomic.Uint64, stop <-chan struct{}) {
-	for {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak.Store(max(peak.Load(), m.HeapAlloc))
-		select {
-		case <-stop:
-			return
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
-
 // Guards against one byte a second that occupies a connection beyond the deadline.
 func TestTrickleEndsAtDeadline(t *testing.T) {
 	is := is.New(t)
--- a/router/ingress/badrequest_test.go
+++ b/router/ingress/badrequest_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/call"
+	"bramleyquay.example/router/memory/heappeak"
 )
 
 // TestRefusesBadRequests guards against invalid requests that reach the target or
@@ -165,32 +165,23 @@
 // TestLargeAnswerIsStreamed guards against buffering a complete answer in memory.
 func TestLargeAnswerIsStreamed(t *testing.T) {
 	const size = 100 << 20
-	var peak atomic.Uint64
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		chunk := make([]byte, 64<<10)
 		for sent := 0; sent < size; sent += len(chunk) {
 			_, _ = w.Write(chunk)
-			if sent%(4<<20) == 0 {
-				var m runtime.MemStats
-				runtime.ReadMemStats(&m)
-				peak.Store(max(peak.Load(), m.HeapAlloc))
-			}
 		}
 	}))
 	defer target.Close()
 	newFixture(t, "plain", target.Listener.Addr().String()).throughBoth(t, func(t *testing.T, base string) {
 		is := is.New(t)
-		runtime.GC()
-		var before runtime.MemStats
-		runtime.ReadMemStats(&before)
-		peak.Store(0)
+		growth := heappeak.Measure(time.Millisecond)
 		resp, err := http.Get(base + "/plain/x")
 		is.NoErr(err)
 		defer resp.Body.Close()
 		n, err := io.Copy(io.Discard, resp.Body)
 		is.NoErr(err)
 		is.Equal(n, int64(size))
-		grown := int64(peak.Load()) - int64(before.HeapAlloc)
+		grown := growth()
 		is.True(grown < size/4) // caller, both processes and target together
 		fmt.Printf("heap grew by %.1f MB during an answer of 100 MB\n", float64(grown)/(1<<20))
 	})
--- a/router/ingress/endless_test.go
+++ b/router/ingress/endless_test.go
@@ -1,91 +1,31 @@
 package ingress_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"bramleyquay.example/router/memory/heappeak"
 	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
-// endlessTarget answers each request with head and then sends part again and again until
-// the other end closes the connection. open counts its connections that are not closed yet.
-func endlessTarget(t *testing.T, head, part string) (address string, open *atomic.Int64) {
-	open = &atomic.Int64{}
-	address = responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
-		open.Add(1)
-		defer open.Add(-1)
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body) // the answer does not depend on it
-		_, err = io.WriteString(conn, head)
-		for again := []byte(part); err == nil; {
-			_, err = conn.Write(again)
-		}
-	})
-	return address, open
-}
-
-// heapPeak samples the memory in use until stop is called, which returns the growth.
-func heapPeak() (stop func() uint64) {
-	var before runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	ended, peak := make(chan struct{}), make(chan uint64)
-	go func() {
-		highest := before.HeapAlloc
-		for {
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			highest = max(highest, m.HeapAlloc)
-			select {
-			case <-ended:
-				peak <- highest - before.HeapAlloc
-				return
-			case <-time.After(5 * time.Millisecond):
-			}
-		}
-	}()
-	return func() uint64 { close(ended); return <-peak }
-}
-
 // Guards against bytes without end of a target that fill the memory of the process, that
 // count as an answer, or that are read beyond the deadline.
 func TestAnswersWithoutEnd(t *testing.T) {
 	const maxGrowth = 16 << 20 // as in package httpclient
-	fill := strings.Repeat("x", 4096)
-	ok := "HTTP/1.1 200 OK\r\n"
-	for name, c := range map[string]struct{ head, part string }{
-		"no answer":             {"", fill},
-		"status line":           {"HTTP/1.1 200 ", fill},
-		"header line":           {ok + "A: ", fill},
-		"headers":               {ok, "A: " + fill + "\r\n"},
-		"informational answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"body until close":      {ok + "\r\n", fill},
-		"chunks":                {ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + fill + "\r\n"},
-		"chunk extension":       {ok + "Transfer-Encoding: chunked\r\n\r\n1;", fill},
-		"chunk extensions":      {ok + "Transfer-Encoding: chunked\r\n\r\n", "1;" + fill[:2000] + "\r\nx\r\n"},
-		"trailer line":          {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", fill},
-		"trailers":              {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + fill + "\r\n"},
-	} {
+	for _, form := range responseforms.Endless() {
 		for _, service := range []string{"plain", "pay"} {
-			t.Run(name+"/"+service, func(t *testing.T) {
-				address, open := endlessTarget(t, c.head, c.part)
+			t.Run(form.Name+"/"+service, func(t *testing.T) {
+				address, awaitClosed := form.Serve(t)
 				fx := newFixture(t, service, address)
 				fx.throughBoth(t, func(t *testing.T, base string) {
 					is := is.New(t)
-					growth := heapPeak()
+					growth := heappeak.Measure(5 * time.Millisecond)
 					var callers sync.WaitGroup
 					for i := range 4 {
 						callers.Go(func() {
@@ -100,9 +40,7 @@
 					grown := growth()
 					t.Logf("grew by %d KiB", grown>>10)
 					is.True(grown < maxGrowth)
-					for end := time.Now().Add(10 * time.Second); open.Load() > 0 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-					}
-					is.Equal(open.Load(), int64(0)) // no connection is read any more
+					awaitClosed() // no connection is read any more
 				})
 			})
 		}
