--- a/router/fleetdaemon/malformed_test.go
+++ b/router/fleetdaemon/malformed_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 // answerRaw makes a target send bytes instead of its answers, and then close the
@@ -19,11 +19,11 @@
 		if err != nil {
 			return true
 		}
-		_, _ = io.WriteString(conn, text)
 		if reset {
-			time.Sleep(5 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
+			responseforms.SendAndReset(conn, text)
+			return true
 		}
+		_, _ = io.WriteString(conn, text)
 		_ = conn.Close()
 		return true
 	}
--- a/router/httpclient/reset_test.go
+++ b/router/httpclient/reset_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"bramleyquay.example/router/httpclient"
+	"bramleyquay.example/router/strictresponse/responseforms"
 )
 
 const (
@@ -47,12 +48,9 @@
 			complete := 0
 			for range 40 {
 				c := rawTarget(t, func(c net.Conn, br *bufio.Reader) {
-					if _, err := http.ReadRequest(br); err != nil {
-						return
+					if _, err := http.ReadRequest(br); err == nil {
+						responseforms.SendAndReset(c, answerWithoutLength)
 					}
-					_, _ = io.WriteString(c, answerWithoutLength)
-					time.Sleep(5 * time.Millisecond)
-					_ = c.(*net.TCPConn).SetLinger(0) // the close is a reset
 				})
 				resp, err := c.Do(context.Background(), upload())
 				if err == nil {
--- a/router/ingress/reset_test.go
+++ b/router/ingress/reset_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -18,10 +16,8 @@
 func resettingTarget(t *testing.T) (address string) {
 	return responseforms.Serve(t, func(conn net.Conn, in *bufio.Reader) {
 		if _, err := http.ReadRequest(in); err == nil {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello, world")
-			time.Sleep(5 * time.Millisecond)
+			responseforms.SendAndReset(conn, "HTTP/1.1 200 OK\r\n\r\nhello, world")
 		}
-		_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
 	})
 }
 
--- a/router/strictresponse/responseforms/serve.go
+++ b/router/strictresponse/responseforms/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 // Serve starts a server for the time of a test. It passes each connection to handle, and
@@ -29,3 +31,12 @@
 	}()
 	return l.Addr().String()
 }
+
+// SendAndReset sends text, gives the client time to read it, and resets the connection: the
+// one of Serve, or one that a test has hijacked.
+func SendAndReset(conn net.Conn, text string) {
+	_, _ = io.WriteString(conn, text)
+	time.Sleep(5 * time.Millisecond)
+	_ = conn.(*net.TCPConn).SetLinger(0) // the close is a reset
+	_ = conn.Close()
+}
