Let a replica outside of the control group join again, whatever it knows of a leader

Callers saw: after a control machine was replaced while another one was frozen for 4 s, the loss of two disks 20 s later ended the control group.

Cause: the frozen voter was removed in place of the lost one, the first silent voter in the order of the ids. When it woke it learned of its removal from the leader, and a replica asked to join only while it knew no leader. It starts no election, so nothing made it forget that leader.

Ruled out: the order of the ids alone (a replica frozen for longer would stay outside as well); the election (a leader 0.6 s after the freeze).

Change: a replica asks to join while its log does not list it or no leader sends to it (fleet.MustJoin), and a replica without a vote forgets a silent leader. The voter to replace is the one to which no connection can be opened, then the longest silent one; a voter whose answers are late or that answers probes keeps its place; a silent voter whose address another member uses is removed also if that member is a voter already.

Packages raft, fleet, fleetnode, fleetdaemon, controlnode pass.

--- a/coord/raft/leadership.go
+++ b/coord/raft/leadership.go
@@ -159,6 +159,12 @@
 	return p.ackedRound > 0 && n.now-p.ackedTick < uint64(n.cfg.ElectionTicks)
 }
 
+// responding reports whether a reply of a replica has arrived within the last
+// ElectionTicks.
+func (n *Node) responding(p *followerProgress) bool {
+	return p.replied && n.now-p.repliedTick < uint64(n.cfg.ElectionTicks)
+}
+
 // maybeCommit commits the entries that a quorum has synced, if the last of them is
 // of this term. Entries of earlier terms are committed only together with one of
 // this term, because a leader without them could still replace them.
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -80,9 +80,16 @@
 		return
 	}
 	n.elapsed++
-	if n.elapsed >= n.timeout && n.membership().IsVoter(n.cfg.ID) {
+	if n.elapsed < n.timeout {
+		return
+	}
+	if n.membership().IsVoter(n.cfg.ID) {
 		n.preCampaign()
+		return
 	}
+	// A replica without a vote starts no election that would show that the leader is
+	// gone, or that it no longer sends anything to this replica.
+	n.leader = ""
 }
 
 // Step handles a received message. It returns a *MalformedError for a message
--- a/coord/raft/node_test.go
+++ b/coord/raft/node_test.go
@@ -167,3 +167,23 @@
 		}
 	})
 }
+
+// TestLearnerForgetsSilentLeader guards against a replica without a vote that relies on a
+// leader which no longer sends anything to it.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 3)
+	for s.run(40); s.leader() == nil; {
+		s.run(1)
+	}
+	s.perform(action{Kind: "grow"})
+	s.run(10)
+	learner := s.replicas[3]
+	is.Equal(learner.node.Status().Leader, s.leader().id)
+	s.isolate(learner, true)
+	s.run(2*s.cfg.ElectionTicks + 2)
+	is.Equal(learner.node.Status().Leader, ID(""))
+	s.isolate(learner, false)
+	s.run(s.cfg.ElectionTicks)
+	is.Equal(learner.node.Status().Leader, s.leader().id)
+}
--- a/coord/raft/progress.go
+++ b/coord/raft/progress.go
@@ -34,6 +34,9 @@
 	ackedRound uint64 // highest heartbeat round answered
 	ackedTick  uint64 // tick at which that round was sent
 
+	replied     bool   // a reply has arrived in this term
+	repliedTick uint64 // tick at which the last one arrived
+
 	removedIndex uint64 // index of the entry that removed it; 0 for a member
 	removedTick  uint64
 	notifyRound  uint64 // last round opened before the replica could learn that its removal is committed
--- a/coord/raft/replication.go
+++ b/coord/raft/replication.go
@@ -53,6 +53,7 @@
 	if p == nil {
 		return nil // removed, or not a member yet
 	}
+	p.replied, p.repliedTick = true, n.now
 	if m.Kind == MsgHeartbeatReply {
 		return n.stepHeartbeatReply(m, p)
 	}
--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -5,7 +5,7 @@
 	ID     ID
 	Term   uint64
 	Role   Role
-	Leader ID // empty if not known
+	Leader ID // empty if not known, or silent for an election timeout
 	Commit uint64
 	// Applied is the index of the last entry that the caller has applied, as
 	// reported by Advance.
@@ -38,6 +38,10 @@
 	// Active means that the replica has answered a heartbeat round that was sent
 	// within the last ElectionTicks.
 	Active bool
+	// Responding means that a reply of the replica has arrived within the last
+	// ElectionTicks, however late it was sent. A slow replica is Responding without
+	// being Active.
+	Responding bool
 }
 
 // Status returns the current state.
@@ -59,7 +63,7 @@
 		}
 		s.Progress[id] = Progress{
 			Match: p.match, Next: p.next, State: p.state, Inflight: len(p.pending),
-			Learner: s.Membership.IsLearner(id), Active: n.active(p),
+			Learner: s.Membership.IsLearner(id), Active: n.active(p), Responding: n.responding(p),
 		}
 	}
 	return s
--- a/router/fleetnode/membership.go
+++ b/router/fleetnode/membership.go
@@ -19,24 +19,26 @@
 	return hex.EncodeToString(b[:])
 }
 
-// join asks the group to add this replica, again and again while it knows no
-// leader. A replica that was removed from the group while it was down joins
-// again in the same way. It also passes the voters' addresses to the leader
-// client. It blocks until ctx ends.
+// join asks the group to add this replica, again and again while fleet.MustJoin
+// says so. It also passes the voters' addresses to the leader client. It blocks
+// until ctx ends.
 func (r *Replica) join(ctx context.Context) {
+	outside := false
 	for {
-		var id raft.ID
-		noLeader := false
+		var st raft.Status
 		err := r.do(ctx, func() {
-			st := r.raft.Status()
-			id, noLeader = st.ID, st.Leader == ""
+			st = r.raft.Status()
 			r.peers.SetReplicas(addresses(st.Membership))
 		})
 		if err != nil {
 			return
 		}
-		if addr := r.peers.NextAddress(); noLeader && addr != "" {
-			if err := r.peers.CallAt(ctx, addr, MethodJoin, JoinRequest{ID: id, Cluster: r.cfg.Cluster}, nil); err != nil {
+		if listed := st.Membership.Contains(st.ID); listed == outside {
+			outside = !listed
+			r.log.Info().Bool("member", listed).Str("leader", string(st.Leader)).Uint64("term", st.Term).Msg("membership of this replica changed")
+		}
+		if addr := r.peers.NextAddress(); addr != "" && fleet.MustJoin(st) {
+			if err := r.peers.CallAt(ctx, addr, MethodJoin, JoinRequest{ID: st.ID, Cluster: r.cfg.Cluster}, nil); err != nil {
 				r.log.Debug().Str("address", addr).Err(err).Msg("request to join failed")
 			}
 		}
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -105,6 +105,7 @@
 	}
 	if now.MonoSince(r.lastMembershipCheck) >= membershipInterval {
 		r.lastMembershipCheck = now
+		r.probeSilentReplicas(now)
 		r.proposeMembershipChange()
 	}
 }
--- a/router/fleetnode/replica.go
+++ b/router/fleetnode/replica.go
@@ -24,6 +24,7 @@
 // Run is called, until ctx ends.
 type Replica struct {
 	cfg   Config
+	id    raft.ID // constant after Open
 	peers *leaderclient.Client
 	log   logging.Logger
 	tasks *raftdriver.TaskQueue
@@ -41,6 +42,8 @@
 	lastTick            clock.Reading
 	lastLeaseCheck      clock.Reading
 	lastMembershipCheck clock.Reading
+	lastProbe           clock.Reading
+	probing             map[raft.ID]bool // probes in progress
 	lastLeader          raft.ID
 	proposals           raftdriver.Proposals[fleet.Result]
 	// pendingRanges contains the last proposal of ranges for each service in this
@@ -77,6 +80,7 @@
 		leader:      fleet.NewLeader(cfg.Leader),
 		subscribers: raftdriver.NewSubscribers[string](MethodRenewNow),
 		proposals:   raftdriver.Proposals[fleet.Result]{},
+		probing:     map[raft.ID]bool{},
 	}
 	r.transport = raftdriver.NewTransport(client, func(id raft.ID) string {
 		if a := fleet.ReplicaAddress(id); a != cfg.Address {
@@ -166,7 +170,7 @@
 			return Error.Wrap(err)
 		}
 	}
-	r.raft, r.lastTick = node, timesource.BootTime()
+	r.id, r.raft, r.lastTick = id, node, timesource.BootTime()
 	r.readyProcessor = &raftdriver.ReadyProcessor{Store: r.store, Transport: r.transport, SnapshotEntries: r.cfg.SnapshotEntries, SnapshotIndex: stored.Snapshot.Index}
 	r.log.Info().Str("replica", string(id)).Uint64("index", stored.Snapshot.Index+uint64(len(stored.Entries))).
 		Uint64("term", stored.HardState.Term).Uint64("version", r.state.Version()).Msg("replica starts")
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -15,8 +15,8 @@
 	"bramleyquay.example/router/timesource"
 )
 
-// The jsonrpc2 methods of a replica. Every replica answers MethodStatus and
-// raftdriver.MethodStep. The others return *peer.NotLeaderError unless the
+// The jsonrpc2 methods of a replica. Every replica answers MethodStatus, MethodPing
+// and raftdriver.MethodStep. The others return *peer.NotLeaderError unless the
 // replica leads, is in contact with a quorum and has applied an entry of its
 // term.
 const (
@@ -27,6 +27,7 @@
 	MethodDrains  = "fleet.drains"
 	MethodStatus  = "fleet.status"
 	MethodAllow   = "fleet.allow"
+	MethodPing    = "fleet.ping"
 	// MethodRenewNow is not a method of replicas: it is the method of the
 	// notification with which they ask a member to renew at once.
 	MethodRenewNow = "fleet.wake"
@@ -70,6 +71,7 @@
 	s.Handle(MethodRenew, r.renew)
 	s.Handle(MethodStatus, peer.Bind(r.status))
 	s.Handle(MethodAllow, peer.Bind(r.allow))
+	s.Handle(MethodPing, peer.Bind(r.ping))
 }
 
 // Status is one replica's view of the group.
