Count a release only if a report proves it, or its grants have expired

Cause: grant.Issuer took a range as released after two reports that did not list it, or one that listed a release of its keys. A process that was killed and started again takes late announcements for new ones, since the highest sequence number was in its memory. Those that were sent before the target got the range, from the earlier process, do not list it.

Rule: what was sent before a process started, or before a grant, proves no release, in whichever field it is said; only what is tied to that grant does, or its end by time.

Change: for one lease after the start of a process only a release that names the fence counts. After that a range is released if a report has listed it at its fence since it was last granted anew, or after enough reports without it. Each range has the end of its own last grant. A target that counted as ended and goes on keeps its sequence number and the ends of its grants. The stand-in target names the fences of released ranges.

TestUnreachableTargetLosesItsRanges now passes the end of the earlier grants to the issuer instead of the time of the first announcement; its bounds are the same. TestUnlistedRange and TestRelease use a process that has run for longer; what holds right after a start is in TestReportsAfterRestart.

Ruled out: persisting the sequence number (the process may be killed between a grant and its record), and the order on a connection.

--- a/coord/grant/issuer_test.go
+++ b/coord/grant/issuer_test.go
@@ -19,8 +19,12 @@
 	return ranges.Range{From: from, To: to, Holder: self, Fence: fence}
 }
 
-func newIssuer() *grant.Issuer {
-	iss := grant.New(grant.DefaultConfig(10*time.Second), self, clock.At(0))
+// newIssuer returns an issuer whose process has run for longer than all earlier grants.
+func newIssuer() *grant.Issuer { return newIssuerAfterRestart(0) }
+
+// newIssuerAfterRestart returns an issuer of a process that has just started.
+func newIssuerAfterRestart(earlierEnd time.Duration) *grant.Issuer {
+	iss := grant.New(grant.DefaultConfig(10*time.Second, time.Second), self, earlierEnd)
 	iss.SetRanges([]ranges.Range{selfRange(0, 99, 3), {From: 100, To: ranges.LastKey}})
 	return iss
 }
@@ -83,7 +87,7 @@
 	is := is.New(t)
 	r := selfRange(0, 99, 3)
 	r.HandoverToken = "token"
-	iss := grant.New(grant.DefaultConfig(10*time.Second), self, clock.At(0))
+	iss := grant.New(grant.DefaultConfig(10*time.Second, time.Second), self, 0)
 	iss.SetRanges([]ranges.Range{r, {From: 100, To: ranges.LastKey}})
 	iss.SetLease(clock.At(0), 4*time.Second)
 	is.Equal(iss.HandleReport(clock.At(0), grant.RangeReport{}).Ranges[0].HandoverToken, "token")
@@ -95,7 +99,7 @@
 // of a small key space go to one target with handover tokens.
 func TestLargeHandoverIsSplit(t *testing.T) {
 	is := is.New(t)
-	iss := grant.New(grant.DefaultConfig(10*time.Second), self, clock.At(0))
+	iss := grant.New(grant.DefaultConfig(10*time.Second, time.Second), self, 0)
 	var keyspace []ranges.Range
 	for i := range 128 {
 		r := selfRange(uint16(i*512), uint16(i*512+511), uint64(i+1))
@@ -126,7 +130,7 @@
 // sidecar process, and against their release before its grants have expired.
 func TestUnreachableTargetLosesItsRanges(t *testing.T) {
 	is := is.New(t)
-	iss := newIssuer()
+	iss := newIssuerAfterRestart(10200 * time.Millisecond)
 	releasing := selfRange(0, 99, 3)
 	releasing.Releasing = true
 	iss.SetLease(clock.At(0), 4*time.Second)
@@ -148,3 +152,98 @@
 	is.True(!iss.GrantsExpired(clock.At(21*time.Second + slow - time.Millisecond)))
 	is.True(iss.GrantsExpired(clock.At(24 * time.Second)))
 }
+
+// Guards against reports from before the start of a process that count as a release: they
+// do not list a range, or list an earlier release of the same keys, and the target has got
+// the range since from the earlier process.
+func TestReportsAfterRestart(t *testing.T) {
+	earlier := grant.RangeReport{Released: []ranges.Range{{From: 0, To: 99, HandoverToken: "old"}}}
+	for name, reports := range map[string][]grant.RangeReport{
+		"not listed":                      {{}, {}, {}},
+		"an earlier release":              {earlier},
+		"listed, and an earlier release":  {{Held: []ranges.Range{selfRange(0, 99, 3)}}, earlier},
+		"a release at an earlier fence":   {{Released: []ranges.Range{{From: 0, To: 99, Fence: 2}}}},
+		"not listed since a lost release": {{}, earlier, {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			iss := newIssuerAfterRestart(4 * time.Second)
+			releasing := selfRange(0, 99, 3)
+			releasing.Releasing = true
+			iss.SetRanges([]ranges.Range{releasing, {From: 100, To: ranges.LastKey}})
+			iss.SetLease(clock.At(0), 4*time.Second)
+			for i, report := range reports {
+				iss.HandleReport(clock.At(time.Duration(i)*time.Second), report)
+			}
+			is.Equal(len(iss.ReleasedRanges()), 0)
+			is.Equal(iss.ReleaseExpired(clock.At(4*time.Second-1)), 0)
+			is.Equal(iss.ReleaseExpired(clock.At(4*time.Second)), 1)
+			is.Equal(iss.ReleasedRanges()[0].HandoverToken, "")
+		})
+	}
+}
+
+// Guards against a sound release that waits for the end of the grants of an earlier
+// process although it names the fence.
+func TestReleaseAtFenceAfterRestart(t *testing.T) {
+	is := is.New(t)
+	iss := newIssuerAfterRestart(4 * time.Second)
+	releasing := selfRange(0, 99, 3)
+	releasing.Releasing = true
+	iss.SetRanges([]ranges.Range{releasing, {From: 100, To: ranges.LastKey}})
+	iss.HandleReport(clock.At(0), grant.RangeReport{Released: []ranges.Range{{From: 0, To: 99, Fence: 3, HandoverToken: "h"}}})
+	is.Equal(iss.ReleasedRanges()[0].HandoverToken, "h")
+}
+
+// Guards against an earlier release of the same keys that counts for a grant which the
+// target had not got when it sent the report, and against its token.
+func TestEarlierReleaseOfTheSameKeys(t *testing.T) {
+	is := is.New(t)
+	iss := newIssuer()
+	iss.SetLease(clock.At(0), 4*time.Second)
+	iss.HandleReport(clock.At(0), grant.RangeReport{}) // grants the range
+	releasing := selfRange(0, 99, 3)
+	releasing.Releasing = true
+	iss.SetRanges([]ranges.Range{releasing, {From: 100, To: ranges.LastKey}})
+	iss.HandleReport(clock.At(0), grant.RangeReport{Released: []ranges.Range{{From: 0, To: 99, HandoverToken: "old"}}})
+	is.Equal(len(iss.ReleasedRanges()), 0) // sent before the answer with the grant arrived
+	iss.HandleReport(clock.At(0), grant.RangeReport{Held: []ranges.Range{selfRange(0, 99, 3)}})
+	iss.HandleReport(clock.At(0), grant.RangeReport{Released: []ranges.Range{{From: 0, To: 99, HandoverToken: "old"}, {From: 0, To: 99, HandoverToken: "new"}}})
+	is.Equal(iss.ReleasedRanges()[0].HandoverToken, "new")
+}
+
+// Guards against the same for a range that the target has held before, and that was granted
+// again after its grant had expired.
+func TestReleaseBeforeRenewedGrant(t *testing.T) {
+	is := is.New(t)
+	iss := newIssuer()
+	iss.SetLease(clock.At(0), 20*time.Second)
+	iss.HandleReport(clock.At(0), grant.RangeReport{})
+	iss.HandleReport(clock.At(time.Second), grant.RangeReport{Held: []ranges.Range{selfRange(0, 99, 3)}})
+	iss.HandleReport(clock.At(12*time.Second), grant.RangeReport{}) // it has expired, and is granted again
+	releasing := selfRange(0, 99, 3)
+	releasing.Releasing = true
+	iss.SetRanges([]ranges.Range{releasing, {From: 100, To: ranges.LastKey}})
+	iss.HandleReport(clock.At(12*time.Second), grant.RangeReport{Released: []ranges.Range{{From: 0, To: 99, HandoverToken: "old"}}})
+	is.Equal(len(iss.ReleasedRanges()), 0)
+}
+
+// Guards against a range that never reached its target and is not released for as long
+// as the target gets grants of others.
+func TestGrantThatNeverArrivedExpires(t *testing.T) {
+	is := is.New(t)
+	iss := newIssuer()
+	iss.SetLease(clock.At(0), 4*time.Second)
+	iss.HandleReport(clock.At(0), grant.RangeReport{})
+	releasing := selfRange(0, 99, 3)
+	releasing.Releasing = true
+	other := selfRange(100, ranges.LastKey, 4)
+	iss.SetRanges([]ranges.Range{releasing, other})
+	for at := range 4 {
+		now := clock.At(time.Duration(at) * time.Second)
+		is.Equal(iss.ReleaseExpired(now), 0)
+		iss.SetLease(now, 4*time.Second)
+		iss.HandleReport(now, grant.RangeReport{Held: []ranges.Range{selfRange(50, 60, 2), other}}) // an earlier part is still in use
+	}
+	is.Equal(iss.ReleaseExpired(clock.At(4*time.Second)), 1)
+}
--- a/coord/grant/requester.go
+++ b/coord/grant/requester.go
@@ -130,6 +130,16 @@
 	return len(q.sent) == 0
 }
 
+// GrantsEnd returns the time at which every grant has certainly expired, zero if none is
+// in force.
+func (q *Requester) GrantsEnd() time.Duration {
+	end := time.Duration(0)
+	for _, g := range q.sent {
+		end = max(end, g.end)
+	}
+	return end
+}
+
 // ReleaseExpired releases the ranges whose release is requested and whose keys the
 // target certainly does not hold any more, and will not, with the token that it
 // returned if it answered the release. It returns the number of ranges that were not
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -41,6 +41,7 @@
 	mu     sync.Mutex
 	target target
 	issuer issuer
+	ended  endedTarget
 	// departures are the notices of targets that stop.
 	departures fleet.Departures
 	// started is the time of the process's start. Grants of an earlier incarnation
--- a/router/fleetagent/config.go
+++ b/router/fleetagent/config.go
@@ -17,6 +17,9 @@
 	// AnnounceInterval is the usual time between two announcements of the
 	// target.
 	AnnounceInterval time.Duration
+	// Lease is the duration of a lease, which is equal in all processes: the grants
+	// that an earlier start of the process has issued end within it.
+	Lease time.Duration
 	// Grant configures the grants in the answers to the target's announcements.
 	Grant grant.Config
 	// Request, if set, is used instead: ranges are granted by calls to the target.
--- a/router/fleetagent/issuer.go
+++ b/router/fleetagent/issuer.go
@@ -18,6 +18,7 @@
 	SetLease(sent clock.Reading, d time.Duration)
 	ReleaseExpired(now clock.Reading) int
 	GrantsExpired(now clock.Reading) bool
+	GrantsEnd() time.Duration
 	ReleasedRanges() []fleet.ReleasedRange
 	MayServe(now clock.Reading, key uint16) bool
 	IsAssigned(key uint16) bool
@@ -25,12 +26,20 @@
 
 // newIssuer returns the issuer for a new incarnation of the target. The caller holds
 // mu.
-func (a *Agent) newIssuer(now clock.Reading, h ranges.Holder) issuer {
+func (a *Agent) newIssuer(h ranges.Holder) issuer {
+	earlier := a.issuer
+	if earlier == nil {
+		earlier = a.ended.issuer
+	}
+	earlierEnd := a.started + a.cfg.Lease
+	if earlier != nil && earlier.Holder() == h {
+		earlierEnd = max(earlierEnd, earlier.GrantsEnd())
+	}
 	if a.cfg.Request == nil {
-		return grant.New(a.cfg.Grant, h, now)
+		return grant.New(a.cfg.Grant, h, earlierEnd)
 	}
-	next := grant.NewRequester(a.cfg.Request.Grant, h, a.started+a.cfg.Request.Grant.MaxGrant)
-	if earlier, ok := a.issuer.(*grant.Requester); ok {
+	next := grant.NewRequester(a.cfg.Request.Grant, h, earlierEnd)
+	if earlier, ok := earlier.(*grant.Requester); ok {
 		next.Succeed(earlier)
 	}
 	return next
--- a/router/fleetagent/quota_test.go
+++ b/router/fleetagent/quota_test.go
@@ -49,7 +49,7 @@
 	for i := range n {
 		client := peer.NewClient(&peer.Dialer{}, nil)
 		a := fleetagent.New(fleetagent.Config{
-			Process: string(rune('a' + i)), Service: "s", Address: "x", AnnounceInterval: time.Hour, Grant: grant.DefaultConfig(10 * time.Second),
+			Process: string(rune('a' + i)), Service: "s", Address: "x", AnnounceInterval: time.Hour, Grant: grant.DefaultConfig(10*time.Second, time.Hour),
 		}, leaderclient.New(client, []string{address}), logging.ForComponent(logs, "member"))
 		go a.Run(ctx)
 		agents = append(agents, a)
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -137,7 +137,8 @@
 	case announcement.ID == "" || announcement.Service != a.cfg.Service || announcement.Address != a.cfg.Address:
 		a.log.Warn().Str("target", announcement.ID).Str("service", announcement.Service).Str("address", announcement.Address).Msg("announcement ignored: it is not from the target of this process")
 		return grant.Grant{}, AnnounceForeign
-	case announcement.Incarnation < t.incarnation, announcement.ID == t.id && announcement.Incarnation == t.incarnation && announcement.Sequence <= t.sequence:
+	case announcement.Incarnation < t.incarnation, a.ended.isStale(announcement),
+		announcement.ID == t.id && announcement.Incarnation == t.incarnation && announcement.Sequence <= t.sequence:
 		a.log.Info().Str("target", announcement.ID).Int64("life", announcement.Incarnation).Uint64("sequence", announcement.Sequence).Uint64("newest", t.sequence).
 			Int64("newestLife", t.incarnation).Msg("announcement ignored: a later one has arrived already")
 		return grant.Grant{}, AnnounceStale
@@ -198,6 +199,7 @@
 		a.endIncarnation(a.issuer.Holder(), "it refuses connections and its announcements are overdue")
 		// The incarnation is retained, so that late announcements of earlier ones
 		// are still stale.
+		a.ended = endedTarget{sequence: t.sequence, issuer: a.issuer}
 		a.target, a.issuer = target{incarnation: t.incarnation}, nil
 		a.RenewNow()
 	}
--- a/router/fleetagent/target_test.go
+++ b/router/fleetagent/target_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/quality"
 	"bramleyquay.example/coord/ranges"
@@ -18,7 +19,7 @@
 
 func testAgent() *Agent {
 	return New(Config{
-		Process: "p", Service: "s", Address: "a", AnnounceInterval: time.Hour, Grant: grant.DefaultConfig(10 * time.Second),
+		Process: "p", Service: "s", Address: "a", AnnounceInterval: time.Hour, Grant: grant.DefaultConfig(10*time.Second, time.Hour),
 	}, leaderclient.New(nil, nil), logging.ForComponent(logging.New(io.Discard, "error", false), "member"))
 }
 
@@ -159,3 +160,44 @@
 	usage.Weight, usage.Target.Incarnation = 2, 9
 	is.Equal(a.renewal(timesource.BootTime().Mono).Member.Weight, 0)
 }
+
+// Guards against late announcements from before the start of the process that release a
+// range which the target has got since.
+func TestAnnouncementsBeforeStartReleaseNothing(t *testing.T) {
+	is := is.New(t)
+	a := testAgent()
+	a.cfg.Lease = 300 * time.Millisecond
+	holder := ranges.Holder{Target: "t", Incarnation: 1, Process: "p"}
+	a.view.Store(&View{Keyspaces: map[string]fleet.Keyspace{"s": {Revision: 1, Ranges: []ranges.Range{
+		{From: 0, To: ranges.LastKey, Holder: holder, Fence: 4, Releasing: true}}}}})
+	for sequence := range uint64(4) {
+		late := announcement("t", 1, sequence+1)
+		late.Ranges.Released = []ranges.Range{{From: 0, To: ranges.LastKey, HandoverToken: "earlier"}}
+		_, result := a.Announce(late)
+		is.Equal(result, AnnounceAccepted)
+	}
+	is.Equal(len(a.renewal(timesource.BootTime().Mono).Released), 0)
+	// The grants of the earlier process end with its lease.
+	is.Equal(len(a.renewal(a.started+a.cfg.Lease).Released), 1)
+}
+
+// Guards against a target that counts as ended and goes on: its earlier announcements are
+// stale, and its earlier grants are not forgotten.
+func TestTargetThatGoesOn(t *testing.T) {
+	is := is.New(t)
+	a := testAgent()
+	a.cfg.AnnounceInterval = time.Nanosecond
+	a.Announce(announcement("t", 1, 5))
+	a.issuer.SetLease(timesource.BootTime(), 5*time.Second)
+	a.issuer.SetRanges([]ranges.Range{{From: 0, To: ranges.LastKey, Holder: a.issuer.Holder(), Fence: 4}})
+	a.Announce(announcement("t", 1, 6))
+	end := a.issuer.GrantsEnd()
+	a.RecordUnreachable(true)
+	_, known := a.Target()
+	is.True(!known)
+	_, result := a.Announce(announcement("t", 1, 6))
+	is.Equal(result, AnnounceStale)
+	_, result = a.Announce(announcement("t", 1, 7))
+	is.Equal(result, AnnounceAccepted)
+	is.Equal(a.issuer.GrantsEnd(), end)
+}
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -35,7 +35,9 @@
 	// ColdForMs is the time for which the target remains cold.
 	ColdForMs int64 `json:"coldForMs,omitempty"`
 	// Holds are the ranges that the target holds or still has requests on.
-	// Released are those that it released since its last answered announcement.
+	// Released are those that it released since its last answered announcement. They
+	// should have their fences: without it, a release is not recognized while grants of
+	// an earlier start of the process may be in force.
 	Holds    []Range `json:"holds"`
 	Released []Range `json:"released"`
 }
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -96,7 +96,8 @@
 	sidecar := d.cfg.Sidecar
 	agentConfig := fleetagent.Config{
 		Process: d.cfg.Peer, DataCentre: sidecar.DataCentre, Service: sidecar.Service, Address: sidecar.Target,
-		AnnounceInterval: d.cfg.Lease.AnnounceInterval, Grant: grant.DefaultConfig(d.cfg.Lease.MaxHold),
+		AnnounceInterval: d.cfg.Lease.AnnounceInterval, Lease: d.cfg.Lease.Duration(),
+		Grant: grant.DefaultConfig(d.cfg.Lease.MaxHold, d.cfg.Lease.AnnounceInterval),
 	}
 	if sidecar.GrantFormat != nil {
 		agentConfig.Request = &fleetagent.RequestConfig{
--- a/router/rangetarget/keys.go
+++ b/router/rangetarget/keys.go
@@ -123,7 +123,7 @@
 		for key := int(r.From); key <= int(r.To); key++ {
 			k.fence[key], k.releasing[key] = 0, false
 		}
-		r.Fence, r.Handover = 0, newHandoverToken()
+		r.Handover = newHandoverToken()
 		k.released = append(k.released, r)
 	}
 }
