--- a/coord/fleet/command.go
+++ b/coord/fleet/command.go
@@ -73,6 +73,9 @@
 	// Refused means that the document is missing, invalid, or not of a higher
 	// version than the current one. Nothing changed.
 	Refused ChangeStatus = "refused"
+	// TooLarge means that the change is larger than the replicas accept. Nothing
+	// changed.
+	TooLarge ChangeStatus = "too large"
 )
 
 // Result is the status of a command and the document version after it.
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -66,7 +66,7 @@
 		st.acceptedChanges[id] = true
 	}
 	if st.stored.Document != nil {
-		st.history.addDocument(st.stored.DocumentIndex, st.stored.Document)
+		st.history.addDocument(st.stored.DocumentIndex, st.stored.Document, len(data))
 	}
 	for service, keyspace := range st.stored.Keyspaces {
 		st.history.addKeyspace(service, keyspace)
@@ -90,7 +90,7 @@
 	}
 	switch {
 	case c.ApplyDocument != nil:
-		return st.applyDocument(index, c.ApplyDocument), nil
+		return st.applyDocument(index, c.ApplyDocument, len(data)), nil
 	case c.SetDrain != nil:
 		return st.setDrain(index, c.SetDrain), nil
 	case c.ReplaceRanges != nil:
@@ -103,7 +103,9 @@
 
 func (st *State) result(o ChangeStatus) Result { return Result{Status: o, Version: st.Version()} }
 
-func (st *State) applyDocument(index uint64, c *ApplyDocument) Result {
+// applyDocument applies a change of the document. size is that of the encoded command
+// in bytes.
+func (st *State) applyDocument(index uint64, c *ApplyDocument, size int) Result {
 	switch {
 	case st.acceptedChanges[c.ChangeID]:
 		return st.result(Accepted)
@@ -113,7 +115,7 @@
 		return st.result(Refused)
 	}
 	st.stored.Document, st.stored.Text, st.stored.DocumentIndex = c.Document, c.Text, index
-	st.history.addDocument(index, c.Document)
+	st.history.addDocument(index, c.Document, size)
 	st.acceptedChanges[c.ChangeID] = true
 	st.stored.ChangeIDs = append(st.stored.ChangeIDs, c.ChangeID)
 	if len(st.stored.ChangeIDs) > maxChanges {
--- a/coord/fleet/updates.go
+++ b/coord/fleet/updates.go
@@ -18,32 +18,51 @@
 type pastDocument struct {
 	index    uint64
 	document *routes.Document
+	bytes    int
 	// patch is the cached difference to the document of log index patchIndex.
 	// After a change all members need the same patch.
 	patch      *routes.Patch
 	patchIndex uint64
 }
 
-// maxHistory bounds the retained documents, and the retained revisions of each
-// key space.
-const maxHistory = 64
+const (
+	// maxHistory bounds the retained documents, and the retained revisions of each
+	// key space.
+	maxHistory = 64
+	// maxHistoryBytes bounds the memory of the retained documents, and of the retained
+	// revisions of each key space. The newest and the one before it are always retained:
+	// nearly all members need the difference between these.
+	maxHistoryBytes = 4 << 20
+	// rangeBytes is the memory of a range, roughly.
+	rangeBytes = 128
+)
 
-func (h *history) addDocument(index uint64, d *routes.Document) {
-	h.documents = append(h.documents, pastDocument{index: index, document: d})
-	if len(h.documents) > maxHistory {
-		h.documents = slices.Clone(h.documents[1:])
-	}
+// addDocument adds the newest document. bytes is the memory that it takes, roughly.
+func (h *history) addDocument(index uint64, d *routes.Document, bytes int) {
+	h.documents = append(h.documents, pastDocument{index: index, document: d, bytes: bytes})
+	h.documents = dropOldest(h.documents, func(p pastDocument) int { return p.bytes })
 }
 
 func (h *history) addKeyspace(service string, s Keyspace) {
 	if h.keyspaces == nil {
 		h.keyspaces = map[string][]Keyspace{}
 	}
-	revisions := append(h.keyspaces[service], s)
-	if len(revisions) > maxHistory {
-		revisions = slices.Clone(revisions[1:])
+	h.keyspaces[service] = dropOldest(append(h.keyspaces[service], s), func(k Keyspace) int { return rangeBytes * len(k.Ranges) })
+}
+
+// dropOldest returns the newest items that maxHistory and maxHistoryBytes allow.
+func dropOldest[T any](items []T, bytes func(T) int) []T {
+	first, total := len(items), 0
+	for first > 0 && len(items)-first < maxHistory {
+		if total += bytes(items[first-1]); total > maxHistoryBytes && len(items)-first >= 2 {
+			break
+		}
+		first--
+	}
+	if first == 0 {
+		return items
 	}
-	h.keyspaces[service] = revisions
+	return slices.Clone(items[first:])
 }
 
 // DocumentSince returns the update for a process that has applied the document
--- a/coord/fleet/updates_test.go
+++ b/coord/fleet/updates_test.go
@@ -100,3 +100,24 @@
 	is.True(ok)
 	is.Equal(after.Version, uint64(3))
 }
+
+// Guards against retained documents that take memory in proportion to the size of a
+// document, and against members that need the whole document after each change of a large
+// one.
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	st := fleet.NewState()
+	for version := range uint64(10) {
+		d := &routes.Document{Version: version + 1, Services: []routes.Service{{Name: "s"}}}
+		data, err := fleet.EncodeCommand(fleet.Command{ApplyDocument: &fleet.ApplyDocument{
+			ChangeID: fmt.Sprint(version), BaseVersion: version, Document: d, Text: make([]byte, 3<<20)}})
+		is.NoErr(err)
+		result, err := st.Apply(version+1, data)
+		is.NoErr(err)
+		is.Equal(result.Status, fleet.Accepted)
+	}
+	patch, whole := st.DocumentSince(9)
+	is.True(patch != nil && whole == nil)
+	patch, whole = st.DocumentSince(8)
+	is.True(patch == nil && whole != nil)
+}
--- a/coord/membudget/budget.go
+++ b/coord/membudget/budget.go
@@ -47,6 +47,10 @@
 	return true
 }
 
+// Largest returns the most bytes that a holder of more than Small can have, which it gets
+// while nothing else is used.
+func (b *Budget) Largest() int64 { return (b.cfg.Total - b.cfg.Reserve) / 2 }
+
 // Shrink returns n bytes that Grow has granted.
 func (b *Budget) Shrink(n int64) { b.used -= n }
 
--- a/coord/raft/config.go
+++ b/coord/raft/config.go
@@ -10,8 +10,11 @@
 
 // Defaults for Config fields that are zero.
 const (
-	DefaultMaxBatchBytes = 1 << 20
-	DefaultMaxInflight   = 64
+	DefaultMaxBatchBytes       = 1 << 20
+	DefaultMaxInflight         = 64
+	DefaultMaxInflightBytes    = 4 << 20
+	DefaultMaxUncommittedBytes = 16 << 20
+	DefaultKeepBytes           = 2 << 20
 )
 
 // Config holds the parameters of one replica. ElectionTicks and
@@ -33,10 +36,23 @@
 	// MaxInflight bounds the append messages to one replica that are not yet
 	// answered. Zero selects DefaultMaxInflight.
 	MaxInflight int
+	// MaxInflightBytes bounds the entry data in the append messages to one replica that
+	// are not yet answered, which the replica may have to hold in memory. A larger single
+	// entry is sent alone. Zero selects DefaultMaxInflightBytes.
+	MaxInflightBytes int
+	// MaxUncommittedBytes bounds the data of the entries of a leader that are not yet
+	// committed. A larger single command is accepted alone. More allow more concurrent
+	// large commands and take more memory on all replicas. Zero selects
+	// DefaultMaxUncommittedBytes.
+	MaxUncommittedBytes int
 	// KeepEntries is the number of entries before a snapshot that Compact
 	// retains in memory, so that a replica that is slightly behind needs no
 	// snapshot. Zero retains none.
 	KeepEntries int
+	// KeepBytes bounds the data of the entries that Compact retains, unless the snapshot
+	// has more than twice as much. A replica that lacks more of them gets the snapshot.
+	// Zero selects DefaultKeepBytes.
+	KeepBytes int
 	// Rand chooses election timeouts. Replicas need different seeds.
 	Rand *rand.Rand
 }
@@ -55,6 +71,15 @@
 	if c.MaxInflight == 0 {
 		c.MaxInflight = DefaultMaxInflight
 	}
+	if c.MaxInflightBytes == 0 {
+		c.MaxInflightBytes = DefaultMaxInflightBytes
+	}
+	if c.MaxUncommittedBytes == 0 {
+		c.MaxUncommittedBytes = DefaultMaxUncommittedBytes
+	}
+	if c.KeepBytes == 0 {
+		c.KeepBytes = DefaultKeepBytes
+	}
 	switch {
 	case c.ID == "":
 		return c, &ConfigError{Field: "ID", Reason: "is empty"}
@@ -69,8 +94,14 @@
 		return c, &ConfigError{Field: "MaxBatchBytes", Reason: "is negative"}
 	case c.MaxInflight < 0:
 		return c, &ConfigError{Field: "MaxInflight", Reason: "is negative"}
+	case c.MaxInflightBytes < 0:
+		return c, &ConfigError{Field: "MaxInflightBytes", Reason: "is negative"}
+	case c.MaxUncommittedBytes < 0:
+		return c, &ConfigError{Field: "MaxUncommittedBytes", Reason: "is negative"}
 	case c.KeepEntries < 0:
 		return c, &ConfigError{Field: "KeepEntries", Reason: "is negative"}
+	case c.KeepBytes < 0:
+		return c, &ConfigError{Field: "KeepBytes", Reason: "is negative"}
 	}
 	return c, nil
 }
--- a/coord/raft/entry.go
+++ b/coord/raft/entry.go
@@ -20,6 +20,15 @@
 	Data  []byte    `json:"d,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
+// dataBytes returns the size of the entries' data.
+func dataBytes(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+	}
+	return size
+}
+
 // EntryID identifies a proposed entry. The proposal succeeded if the entry
 // committed at this index has this term. If it has another term, the proposal
 // failed and can no longer take effect.
--- a/coord/raft/errors.go
+++ b/coord/raft/errors.go
@@ -9,6 +9,9 @@
 	// ErrTransferring refuses a proposal during a leadership transfer. The
 	// proposal was not appended and may be retried.
 	ErrTransferring = errors.New("raft: leadership is being transferred")
+	// ErrTooManyUncommitted refuses a proposal while the entries that are not committed
+	// yet have too much data. The proposal was not appended and may be retried.
+	ErrTooManyUncommitted = errors.New("raft: too many changes are waiting to be committed")
 	// ErrInvalidTransferee refuses a leadership transfer to a replica that is not
 	// a voter, is this replica, or has not answered a heartbeat round that was sent
 	// within the last ElectionTicks.
--- a/coord/raft/log.go
+++ b/coord/raft/log.go
@@ -69,6 +69,9 @@
 	return slices.Clip(l.entries[from-l.baseIndex-1 : to-l.baseIndex])
 }
 
+// bytesAfter returns the data of the entries after index in bytes.
+func (l *raftLog) bytesAfter(index uint64) int { return dataBytes(l.slice(index+1, l.last())) }
+
 // batch returns the entries from index from on with at most maxBytes of data, but
 // at least one if there is any.
 func (l *raftLog) batch(from uint64, maxBytes int) []Entry {
@@ -127,13 +130,18 @@
 }
 
 // compact records a snapshot of this replica's own state and removes the entries
-// up to its index, except the last keep ones.
-func (l *raftLog) compact(s Snapshot, keep uint64) {
+// up to its index, except the last keep ones with at most keepBytes of data.
+func (l *raftLog) compact(s Snapshot, keep, keepBytes int) {
 	l.snapshot = s
-	if s.Index <= l.baseIndex+keep {
+	base := s.Index
+	for size := 0; base > l.baseIndex && s.Index-base < uint64(keep); base-- {
+		if size += len(l.entries[base-l.baseIndex-1].Data); size > keepBytes {
+			break
+		}
+	}
+	if base == l.baseIndex {
 		return
 	}
-	base := s.Index - keep
 	term, _ := l.term(base)
 	l.entries = slices.Clone(l.entries[base-l.baseIndex:])
 	l.baseIndex, l.baseTerm = base, term
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -143,12 +143,15 @@
 }
 
 // Propose appends a command to the leader's log. The entry may still be lost until
-// it is in Ready.Committed; see EntryID. The error is a *NotLeaderError or
-// ErrTransferring.
+// it is in Ready.Committed; see EntryID. The error is a *NotLeaderError,
+// ErrTransferring or ErrTooManyUncommitted.
 func (n *Node) Propose(data []byte) (EntryID, error) {
 	if err := n.canPropose(); err != nil {
 		return EntryID{}, err
 	}
+	if uncommitted := n.log.bytesAfter(n.log.commit); uncommitted > 0 && uncommitted+len(data) > n.cfg.MaxUncommittedBytes {
+		return EntryID{}, ErrTooManyUncommitted
+	}
 	return n.appendEntry(EntryCommand, data), nil
 }
 
@@ -163,7 +166,8 @@
 }
 
 // Compact records data as the snapshot of the state after the entry at index, which
-// must be applied, and removes the entries up to it, except the last KeepEntries.
+// must be applied, and removes the entries up to it, except the last KeepEntries with
+// at most KeepBytes of data, or half the size of the snapshot if that is more.
 // The caller persists the result of Snapshot. The error is ErrNotApplied or
 // ErrCompacted.
 func (n *Node) Compact(index uint64, data []byte) error {
@@ -175,7 +179,7 @@
 	}
 	term, _ := n.log.term(index)
 	n.log.compact(Snapshot{Index: index, Term: term, Membership: n.history.at(index).clone(), Data: data},
-		uint64(n.cfg.KeepEntries))
+		n.cfg.KeepEntries, max(n.cfg.KeepBytes, len(data)/2))
 	n.history.compact(n.log.baseIndex)
 	return nil
 }
--- a/coord/raft/node_test.go
+++ b/coord/raft/node_test.go
@@ -187,3 +187,57 @@
 	s.run(s.cfg.ElectionTicks)
 	is.Equal(learner.node.Status().Leader, s.leader().id)
 }
+
+// TestLogIsBoundedInBytes guards against a log whose memory grows with the size of its
+// entries: those that are retained before a snapshot, those that a replica has not
+// answered, and those that are not committed.
+func TestLogIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 3)
+	for s.run(40); s.leader() == nil; {
+		s.run(1)
+	}
+	for range 100 {
+		s.write(s.leader())
+		s.run(1)
+	}
+	s.run(5)
+	l := s.leader()
+	l.node.cfg.KeepEntries, l.node.cfg.KeepBytes = 100, 50
+	s.compact(l)
+	kept := l.node.log.slice(l.node.log.baseIndex+1, l.node.log.snapshot.Index)
+	is.True(len(kept) > 0)
+	is.True(dataBytes(kept) <= 50)
+
+	g := newTestGroup(3)
+	n := g.nodes["n1"]
+	n.cfg.MaxInflightBytes, n.cfg.MaxBatchBytes, n.cfg.MaxUncommittedBytes = 150, 60, 400
+	accepted := 0
+	for {
+		if _, err := n.Propose(make([]byte, 30)); err != nil {
+			is.True(errors.Is(err, ErrTooManyUncommitted))
+			break
+		}
+		accepted++
+	}
+	is.Equal(accepted, 13) // 390 of 400 bytes
+	sent := map[ID]int{}
+	for _, m := range n.Ready().Messages {
+		sent[m.To] += dataBytes(m.Entries)
+	}
+	is.Equal(sent, map[ID]int{"n2": 180, "n3": 180}) // the last batch begins below 150 bytes
+}
+
+// TestLargeEntryIsAcceptedAlone guards against bounds that an entry larger than they are
+// can never pass.
+func TestLargeEntryIsAcceptedAlone(t *testing.T) {
+	is := is.New(t)
+	g := newTestGroup(3)
+	n := g.nodes["n1"]
+	n.cfg.MaxInflightBytes, n.cfg.MaxBatchBytes, n.cfg.MaxUncommittedBytes = 15, 10, 20
+	_, err := n.Propose(make([]byte, 100))
+	is.NoErr(err)
+	_, err = n.Propose(make([]byte, 1))
+	is.True(errors.Is(err, ErrTooManyUncommitted))
+	is.Equal(len(n.Ready().Messages), 2)
+}
--- a/coord/raft/progress.go
+++ b/coord/raft/progress.go
@@ -15,6 +15,7 @@
 // inflightAppend is an append that awaits its reply.
 type inflightAppend struct {
 	last  uint64 // index of its last entry
+	bytes int    // data of its entries
 	round uint64 // last heartbeat round opened before it was sent
 }
 
@@ -84,6 +85,15 @@
 	}
 }
 
+// pendingBytes returns the entry data in the appends that await their replies.
+func (p *followerProgress) pendingBytes() int {
+	size := 0
+	for _, a := range p.pending {
+		size += a.bytes
+	}
+	return size
+}
+
 // canDiscard reports whether a removed replica has learned that its removal is
 // committed: it has answered a round that was opened after it could learn of that.
 // The first call at which it can have learned of it records the last round in
--- a/coord/raft/replication.go
+++ b/coord/raft/replication.go
@@ -22,7 +22,7 @@
 	for p.next <= n.log.last() {
 		switch {
 		case p.state == Snapshotting, p.state == Probing && p.paused,
-			p.state == Replicating && len(p.pending) >= n.cfg.MaxInflight:
+			p.state == Replicating && (len(p.pending) >= n.cfg.MaxInflight || p.pendingBytes() >= n.cfg.MaxInflightBytes):
 			return
 		case p.next <= n.log.baseIndex:
 			n.sendSnapshot(id, p)
@@ -37,7 +37,7 @@
 			return
 		}
 		p.next += uint64(len(entries))
-		p.pending = append(p.pending, inflightAppend{last: p.next - 1, round: n.lead.round})
+		p.pending = append(p.pending, inflightAppend{last: p.next - 1, bytes: dataBytes(entries), round: n.lead.round})
 	}
 }
 
--- a/router/bqctl/fleet.go
+++ b/router/bqctl/fleet.go
@@ -162,6 +162,8 @@
 	switch result.Status {
 	case fleet.Conflict:
 		return &exitError{code: ExitConflict, text: fmt.Sprintf("version %d is in force, not %d; nothing was changed", result.Version, *base)}
+	case fleet.TooLarge:
+		return invalid("the document is larger than the control replicas accept; nothing was changed")
 	case fleet.Refused:
 		return invalid(fmt.Sprintf("the version must be above %d; nothing was changed", result.Version))
 	}
--- a/router/controlnode/replica.go
+++ b/router/controlnode/replica.go
@@ -35,6 +35,7 @@
 	controller     *control.Controller
 	transport      *raftdriver.Transport
 	readyProcessor *raftdriver.ReadyProcessor
+	snapshots      raftdriver.SnapshotReceiver
 	subscribers    *raftdriver.Subscribers[table.MemberID]
 
 	bootstrapState     bootstrapState
@@ -67,6 +68,7 @@
 		subscribers: raftdriver.NewSubscribers[table.MemberID](MethodRenewNow),
 		proposals:   raftdriver.Proposals[control.Result]{},
 	}
+	r.snapshots.Deliver = r.post
 	r.transport = raftdriver.NewTransport(client, r.address, log)
 	if err := r.open(); err != nil {
 		return nil, err
--- a/router/controlnode/serve.go
+++ b/router/controlnode/serve.go
@@ -18,15 +18,20 @@
 func (r *Replica) Register(s *peer.Server) {
 	s.Handle(MethodBootstrapProbe, peer.Bind(r.handleBootstrapProbe))
 	s.Handle(raftdriver.MethodStep, peer.Bind(r.step))
+	s.Handle(raftdriver.MethodSnapshotPart, peer.Bind(r.snapshots.Receive))
 	s.Handle(member.MethodRenew, r.renew)
 }
 
 // step queues a message of another replica and does not wait for its processing.
 func (r *Replica) step(_ context.Context, m raft.Message) (struct{}, error) {
-	r.tasks.Post(func() { r.receive(m) }) // if the queue is full, the sender retries
+	r.post(m)
 	return struct{}{}, nil
 }
 
+// post queues a message for the replica's goroutine. If the queue is full, the sender
+// retries.
+func (r *Replica) post(m raft.Message) { r.tasks.Post(func() { r.receive(m) }) }
+
 func (r *Replica) receive(m raft.Message) {
 	if r.raft == nil {
 		return
--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -209,7 +209,7 @@
 	replica, err := fleetnode.Open(fleetnode.Config{
 		Address: d.cfg.Peer, Cluster: d.cfg.Cluster, DataDir: control.DataDir, InitialVoters: control.InitialVoters,
 		Leader: leader, Group: fleet.DefaultMembershipConfig(control.ToleratedFailures),
-		SnapshotEntries: fleetnode.DefaultSnapshotEntries,
+		SnapshotEntries: fleetnode.DefaultSnapshotEntries, MaxChangeBytes: d.maxChangeBytes(), Memory: d.callMemory,
 	}, d.client, d.leaders, logging.ForComponent(logs, "control"))
 	if err != nil {
 		return err
--- a/router/fleetdaemon/memory.go
+++ b/router/fleetdaemon/memory.go
@@ -22,6 +22,10 @@
 	requestMemoryShare = 0.25
 	callMemoryShare    = 0.15
 	connMemoryShare    = 0.1
+	// changeMemoryShare is the largest change of a document as a share of the memory
+	// limit. A replica has up to about ten copies of it in different forms at a time,
+	// and callers of the replica the same number.
+	changeMemoryShare = 1.0 / 64
 	// defaultMemoryBytes is the memory limit from which the shares are taken if none is
 	// set.
 	defaultMemoryBytes = 2 << 30
@@ -29,11 +33,9 @@
 
 // openMemory sets the memory limit of the Go runtime and of requests and calls.
 func (d *Daemon) openMemory() {
-	limit := d.cfg.MemoryBytes
-	if limit > 0 {
+	limit := d.memoryBytes()
+	if d.cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(limit)))
-	} else {
-		limit = defaultMemoryBytes
 	}
 	d.requestMemory = memory.NewPool(int64(requestMemoryShare * float64(limit)))
 	d.callMemory = memory.NewPool(int64(callMemoryShare * float64(limit)))
@@ -44,5 +46,16 @@
 	}
 }
 
+// maxChangeBytes returns the largest change of a document that is accepted.
+func (d *Daemon) maxChangeBytes() int { return int(changeMemoryShare * float64(d.memoryBytes())) }
+
+// memoryBytes returns the memory from which the shares are taken.
+func (d *Daemon) memoryBytes() int64 {
+	if d.cfg.MemoryBytes > 0 {
+		return d.cfg.MemoryBytes
+	}
+	return defaultMemoryBytes
+}
+
 // CallMemory returns the memory that calls of targets and operators share.
 func (d *Daemon) CallMemory() *memory.Pool { return d.callMemory }
--- a/router/fleetnode/compress.go
+++ b/router/fleetnode/compress.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/routes"
@@ -27,9 +28,14 @@
 	data     []byte
 }
 
-// maxCachedChanges is the largest number of cached changes. It covers the
-// changes between a few document versions.
-const maxCachedChanges = 16
+const (
+	// maxCachedChanges is the largest number of cached changes. It covers the
+	// changes between a few document versions.
+	maxCachedChanges = 16
+	// maxCachedBytes bounds the memory of the cached changes, unless the newest one
+	// alone is larger.
+	maxCachedBytes = 4 << 20
+)
 
 // compress returns the compressed change of the document in a reply, or nil if
 // the reply has none. from is the log index of the document that the member
@@ -38,6 +44,9 @@
 	if reply.Document == nil && reply.Patch == nil {
 		return nil, nil
 	}
+	if reply.Patch == nil {
+		from = 0 // the whole document does not depend on what the member has
+	}
 	to := reply.Revisions.Document
 	for _, entry := range c.cached {
 		if entry.from == from && entry.to == to {
@@ -56,12 +65,22 @@
 		return nil, Error.Wrap(err)
 	}
 	c.cached = append(c.cached, compressedChange{from: from, to: to, data: buf.Bytes()})
-	if len(c.cached) > maxCachedChanges {
-		c.cached = c.cached[1:]
-	}
+	c.dropOldest()
 	return buf.Bytes(), nil
 }
 
+// dropOldest removes the oldest changes beyond maxCachedChanges and maxCachedBytes.
+func (c *changeCompressor) dropOldest() {
+	first, bytes := len(c.cached), 0
+	for first > 0 && len(c.cached)-first < maxCachedChanges {
+		if bytes += len(c.cached[first-1].data); bytes > maxCachedBytes && first < len(c.cached) {
+			break
+		}
+		first--
+	}
+	c.cached = slices.Clone(c.cached[first:])
+}
+
 // maxDecompressedBytes is the largest accepted size of a document.
 const maxDecompressedBytes = 64 << 20
 
--- a/router/fleetnode/config.go
+++ b/router/fleetnode/config.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/router/memory"
 )
 
 // Error is the class of this package's errors.
@@ -34,10 +35,16 @@
 	Leader fleet.Config
 	// Group configures the membership changes of the control group.
 	Group fleet.MembershipConfig
-	// SnapshotEntries is the number of applied entries between snapshots. More
-	// entries need more disk space and make the start slower; fewer entries
-	// cause more writes.
+	// SnapshotEntries is the largest number of applied entries between snapshots. A
+	// snapshot is due sooner if they are large. More entries need more disk space and
+	// make the start slower; fewer entries cause more writes.
 	SnapshotEntries uint64
+	// MaxChangeBytes bounds the encoded change of a document, which contains the whole
+	// document and its text. The replica holds several copies of it while it is changed,
+	// sent or restored. A larger one is refused with fleet.TooLarge.
+	MaxChangeBytes int
+	// Memory is the memory that received snapshots take; nil sets no bound.
+	Memory *memory.Pool
 }
 
 const (
@@ -66,6 +73,6 @@
 	// directoryNotifyInterval is the same for changes of the directory only,
 	// which come in quick succession when many processes start.
 	directoryNotifyInterval = 80 * time.Millisecond
-	// DefaultSnapshotEntries keeps the log below a few megabytes.
+	// DefaultSnapshotEntries is for changes of a few kilobytes.
 	DefaultSnapshotEntries = 500
 )
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -23,12 +23,15 @@
 
 // restoreSnapshot replaces the state by a snapshot from the leader.
 func (r *Replica) restoreSnapshot(snapshot *raft.Snapshot) error {
-	state, err := fleet.Restore(snapshot.Data)
-	if err != nil {
-		return Error.Wrap(err)
+	state := r.received.state
+	if r.received.index != snapshot.Index || r.received.term != snapshot.Term {
+		var err error
+		if state, err = fleet.Restore(snapshot.Data); err != nil {
+			return Error.Wrap(err)
+		}
 	}
-	r.state = state
-	r.log.Info().Uint64("index", snapshot.Index).Uint64("version", state.Version()).Msg("state replaced by a snapshot from the leader")
+	r.state, r.received = state, receivedState{}
+	r.log.Info().Uint64("index", snapshot.Index).Uint64("version", r.state.Version()).Msg("state replaced by a snapshot from the leader")
 	return nil
 }
 
--- a/router/fleetnode/replica.go
+++ b/router/fleetnode/replica.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"bramleyquay.example/coord/clock"
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/raft"
@@ -36,6 +38,9 @@
 	membership     *fleet.MembershipManager
 	transport      *raftdriver.Transport
 	readyProcessor *raftdriver.ReadyProcessor
+	snapshots      raftdriver.SnapshotReceiver
+	received       receivedState
+	changes        *semaphore.Weighted // nil without a bound
 	subscribers    *raftdriver.Subscribers[string]
 	compressor     changeCompressor
 
@@ -81,7 +86,10 @@
 		subscribers: raftdriver.NewSubscribers[string](MethodRenewNow),
 		proposals:   raftdriver.Proposals[fleet.Result]{},
 		probing:     map[raft.ID]bool{},
+		changes:     newChangeSemaphore(cfg.MaxChangeBytes),
 	}
+	r.snapshots.Deliver = r.post
+	r.snapshots.LimitMemory(cfg.Memory)
 	r.transport = raftdriver.NewTransport(client, func(id raft.ID) string {
 		if a := fleet.ReplicaAddress(id); a != cfg.Address {
 			return a
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -64,6 +64,7 @@
 // Register adds the replica's methods to a server.
 func (r *Replica) Register(s *peer.Server) {
 	s.Handle(raftdriver.MethodStep, peer.Bind(r.step))
+	s.Handle(raftdriver.MethodSnapshotPart, peer.Bind(r.snapshots.Receive))
 	s.Handle(MethodJoin, peer.Bind(r.handleJoin))
 	s.Handle(MethodPropose, peer.Bind(r.propose))
 	s.Handle(MethodRead, peer.Bind(r.read))
@@ -126,24 +127,37 @@
 
 // step queues a message of another replica and does not wait for its processing.
 func (r *Replica) step(_ context.Context, m raft.Message) (struct{}, error) {
-	r.tasks.Post(func() { r.receive(m) }) // if the queue is full, the sender retries
+	r.post(m)
 	return struct{}{}, nil
 }
 
+// post queues a message for the replica's goroutine. If the queue is full, the sender
+// retries.
+func (r *Replica) post(m raft.Message) { r.tasks.Post(func() { r.receive(m) }) }
+
 func (r *Replica) receive(m raft.Message) {
 	// The log stores a snapshot before the state is restored from it. One that
 	// cannot be restored would stop this replica at each start.
 	if s := m.Snapshot; s != nil && len(s.Data) > 0 {
-		if _, err := fleet.Restore(s.Data); err != nil {
+		state, err := fleet.Restore(s.Data)
+		if err != nil {
 			r.log.Warn().Str("from", string(m.From)).Err(err).Msg("snapshot rejected: it cannot be restored")
 			return
 		}
+		r.received = receivedState{index: s.Index, term: s.Term, state: state}
 	}
 	if err := r.raft.Step(m); err != nil {
 		r.log.Debug().Str("from", string(m.From)).Err(err).Msg("message rejected")
 	}
 }
 
+// receivedState is the state of a snapshot that was passed to the replicated log and is
+// not restored yet.
+type receivedState struct {
+	index, term uint64
+	state       *fleet.State
+}
+
 // doAsLeader runs f on the replica's goroutine if this replica may answer as
 // leader, and returns *peer.NotLeaderError otherwise.
 func (r *Replica) doAsLeader(ctx context.Context, f func() error) error {
@@ -188,6 +202,11 @@
 	}
 	result := make(chan raftdriver.ProposalResult[fleet.Result], 1)
 	err = r.doAsLeader(ctx, func() error {
+		if r.cfg.MaxChangeBytes > 0 && len(data) > r.cfg.MaxChangeBytes {
+			r.log.Warn().Int("bytes", len(data)).Int("limit", r.cfg.MaxChangeBytes).Msg("change refused: it is too large")
+			result <- raftdriver.ProposalResult[fleet.Result]{Result: fleet.Result{Status: fleet.TooLarge, Version: r.state.Version()}}
+			return nil
+		}
 		at, err := r.raft.Propose(data)
 		if err != nil {
 			return err
@@ -222,30 +241,6 @@
 	return reply, err
 }
 
-// LatestDocument returns the newest document, confirmed by the leader, and
-// whether the change changeID was accepted before. The leader sends the text
-// only if this replica does not have that version. It blocks until the leader
-// answers or ctx ends.
-func (r *Replica) LatestDocument(ctx context.Context, changeID string) (ReadDocumentReply, error) {
-	request := ReadDocumentRequest{ChangeID: changeID}
-	var text []byte
-	err := r.do(ctx, func() {
-		request.Have = r.state.Version()
-		_, text = r.state.Document()
-	})
-	if err != nil {
-		return ReadDocumentReply{}, err
-	}
-	var reply ReadDocumentReply
-	if err := r.peers.CallLeader(ctx, MethodRead, request, &reply); err != nil {
-		return ReadDocumentReply{}, err
-	}
-	if reply.Version == request.Have {
-		reply.Text = text
-	}
-	return reply, nil
-}
-
 // renew answers a member's renewal and subscribes its connection to
 // MethodRenewNow.
 func (r *Replica) renew(ctx context.Context, conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
--- a/router/memory/pool.go
+++ b/router/memory/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"sync"
 
 	"bramleyquay.example/coord/membudget"
@@ -39,6 +40,16 @@
 	return p.budget.Used()
 }
 
+// largest returns the most bytes that an account can have.
+func (p *Pool) largest() int64 {
+	if p == nil {
+		return math.MaxInt64
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Largest()
+}
+
 // Refused returns the number of times that an account could not grow.
 func (p *Pool) Refused() uint64 {
 	p.mu.Lock()
--- a/router/raftdriver/ready.go
+++ b/router/raftdriver/ready.go
@@ -17,8 +17,20 @@
 	SnapshotEntries uint64
 	// SnapshotIndex is the index of the newest snapshot.
 	SnapshotIndex uint64
+	// appliedBytes is the data of the entries that were applied since the newest
+	// snapshot, or since the start.
+	appliedBytes int
 }
 
+// A snapshot is due once the entries that were applied since the last one have
+// minSnapshotBytes of data and snapshotFactor times as much as that snapshot. It bounds
+// the log in memory and on the disk, whatever the size of an entry, and the writes of
+// snapshots to a part of those of entries.
+const (
+	minSnapshotBytes = 4 << 20
+	snapshotFactor   = 2
+)
+
 // StateMachine contains the callbacks that change the replicated state.
 type StateMachine struct {
 	// Restore replaces the state by a snapshot from the leader.
@@ -44,10 +56,11 @@
 			if err := m.Restore(s); err != nil {
 				return err
 			}
-			p.SnapshotIndex = s.Index
+			p.SnapshotIndex, p.appliedBytes = s.Index, 0
 		}
 		for _, e := range r.Committed {
 			m.Apply(e)
+			p.appliedBytes += len(e.Data)
 		}
 		n.Advance(r)
 		m.OnAdvance()
@@ -66,13 +79,13 @@
 	return p.Store.Save(r.HardState, r.Entries)
 }
 
-// Compact takes a snapshot of the state once SnapshotEntries entries were
-// applied since the last one, stores it and removes the entries that it
-// covers; the node retains the last raft.Config.KeepEntries of them in memory.
-// Until then it does nothing. After an error the replica must stop.
+// Compact takes a snapshot of the state once SnapshotEntries entries, or enough bytes of
+// them, were applied since the last one, stores it and removes the entries that it covers;
+// the node retains some of them in memory (raft.Config.KeepEntries and KeepBytes). Until
+// then it does nothing. After an error the replica must stop.
 func (p *ReadyProcessor) Compact(n *raft.Node, snapshot func() ([]byte, error)) error {
 	applied := n.Status().Applied
-	if applied < p.SnapshotIndex+p.SnapshotEntries {
+	if applied == p.SnapshotIndex || applied < p.SnapshotIndex+p.SnapshotEntries && p.appliedBytes < p.snapshotBytes(n) {
 		return nil
 	}
 	data, err := snapshot()
@@ -82,10 +95,15 @@
 	if err := n.Compact(applied, data); err != nil {
 		return err
 	}
-	p.SnapshotIndex = applied
+	p.SnapshotIndex, p.appliedBytes = applied, 0
 	return p.Store.SaveSnapshot(n.Snapshot())
 }
 
+// snapshotBytes returns the data of applied entries after which a snapshot is due.
+func (p *ReadyProcessor) snapshotBytes(n *raft.Node) int {
+	return max(minSnapshotBytes, snapshotFactor*len(n.Snapshot().Data))
+}
+
 // errNotCommitted means that an entry of another term was committed at the
 // index of the proposal. The command had no effect and may be retried.
 var errNotCommitted = errors.New("the command was not committed; send it again")
--- a/router/raftdriver/transport.go
+++ b/router/raftdriver/transport.go
@@ -36,6 +36,11 @@
 	mu     sync.Mutex
 	queues map[raft.ID]chan outgoingMessage
 	closed bool
+	// snapshots are the replicas to which a snapshot is being sent in parts. ctx ends
+	// these transfers.
+	snapshots map[raft.ID]bool
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // outgoingMessage is a message with the address of its destination at the time
@@ -49,7 +54,11 @@
 // goroutine. address returns a replica's peer address, or an empty string if
 // it is not known; messages to such replicas are dropped.
 func NewTransport(client *peer.Client, address func(raft.ID) string, log logging.Logger) *Transport {
-	return &Transport{client: client, address: address, log: log, queues: map[raft.ID]chan outgoingMessage{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{
+		client: client, address: address, log: log, queues: map[raft.ID]chan outgoingMessage{},
+		snapshots: map[raft.ID]bool{}, ctx: ctx, cancel: cancel,
+	}
 }
 
 // Send queues messages and does not block. If the queue of a replica is full,
@@ -61,6 +70,10 @@
 			t.log.Debugf("no address is known for replica %s", m.To)
 			continue
 		}
+		if s := m.Snapshot; s != nil && len(s.Data) > snapshotPartBytes {
+			t.startSnapshot(addr, m)
+			continue
+		}
 		select {
 		case t.queue(m.To) <- outgoingMessage{addr: addr, msg: m}:
 		default: // the queue is full; raft retries
@@ -68,6 +81,26 @@
 	}
 }
 
+// startSnapshot sends a snapshot in parts, beside the queue of the replica. While one is
+// being sent to a replica, further ones to it are dropped.
+func (t *Transport) startSnapshot(addr string, m raft.Message) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.snapshots[m.To] {
+		return
+	}
+	t.snapshots[m.To] = true
+	go func() {
+		err := t.sendInParts(t.ctx, addr, m)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.snapshots, m.To)
+		if err != nil {
+			t.log.Debugf("snapshot for replica %s at index %d failed: %v", m.To, m.Snapshot.Index, err)
+		}
+	}()
+}
+
 // queue returns the queue of a replica and starts its goroutine at the first
 // use.
 func (t *Transport) queue(id raft.ID) chan outgoingMessage {
@@ -110,6 +143,7 @@
 		return
 	}
 	t.closed = true
+	t.cancel()
 	for _, q := range t.queues {
 		close(q)
 	}
--- a/router/store/file.go
+++ b/router/store/file.go
@@ -44,13 +44,3 @@
 	}
 	return err
 }
-
-// readFile returns the content of a file.
-func readFile(fsys FS, name string) ([]byte, error) {
-	f, err := fsys.Open(name)
-	if err != nil {
-		return nil, err
-	}
-	data, err := io.ReadAll(f)
-	return data, errors.Join(err, f.Close())
-}
--- a/router/store/fs.go
+++ b/router/store/fs.go
@@ -29,4 +29,6 @@
 	Sync() error
 	// Truncate cuts the file to size bytes.
 	Truncate(size int64) error
+	// Size returns the size of the file in bytes.
+	Size() (int64, error)
 }
--- a/router/store/identity.go
+++ b/router/store/identity.go
@@ -22,20 +22,13 @@
 // ReadIdentity returns the folder's identity. The error is ErrNoIdentity if none was
 // written, a *CorruptError if the file is damaged, or wraps that of the file system.
 func ReadIdentity(fsys FS) (Identity, error) {
-	data, err := readFile(fsys, identityName)
+	var id Identity
+	err := readRecord(fsys, identityName, &id)
 	if errors.Is(err, fs.ErrNotExist) {
 		return Identity{}, ErrNoIdentity
 	}
 	if err != nil {
-		return Identity{}, fmt.Errorf("store: %w", err)
-	}
-	payload, rest, ok := nextRecord(data)
-	if !ok || len(rest) > 0 {
-		return Identity{}, &CorruptError{File: identityName, Reason: "the record is damaged"}
-	}
-	var id Identity
-	if err := decoder.Unmarshal(payload, &id); err != nil {
-		return Identity{}, &CorruptError{File: identityName, Reason: err.Error()}
+		return Identity{}, err
 	}
 	return id, nil
 }
@@ -56,7 +49,7 @@
 	case !errors.Is(err, ErrNoIdentity):
 		return err
 	}
-	record, err := encodeRecord(id)
+	record, err := encodeRecord(id, entryOverhead)
 	if err != nil {
 		return err
 	}
--- a/router/store/memfs_test.go
+++ b/router/store/memfs_test.go
@@ -255,4 +255,6 @@
 	return err
 }
 
+func (f *memFile) Size() (int64, error) { return int64(len(f.node.data)), f.fs.count("size") }
+
 func (f *memFile) Close() error { return f.fs.count("close") }
--- a/router/store/open.go
+++ b/router/store/open.go
@@ -60,17 +60,10 @@
 func (s *Store) loadLatest(f folder) (raft.PersistentState, error) {
 	generation := slices.Max(f.logs)
 	name := logName(generation)
-	data, err := readFile(s.fsys, name)
-	if err != nil {
-		return raft.PersistentState{}, fmt.Errorf("store: %w", err)
-	}
-	state, err := replayLog(name, data)
+	state, size, err := s.readLog(name, generation)
 	if err != nil {
 		return raft.PersistentState{}, err
 	}
-	if state.header.Generation != generation {
-		return raft.PersistentState{}, &CorruptError{File: name, Reason: fmt.Sprintf("the header is of generation %d", state.header.Generation)}
-	}
 	snapshot, err := s.loadSnapshot(state.header)
 	if err != nil {
 		return raft.PersistentState{}, err
@@ -81,7 +74,7 @@
 	if err := s.fsys.SyncDir(); err != nil {
 		return raft.PersistentState{}, fmt.Errorf("store: %w", err)
 	}
-	if err := s.reopen(name, int64(len(data))); err != nil {
+	if err := s.reopen(name, size); err != nil {
 		return raft.PersistentState{}, fmt.Errorf("store: %w", err)
 	}
 	if err := s.removeOthers(f, generation); err != nil {
@@ -90,6 +83,20 @@
 	return raft.PersistentState{HardState: state.hard, Snapshot: snapshot, Entries: slices.Clone(state.entries)}, nil
 }
 
+// readLog reads a log file and returns its state and its size in bytes.
+func (s *Store) readLog(name string, generation uint64) (state *logState, size int64, err error) {
+	r, err := openRecords(s.fsys, name)
+	if err != nil {
+		return nil, 0, fmt.Errorf("store: %w", err)
+	}
+	defer func() { err = errors.Join(err, r.close()) }()
+	state, err = replayLog(r, generation)
+	if corrupt := (*CorruptError)(nil); err != nil && !errors.As(err, &corrupt) {
+		err = fmt.Errorf("store: %w", err)
+	}
+	return state, r.size, err
+}
+
 // loadSnapshot reads the snapshot that precedes a log.
 func (s *Store) loadSnapshot(h logHeader) (raft.Snapshot, error) {
 	if h.SnapshotIndex == 0 {
@@ -99,20 +106,13 @@
 	corrupt := func(reason string) (raft.Snapshot, error) {
 		return raft.Snapshot{}, &CorruptError{File: name, Reason: reason}
 	}
-	data, err := readFile(s.fsys, name)
+	var snapshot raft.Snapshot
+	err := readRecord(s.fsys, name, &snapshot)
 	if errors.Is(err, fs.ErrNotExist) {
 		return corrupt("the snapshot is missing")
 	}
 	if err != nil {
-		return raft.Snapshot{}, fmt.Errorf("store: %w", err)
-	}
-	payload, rest, ok := nextRecord(data)
-	if !ok || len(rest) > 0 {
-		return corrupt("the snapshot is damaged")
-	}
-	var snapshot raft.Snapshot
-	if err := decoder.Unmarshal(payload, &snapshot); err != nil {
-		return corrupt(err.Error())
+		return raft.Snapshot{}, err
 	}
 	if snapshot.Index != h.SnapshotIndex || snapshot.Term != h.SnapshotTerm {
 		return corrupt(fmt.Sprintf("the snapshot is at index %d, term %d; the log follows index %d, term %d",
--- a/router/store/osfs.go
+++ b/router/store/osfs.go
@@ -32,7 +32,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return f, nil
+	return osFile{f}, nil
+}
+
+type osFile struct{ *os.File }
+
+// Size implements File.
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
 }
 
 // Rename implements FS.
--- a/router/store/replay.go
+++ b/router/store/replay.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"errors"
 	"fmt"
+	"io"
 
 	"bramleyquay.example/coord/raft"
 )
@@ -78,39 +80,48 @@
 	return nil
 }
 
-// replayLog returns the state in the content of a log file. A torn last record is
-// left out.
-func replayLog(name string, data []byte) (*logState, error) {
-	corrupt := func(offset int, reason string) error {
-		return &CorruptError{File: name, Offset: int64(offset), Reason: reason}
+// replayLog reads the state in a log file, which belongs to generation. A torn last
+// record is left out.
+func replayLog(r *recordReader, generation uint64) (*logState, error) {
+	corrupt := func(offset int64, reason string) error {
+		return &CorruptError{File: r.name, Offset: offset, Reason: reason}
 	}
-	payload, rest, ok := nextRecord(data)
-	if !ok {
+	payload, err := r.next()
+	if errors.Is(err, errDamaged) || errors.Is(err, io.EOF) {
 		return nil, corrupt(0, "the header record is damaged")
 	}
+	if err != nil {
+		return nil, err
+	}
 	l := &logState{}
 	if err := decoder.Unmarshal(payload, &l.header); err != nil {
 		return nil, corrupt(0, err.Error())
 	}
+	if l.header.Generation != generation {
+		return nil, corrupt(0, fmt.Sprintf("the header is of generation %d", l.header.Generation))
+	}
 	l.hard = l.header.Hard
-	for len(rest) > 0 {
-		offset := len(data) - len(rest)
-		payload, next, ok := nextRecord(rest)
-		if !ok {
-			if !torn(rest) {
-				return nil, corrupt(offset, "a record before the end is damaged")
+	for {
+		l.size = r.offset
+		payload, err := r.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return l, nil
+		case errors.Is(err, errDamaged):
+			torn, err := r.torn()
+			if err == nil && !torn {
+				err = corrupt(l.size, "a record before the end is damaged")
 			}
-			break
+			return l, err
+		case err != nil:
+			return nil, err
 		}
 		var rec logRecord
 		if err := decoder.Unmarshal(payload, &rec); err != nil {
-			return nil, corrupt(offset, err.Error())
+			return nil, corrupt(l.size, err.Error())
 		}
 		if err := l.apply(rec); err != nil {
-			return nil, corrupt(offset, err.Error())
+			return nil, corrupt(l.size, err.Error())
 		}
-		rest = next
 	}
-	l.size = int64(len(data) - len(rest))
-	return l, nil
 }
--- a/router/store/store.go
+++ b/router/store/store.go
@@ -40,7 +40,7 @@
 		return &InvalidWriteError{Reason: err.Error()}
 	}
 	rec := logRecord{Sequence: s.state.sequence + 1, Hard: hard, Entries: entries}
-	data, err := encodeRecord(rec)
+	data, err := encodeRecord(rec, entriesSize(entries))
 	if err != nil {
 		return err
 	}
@@ -83,7 +83,7 @@
 		return &InvalidWriteError{Reason: fmt.Sprintf("snapshot at index %d is not after the stored one at %d",
 			snapshot.Index, s.state.header.SnapshotIndex)}
 	}
-	record, err := encodeRecord(snapshot)
+	record, err := encodeRecord(snapshot, len(snapshot.Data)+snapshotOverhead)
 	if err != nil {
 		return err
 	}
@@ -145,14 +145,14 @@
 // open file and its state.
 func (s *Store) writeLog(header logHeader, entries []raft.Entry) (File, *logState, error) {
 	state := &logState{header: header, hard: header.Hard}
-	record, err := encodeRecord(header)
+	record, err := encodeRecord(header, entryOverhead)
 	if err != nil {
 		return nil, nil, err
 	}
 	records := [][]byte{record}
 	for part := range slices.Chunk(entries, maxRecordEntries) {
 		rec := logRecord{Sequence: state.sequence + 1, Entries: part}
-		if record, err = encodeRecord(rec); err != nil {
+		if record, err = encodeRecord(rec, entriesSize(part)); err != nil {
 			return nil, nil, err
 		}
 		if err := state.apply(rec); err != nil {
--- a/router/store/store_test.go
+++ b/router/store/store_test.go
@@ -6,9 +6,12 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
+	"time"
 
 	"bramleyquay.example/coord/raft"
+	"bramleyquay.example/router/memory/heappeak"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 )
@@ -189,3 +192,25 @@
 	is.NoErr(cbor.Unmarshal(data, &fromCBOR))
 	is.Equal(fromCBOR, m)
 }
+
+// TestOpenHoldsOneRecord guards against a start that takes several times the size of the
+// log: beside the entries themselves, only one record may be in memory.
+func TestOpenHoldsOneRecord(t *testing.T) {
+	is := is.New(t)
+	fsys := DirFS(t.TempDir())
+	s, _, _, err := Open(fsys)
+	is.NoErr(err)
+	const records, recordBytes = 64, 1 << 20
+	for i := range uint64(records) {
+		is.NoErr(s.Save(hard(1, 0), []raft.Entry{{Term: 1, Index: i + 1, Data: make([]byte, recordBytes)}}))
+	}
+	is.NoErr(s.Close())
+	peak := heappeak.Measure(time.Millisecond)
+	_, stored, _, err := Open(fsys)
+	is.NoErr(err)
+	is.Equal(len(stored.Entries), records)
+	grown := peak()
+	t.Logf("%d MiB for a log of %d MiB", grown>>20, records*recordBytes>>20)
+	is.True(grown < (records+8)*recordBytes)
+	runtime.KeepAlive(stored)
+}
