Record the departure of a target before it is acknowledged

Cause: the notice was in the memory of the sidecar process and of the leader only, and was acknowledged before it was anywhere else.

Rule: what was acknowledged holds after any restart, of any processes, in any order, however the departure was said. A late message of the earlier incarnation changes nothing; a new one under the same id is used at once.

Change: a departure (by notice, draining announcement or answer) is a command of the replicated log, by process, target and start time. A process takes no requests for its target before the first reply of control since its start, which has its departures, and the leader lists departed targets as draining.

TestOddHeartbeats and the tests of fleetagent now begin with a process that has had a reply of control; their checks are the same.

Ruled out: recording with the next renewal (the acknowledgement would come first); an age from which announcements are ignored (nothing bounds it).

--- a/coord/fleet/command.go
+++ b/coord/fleet/command.go
@@ -21,6 +21,9 @@
 	SetDrain      *SetDrain      `cbor:"2,keyasint,omitempty"`
 	ReplaceRanges *ReplaceRanges `cbor:"3,keyasint,omitempty"`
 	RegisterQuota *RegisterQuota `cbor:"4,keyasint,omitempty"`
+
+	RecordDeparture  *RecordDeparture  `cbor:"5,keyasint,omitempty"`
+	ForgetDepartures *ForgetDepartures `cbor:"6,keyasint,omitempty"`
 }
 
 // ApplyDocument replaces the routing document.
--- a/coord/fleet/leader.go
+++ b/coord/fleet/leader.go
@@ -98,6 +98,7 @@
 	// quarantine counts the crashes that processes report.
 	quarantine *quarantine.Registry
 	quota      quotaLeader
+	departures departureLeader
 }
 
 type member struct {
@@ -141,14 +142,17 @@
 // Replicas. It must be called only while IsLeader is true.
 func (l *Leader) Renew(now clock.Reading, st *State, r Renewal) RenewalReply {
 	unknown := l.notices.record(now, r)
-	if unknown.leaving {
-		r.Member.Condition = Draining
+	if h := r.Member.Holder(); r.Member.Condition != Draining && (unknown.leaving || st.departed(h)) {
+		unknown.leaving, r.Member.Condition = true, Draining
 	}
 	l.recordRenewal(now, r)
 	current := st.Revisions()
 	l.recordQuarantine(now, r.Quarantine)
 	current.Directory, current.Term, current.Quarantine = l.directory.revision, l.term, l.quarantine.Revision()
 	reply := RenewalReply{Revisions: current, MembersComplete: l.membersComplete(now), TargetLeaving: unknown.leaving, TargetLimit: unknown.limit}
+	if r.NeedsDepartures {
+		reply.Departures = st.DeparturesOf(r.Member.Process)
+	}
 	reply.Patch, reply.Document = st.DocumentSince(r.Revisions.Document)
 	if r.Revisions.Drain != current.Drain || r.Revisions.Document == 0 {
 		drained := st.Drained()
@@ -258,6 +262,7 @@
 	l.notices.prune(now)
 	l.quarantine.Prune(now)
 	out := l.quotaCommands(now, st)
+	out = append(out, l.departures.commands(now, st, func(process string) bool { return l.members[process] != nil })...)
 	doc, _ := st.Document()
 	if doc == nil {
 		return out
--- a/coord/fleet/messages.go
+++ b/coord/fleet/messages.go
@@ -54,6 +54,8 @@
 	Member Member `json:"member"`
 	// Revisions are the revisions that the process has applied.
 	Revisions Revisions `json:"known"`
+	// NeedsDepartures is set until the process has had a reply since its start.
+	NeedsDepartures bool `json:"needsDepartures,omitempty"`
 	// Released lists the ranges that the target has released. Each is repeated
 	// until the process sees the release in the key space.
 	Released []ReleasedRange `json:"released,omitempty"`
@@ -120,6 +122,9 @@
 	// the target named then, if the renewal has none.
 	TargetLeaving bool    `json:"targetLeaving,omitempty"`
 	TargetLimit   float64 `json:"targetLimit,omitempty"`
+	// Departures are the recorded departures of the process's targets, if the renewal
+	// needs them.
+	Departures []Departure `json:"departures,omitempty"`
 	// The fields from Document to Quarantine hold what changed since the renewal's
 	// revisions; they are empty if nothing changed. Document and Patch are sent in
 	// Compressed, as JSON compressed with DEFLATE.
--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -39,6 +39,8 @@
 	// Fence is the highest fencing token that was allocated.
 	Fence uint64        `cbor:"10,keyasint"`
 	Quota quotaRegistry `cbor:"11,keyasint,omitzero"`
+	// Departures are the targets that have announced that they stop.
+	Departures departureRegistry `cbor:"12,keyasint,omitempty"`
 }
 
 // Keyspace is the key space of one service.
@@ -97,6 +99,10 @@
 		return st.replaceRanges(index, c.ReplaceRanges), nil
 	case c.RegisterQuota != nil:
 		return st.registerQuota(index, c.RegisterQuota), nil
+	case c.RecordDeparture != nil:
+		return st.recordDeparture(index, c.RecordDeparture), nil
+	case c.ForgetDepartures != nil:
+		return st.forgetDepartures(c.ForgetDepartures), nil
 	}
 	return Result{}, Error.New("the command has no content")
 }
--- a/router/fleetagent/agent.go
+++ b/router/fleetagent/agent.go
@@ -38,12 +38,11 @@
 	rates        *rateMeter
 	quota        *quotaState
 
-	mu     sync.Mutex
-	target target
-	issuer issuer
-	ended  endedTarget
-	// departures are the notices of targets that stop.
-	departures fleet.Departures
+	mu         sync.Mutex
+	target     target
+	issuer     issuer
+	ended      endedTarget
+	departures departureState
 	// started is the time of the process's start. Grants of an earlier incarnation
 	// of the process may be in force for a lease after it.
 	started time.Duration
@@ -141,6 +140,10 @@
 		return
 	}
 	a.leaderClient.SetReplicas(reply.Replicas)
+	a.mu.Lock()
+	a.loadDepartures(reply.Departures)
+	a.recordPending()
+	a.mu.Unlock()
 	a.apply(renewal, reply)
 	if a.quota.apply(sent.Mono, reply.Quota, a.View()) {
 		a.RenewNow()
@@ -192,7 +195,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.releaseExpired(now)
-	renewal := fleet.Renewal{Member: a.member(now), Revisions: a.view.Load().Revisions, EndedHolders: a.endedHolders}
+	renewal := fleet.Renewal{
+		Member: a.member(now), Revisions: a.view.Load().Revisions, EndedHolders: a.endedHolders, NeedsDepartures: !a.departures.loaded,
+	}
 	if a.usage != nil {
 		u := a.usage()
 		renewal.Utilization, renewal.Capacity = math.Round(100*u.Utilization)/100, math.Round(100*u.Capacity)/100
--- a/router/fleetagent/incarnation.go
+++ b/router/fleetagent/incarnation.go
@@ -32,7 +32,7 @@
 	a.issuer = a.newIssuer(ranges.Holder{Target: announcement.ID, Incarnation: announcement.Incarnation, Process: a.cfg.Process})
 	a.issuer.SetRanges(a.view.Load().Keyspaces[a.cfg.Service].Ranges)
 	a.log.Info().Str("target", announcement.ID).Int64("life", announcement.Incarnation).Int("slots", announcement.Slots).Dur("at", now.Mono).Msg("target joined")
-	if a.departures.Includes(announcement.ID, announcement.Incarnation) {
+	if a.departures.known.Includes(announcement.ID, announcement.Incarnation) {
 		a.setLeaving("announced before its first announcement arrived")
 	}
 }
--- a/router/fleetagent/target.go
+++ b/router/fleetagent/target.go
@@ -247,7 +247,9 @@
 	// EarlierLimit is the limit in requests per second that the target named to an
 	// earlier start of the process, or zero.
 	EarlierLimit float64
-	// Accepts is set if the target may get new requests.
+	// Accepts is set if the target may get new requests. It is not set before the first
+	// reply of control: the target may have announced to an earlier start of the process
+	// that it stops.
 	Accepts bool
 	// ColdUntil is the announced or assumed end of its cold period, on the clock
 	// of timesource.BootTime.
@@ -271,7 +273,7 @@
 	}
 	return Target{
 		ID: t.id, Slots: t.slots, Incarnation: ranges.Holder{Target: t.id, Incarnation: t.incarnation, Process: a.cfg.Process}, EarlierLimit: t.earlierLimit, ColdUntil: coldUntil, NextGrant: a.nextGrant(now),
-		Accepts: a.condition(now) == fleet.Ready,
+		Accepts: a.departures.loaded && a.condition(now) == fleet.Ready,
 	}, true
 }
 
--- a/router/fleetagent/target_test.go
+++ b/router/fleetagent/target_test.go
@@ -17,10 +17,17 @@
 	"bramleyquay.example/router/timesource"
 )
 
+// testAgent returns an agent that has had a reply of control.
 func testAgent() *Agent {
+	a := newTestAgent(leaderclient.New(nil, nil))
+	a.loadDepartures(nil)
+	return a
+}
+
+func newTestAgent(leaders *leaderclient.Client) *Agent {
 	return New(Config{
 		Process: "p", Service: "s", Address: "a", AnnounceInterval: time.Hour, Grant: grant.DefaultConfig(10*time.Second, time.Hour),
-	}, leaderclient.New(nil, nil), logging.ForComponent(logging.New(io.Discard, "error", false), "member"))
+	}, leaders, logging.ForComponent(logging.New(io.Discard, "error", false), "member"))
 }
 
 func announcement(id string, incarnation int64, sequence uint64) Announcement {
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -101,7 +101,8 @@
 
 // announce answers an announcement. One that is malformed or not from the
 // target of this process gets status 400; one that is out of date gets
-// HoldMs 0.
+// HoldMs 0. One that says that the target drains gets status 503 if control has not
+// recorded it yet: it is not acknowledged, although no new requests are sent.
 func (d *Daemon) announce(w http.ResponseWriter, r *http.Request) {
 	var a Announcement
 	if !d.decodeBody(w, r, &a) {
@@ -117,6 +118,12 @@
 		return
 	case fleetagent.AnnounceAccepted, fleetagent.AnnounceStale:
 	}
+	if a.Draining {
+		if err := d.agent.RecordDraining(r.Context(), a.ID, a.Incarnation); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
 	reply := AnnounceReply{HoldMs: granted.Duration.Milliseconds()}
 	for _, keyRange := range granted.Ranges {
 		reply.Holds = append(reply.Holds, Range{From: keyRange.From, To: keyRange.To, Fence: keyRange.Fence, Handover: keyRange.HandoverToken})
@@ -141,12 +148,18 @@
 	return result
 }
 
+// leave answers the notice of a target that it stops, with status 503 if control has not
+// recorded it yet: it is not acknowledged, although no new requests are sent.
 func (d *Daemon) leave(w http.ResponseWriter, r *http.Request) {
 	var a struct {
 		ID          string `json:"id"`
 		Incarnation int64  `json:"life"`
 	}
-	if d.decodeBody(w, r, &a) {
-		d.agent.TargetLeaving(fleet.Notice{Target: a.ID, Incarnation: a.Incarnation, Abandoned: !callconn.IsWaiting(r.Context())})
+	if !d.decodeBody(w, r, &a) {
+		return
+	}
+	notice := fleet.Notice{Target: a.ID, Incarnation: a.Incarnation, Abandoned: !callconn.IsWaiting(r.Context())}
+	if err := d.agent.TargetLeaving(r.Context(), notice); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
 }
--- a/router/fleetdaemon/cluster_test.go
+++ b/router/fleetdaemon/cluster_test.go
@@ -217,21 +217,33 @@
 // restartProcess stops the sidecar process and starts it again, while the target runs.
 func (t *target) restartProcess(test *testing.T) {
 	test.Helper()
-	t.stop()
-	if err := <-t.done; err != nil {
-		test.Fatal(err)
-	}
-	// The listener for peers is closed after Run has returned.
-	await(test, "end of the listener", func() bool {
-		l, err := net.Listen("tcp", t.cfg.Peer)
-		return err == nil && l.Close() == nil
-	})
+	t.end(test)
+	t.startAgain(test)
+}
+
+// startAgain starts the sidecar process, which has ended, while the target runs.
+func (t *target) startAgain(test *testing.T) {
+	test.Helper()
 	p := start(test, t.cfg)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.process = p
 }
 
+// end stops a process and waits until it can be started again.
+func (p *process) end(t *testing.T) {
+	t.Helper()
+	p.stop()
+	if err := <-p.done; err != nil {
+		t.Fatal(err)
+	}
+	// The listener for peers is closed after Run has returned.
+	await(t, "end of the listener", func() bool {
+		l, err := net.Listen("tcp", p.cfg.Peer)
+		return err == nil && l.Close() == nil
+	})
+}
+
 // applyGrant replaces the held ranges by those of a grant and releases the
 // others.
 func (t *target) applyGrant(g grant.Grant) {
--- a/router/fleetdaemon/leaving_test.go
+++ b/router/fleetdaemon/leaving_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"bramleyquay.example/coord/fleet"
+	"bramleyquay.example/router/fleetagent"
 )
 
 // Guards against new requests at a target whose answers say that it leaves, while its
@@ -60,3 +63,44 @@
 	})
 	is.Equal(leaving.count("told"), 1)
 }
+
+// Guards against requests to a target whose departure was acknowledged and is forgotten when
+// all processes restart: a late announcement is the first that they hear of it.
+func TestDepartureOutlastsRestartOfAll(t *testing.T) {
+	is := is.New(t)
+	_, plain, c := startServingCluster(t)
+	leaving := plain[0]
+	leaving.mu.Lock()
+	leaving.silent = true
+	late := fleetagent.Announcement{
+		ID: leaving.name, Incarnation: leaving.incarnation, Service: "plain", Address: leaving.cfg.Sidecar.Target, Slots: 4, Sequence: leaving.sequence + 1,
+	}
+	leaving.mu.Unlock()
+	is.NoErr(leaving.Agent().TargetLeaving(t.Context(), fleet.Notice{Target: late.ID, Incarnation: late.Incarnation}))
+	c.control.end(t)
+	for _, p := range plain {
+		p.end(t)
+	}
+	c.control = start(t, c.control.cfg)
+	for _, p := range plain {
+		p.startAgain(t)
+	}
+	for i := range 40 {
+		id := fmt.Sprint("after", i)
+		await(t, "an answer", func() bool {
+			_, result := leaving.Agent().Announce(late)
+			is.Equal(result, fleetagent.AnnounceAccepted)
+			late.Sequence++
+			status, _, _ := plain[i%2].call("GET", "/safe/a", id, nil)
+			return status == 200
+		})
+		is.Equal(leaving.count(id), 0)
+	}
+	at, known := leaving.Agent().Target()
+	is.True(known && !at.Accepts)
+	// A later incarnation under the same id is used at once.
+	late.Incarnation, late.Sequence = late.Incarnation+1, 1
+	leaving.Agent().Announce(late)
+	at, _ = leaving.Agent().Target()
+	is.True(at.Accepts)
+}
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -99,11 +99,14 @@
 	if now.MonoSince(r.lastLeaseCheck) >= leaseInterval {
 		r.lastLeaseCheck = now
 		for _, c := range r.leader.Tick(now, r.state) {
-			if c.RegisterQuota != nil {
+			switch {
+			case c.RegisterQuota != nil:
 				r.proposeQuota(c)
-				continue
+			case c.ForgetDepartures != nil:
+				r.proposeForgetDepartures(c)
+			default:
+				r.proposeRanges(c)
 			}
-			r.proposeRanges(c)
 		}
 	}
 	if now.MonoSince(r.lastMembershipCheck) >= membershipInterval {
--- a/router/fleetnode/serve.go
+++ b/router/fleetnode/serve.go
@@ -55,10 +55,13 @@
 	Accepted bool `json:"accepted,omitempty"`
 }
 
-// ProposeRequest contains an operator's command; one of its fields is set.
+// ProposeRequest contains a command of an operator or of a process; one of its fields is
+// set.
 type ProposeRequest struct {
 	ApplyDocument *fleet.ApplyDocument `json:"applyDocument,omitempty"`
 	SetDrain      *fleet.SetDrain      `json:"setDrain,omitempty"`
+	// RecordDeparture is sent by sidecar processes.
+	RecordDeparture *fleet.RecordDeparture `json:"recordDeparture,omitempty"`
 }
 
 // Register adds the replica's methods to a server.
@@ -192,11 +195,11 @@
 	})
 }
 
-// propose commits an operator's command and returns its result. After an error
+// propose commits a command and returns its result. After an error
 // other than *peer.NotLeaderError the command may still take effect; the same
 // command may be retried.
 func (r *Replica) propose(ctx context.Context, request ProposeRequest) (fleet.Result, error) {
-	data, err := fleet.EncodeCommand(fleet.Command{ApplyDocument: request.ApplyDocument, SetDrain: request.SetDrain})
+	data, err := fleet.EncodeCommand(fleet.Command{ApplyDocument: request.ApplyDocument, SetDrain: request.SetDrain, RecordDeparture: request.RecordDeparture})
 	if err != nil {
 		return fleet.Result{}, err
 	}
