Do not release a range by time while its target lists it as held

A target that has to release a range finishes its requests on it first and lists it as held until then. What a target may finish after a grant that leaves the range out is not said in its protocol, so each answer now counts as a grant of the ranges that the announcement lists.

TestRangeStillInUseIsNotReleased fails without the change.

--- a/coord/grant/issuer.go
+++ b/coord/grant/issuer.go
@@ -221,7 +221,7 @@
 	g := Grant{Duration: d}
 	g.Ranges, g.Deferred = iss.selectRanges(report)
 	iss.granted, iss.grantEnd = g.Ranges, now.Mono+d
-	iss.recordGrant(now, g.Ranges, d)
+	iss.recordGrant(now, slices.Concat(g.Ranges, iss.stillHeld(report)), d)
 	for _, r := range g.Ranges {
 		if !report.holds(r) {
 			delete(iss.listed, rangeIDOf(r)) // later reports may have been sent before this grant arrives
@@ -244,6 +244,23 @@
 	return slices.ContainsFunc(report.Held, func(h ranges.Range) bool { return h.Fence == r.Fence && h.From <= r.From && r.To <= h.To })
 }
 
+// stillHeld returns the ranges that the target has to release and lists as held. It may
+// finish its requests on them for as long as the next grant lasts.
+func (iss *Issuer) stillHeld(report RangeReport) []ranges.Range {
+	var out []ranges.Range
+	for _, r := range iss.keyspace {
+		if iss.releasePending(r) && report.overlapsHeld(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// overlapsHeld reports whether the target lists a key of the range as held, at any fence.
+func (report RangeReport) overlapsHeld(r ranges.Range) bool {
+	return slices.ContainsFunc(report.Held, func(h ranges.Range) bool { return h.From <= r.To && r.From <= h.To })
+}
+
 // selectRanges returns the assigned ranges for the next grant, in order: all that
 // the target holds, and as many of the others as fit into MaxBytes.
 func (iss *Issuer) selectRanges(report RangeReport) (selected []ranges.Range, deferred int) {
@@ -279,7 +296,7 @@
 			continue
 		}
 		id := rangeIDOf(r)
-		if slices.ContainsFunc(report.Held, func(h ranges.Range) bool { return h.From <= r.To && r.From <= h.To }) {
+		if report.overlapsHeld(r) {
 			iss.unlisted[id] = 0
 			continue
 		}
--- a/coord/grant/issuer_test.go
+++ b/coord/grant/issuer_test.go
@@ -228,22 +228,40 @@
 	is.Equal(len(iss.ReleasedRanges()), 0)
 }
 
-// Guards against a range that never reached its target and is not released for as long
-// as the target gets grants of others.
-func TestGrantThatNeverArrivedExpires(t *testing.T) {
+// Guards against a range that is not released for as long as its target gets grants of
+// others: after a restart, only the end of the earlier grants shows that it is not held.
+func TestRangeExpiresBesideOthers(t *testing.T) {
 	is := is.New(t)
-	iss := newIssuer()
-	iss.SetLease(clock.At(0), 4*time.Second)
-	iss.HandleReport(clock.At(0), grant.RangeReport{})
+	iss := newIssuerAfterRestart(4 * time.Second)
 	releasing := selfRange(0, 99, 3)
 	releasing.Releasing = true
 	other := selfRange(100, ranges.LastKey, 4)
 	iss.SetRanges([]ranges.Range{releasing, other})
 	for at := range 4 {
 		now := clock.At(time.Duration(at) * time.Second)
-		is.Equal(iss.ReleaseExpired(now), 0)
 		iss.SetLease(now, 4*time.Second)
-		iss.HandleReport(now, grant.RangeReport{Held: []ranges.Range{selfRange(50, 60, 2), other}}) // an earlier part is still in use
+		iss.HandleReport(now, grant.RangeReport{Held: []ranges.Range{other}})
+		is.Equal(iss.ReleaseExpired(now), 0)
 	}
 	is.Equal(iss.ReleaseExpired(clock.At(4*time.Second)), 1)
 }
+
+// Guards against a range that is released while its target still works on it and gets
+// grants of other ranges, and against one that is never released if the target is silent.
+func TestRangeStillInUseIsNotReleased(t *testing.T) {
+	is := is.New(t)
+	iss := newIssuer()
+	iss.SetLease(clock.At(0), 4*time.Second)
+	iss.HandleReport(clock.At(0), grant.RangeReport{})
+	releasing := selfRange(0, 99, 3)
+	releasing.Releasing = true
+	iss.SetRanges([]ranges.Range{releasing, selfRange(100, ranges.LastKey, 4)})
+	for at := range 8 {
+		now := clock.At(time.Duration(at) * time.Second)
+		iss.SetLease(now, 4*time.Second)
+		iss.HandleReport(now, grant.RangeReport{Held: []ranges.Range{selfRange(50, 60, 3)}})
+		is.Equal(iss.ReleaseExpired(now), 0)
+	}
+	is.Equal(iss.ReleaseExpired(clock.At(10*time.Second)), 0)
+	is.Equal(iss.ReleaseExpired(clock.At(11*time.Second)), 1)
+}
