--- a/router/fleetdaemon/memory.go
+++ b/router/fleetdaemon/memory.go
@@ -23,8 +23,8 @@
 	callMemoryShare    = 0.15
 	connMemoryShare    = 0.1
 	// changeMemoryShare is the largest change of a document as a share of the memory
-	// limit. A replica has up to about ten copies of it in different forms at a time,
-	// and callers of the replica the same number.
+	// limit. A replica has several copies of it in different forms at a time: decoded, as
+	// text, in the log, in messages, and in a snapshot (docs/CAPACITY.md).
 	changeMemoryShare = 1.0 / 64
 	// defaultMemoryBytes is the memory limit from which the shares are taken if none is
 	// set.
