--- a/coord/grant/issuer.go
+++ b/coord/grant/issuer.go
@@ -44,8 +44,9 @@
 	// earlierEnd is the time at which the grants of earlier incarnations of this
 	// process have certainly expired.
 	earlierEnd time.Duration
-	// issued are the ranges of this issuer's grants that may be in force.
-	issued []issuedGrant
+	// issued are the times at which the grants of this issuer have certainly expired, by
+	// range, even by a slow clock of the target.
+	issued map[rangeID]time.Duration
 	// listed are the assigned ranges that a report has listed as held at their fence,
 	// and that were not granted anew since.
 	listed map[rangeID]bool
@@ -58,7 +59,8 @@
 // earlierEnd.
 func New(cfg Config, h ranges.Holder, earlierEnd time.Duration) *Issuer {
 	return &Issuer{
-		assignment: newAssignment(h), cfg: cfg, earlierEnd: earlierEnd, listed: map[rangeID]bool{}, unlisted: map[rangeID]int{},
+		assignment: newAssignment(h), cfg: cfg, earlierEnd: earlierEnd,
+		issued: map[rangeID]time.Duration{}, listed: map[rangeID]bool{}, unlisted: map[rangeID]int{},
 	}
 }
 
