--- a/router/fleetagent/leaving.go
+++ b/router/fleetagent/leaving.go
@@ -60,9 +60,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := &a.target
-	// The clock of the target may be ahead.
-	if current := n.Incarnation == 0 && !n.Abandoned; current && t.id == n.Target {
-		n.Incarnation = t.incarnation
+	if n.Incarnation == 0 && !n.Abandoned && t.id == n.Target {
+		n.Incarnation = t.incarnation // by the clock of the target, which may be ahead
 	}
 	departure := a.departures.known.Record(n)
 	switch {
--- a/router/fleetnode/document.go
+++ b/router/fleetnode/document.go
@@ -60,7 +60,8 @@
 	}
 	change.ChangeID = changeID
 	var result fleet.Result
-	return result, r.peers.CallLeader(ctx, MethodPropose, ProposeRequest{ApplyDocument: change}, &result)
+	err = r.peers.CallLeader(ctx, MethodPropose, ProposeRequest{ApplyDocument: change}, &result)
+	return result, err
 }
 
 // newChangeSemaphore returns the semaphore for the bytes of the documents that are changed
@@ -77,14 +78,11 @@
 	if r.changes == nil {
 		return func() {}, nil
 	}
-	var weight int64
-	err = r.do(ctx, func() {
-		_, text := r.state.Document()
-		weight = int64(min(max(len(text)+bodyBytes, minChangeWeight), max(r.cfg.MaxChangeBytes, minChangeWeight)))
-	})
-	if err != nil {
+	var text []byte
+	if err := r.do(ctx, func() { _, text = r.state.Document() }); err != nil {
 		return nil, err
 	}
+	weight := int64(max(minChangeWeight, min(len(text)+bodyBytes, r.cfg.MaxChangeBytes)))
 	if err := r.changes.Acquire(ctx, weight); err != nil {
 		return nil, Error.New("other changes are in progress: %w", err)
 	}
--- a/router/fleetnode/process.go
+++ b/router/fleetnode/process.go
@@ -16,6 +16,7 @@
 	if err := r.readyProcessor.Process(r.raft, machine); err != nil {
 		return err
 	}
+	r.received = receivedState{} // of a snapshot that the log did not take
 	r.runLeaderTasks()
 	r.notifyMembers()
 	return r.readyProcessor.Compact(r.raft, r.state.Snapshot)
@@ -30,7 +31,7 @@
 			return Error.Wrap(err)
 		}
 	}
-	r.state, r.received = state, receivedState{}
+	r.state = state
 	r.log.Info().Uint64("index", snapshot.Index).Uint64("version", r.state.Version()).Msg("state replaced by a snapshot from the leader")
 	return nil
 }
