Bound the log file by its size as well, and forget replicas that left

A replica that joins again counted as silent since it had left, and could be removed again at once; it then joined once more. Both found by reading. TestReturningReplicaIsNotSilent fails without the change.

--- a/coord/fleet/membership.go
+++ b/coord/fleet/membership.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -120,11 +121,7 @@
 // call that lists it as Responding. The same change is returned until the status
 // shows it. Package raft refuses changes that would lose the quorum.
 func (m *MembershipManager) NextChange(now clock.Reading, st raft.Status) (raft.MembershipChange, bool) {
-	for _, id := range members(st) {
-		if _, ok := m.lastHeard[id]; !ok || id == st.ID || st.Progress[id].Responding {
-			m.lastHeard[id] = now
-		}
-	}
+	m.recordReplies(now, st)
 	if id, ok := m.replacedReplica(st); ok {
 		return raft.MembershipChange{Kind: raft.Remove, ID: id}, true
 	}
@@ -145,6 +142,21 @@
 	return raft.MembershipChange{}, false
 }
 
+// recordReplies records which members respond, and forgets replicas that are no members:
+// one that joins again counts as heard from then on.
+func (m *MembershipManager) recordReplies(now clock.Reading, st raft.Status) {
+	list := members(st)
+	for _, id := range list {
+		if _, ok := m.lastHeard[id]; !ok || id == st.ID || st.Progress[id].Responding {
+			m.lastHeard[id] = now
+		}
+	}
+	isNoMember := func(id raft.ID, _ clock.Reading) bool { return !slices.Contains(list, id) }
+	maps.DeleteFunc(m.lastHeard, isNoMember)
+	maps.DeleteFunc(m.lastAnswer, isNoMember)
+	maps.DeleteFunc(m.lastConnect, isNoMember)
+}
+
 // replacedReplica returns a silent replica whose address an active one uses. Only
 // one process runs at an address, so the data of the silent one is lost. It is
 // removed at once, without waiting for ReplaceVoterAfter or RemoveLearnerAfter.
--- a/coord/fleet/membership_test.go
+++ b/coord/fleet/membership_test.go
@@ -168,3 +168,15 @@
 	is.True(due)
 	is.Equal(c, raft.MembershipChange{Kind: raft.Remove, ID: "c/1"})
 }
+
+// Guards against a replica that is removed as soon as it joins again, because it was silent
+// for long before.
+func TestReturningReplicaIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	m := fleet.NewMembershipManager(fleet.DefaultMembershipConfig(1))
+	voters := []raft.ID{"a/1", "b/1", "c/1"}
+	_, _ = m.NextChange(clock.At(0), status(voters, []raft.ID{"d/1"}))
+	_, _ = m.NextChange(clock.At(time.Minute), status(voters, nil)) // d was removed
+	_, due := m.NextChange(clock.At(2*time.Minute), status(voters, []raft.ID{"d/1"}, "d/1"))
+	is.True(!due)
+}
--- a/router/raftdriver/ready.go
+++ b/router/raftdriver/ready.go
@@ -25,7 +25,9 @@
 // A snapshot is due once the entries that were applied since the last one have
 // minSnapshotBytes of data and snapshotFactor times as much as that snapshot. It bounds
 // the log in memory and on the disk, whatever the size of an entry, and the writes of
-// snapshots to a part of those of entries.
+// snapshots to a part of those of entries. The log on the disk may also have entries that
+// are not applied and, after changes of the leader, entries that were replaced; it is
+// bounded by twice as much beside the entries that may be uncommitted.
 const (
 	minSnapshotBytes = 4 << 20
 	snapshotFactor   = 2
@@ -85,7 +87,7 @@
 // then it does nothing. After an error the replica must stop.
 func (p *ReadyProcessor) Compact(n *raft.Node, snapshot func() ([]byte, error)) error {
 	applied := n.Status().Applied
-	if applied == p.SnapshotIndex || applied < p.SnapshotIndex+p.SnapshotEntries && p.appliedBytes < p.snapshotBytes(n) {
+	if applied == p.SnapshotIndex || applied < p.SnapshotIndex+p.SnapshotEntries && !p.isLarge(n) {
 		return nil
 	}
 	data, err := snapshot()
@@ -99,9 +101,10 @@
 	return p.Store.SaveSnapshot(n.Snapshot())
 }
 
-// snapshotBytes returns the data of applied entries after which a snapshot is due.
-func (p *ReadyProcessor) snapshotBytes(n *raft.Node) int {
-	return max(minSnapshotBytes, snapshotFactor*len(n.Snapshot().Data))
+// isLarge reports whether a snapshot is due because of the size of the log.
+func (p *ReadyProcessor) isLarge(n *raft.Node) bool {
+	limit := max(minSnapshotBytes, snapshotFactor*len(n.Snapshot().Data))
+	return p.appliedBytes >= limit || p.Store.LogBytes() >= int64(2*limit+raft.DefaultMaxUncommittedBytes)
 }
 
 // errNotCommitted means that an entry of another term was committed at the
--- a/router/store/store.go
+++ b/router/store/store.go
@@ -167,6 +167,9 @@
 	return f, state, err
 }
 
+// LogBytes returns the size of the log file. It includes entries that were replaced.
+func (s *Store) LogBytes() int64 { return s.state.size }
+
 // Close closes the log file and unlocks the folder. Saved data is already synced.
 // Further calls do nothing.
 func (s *Store) Close() error {
