--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -123,8 +124,10 @@
 		sent, late := time.Now(), b.late()
 		url := "http://" + b.m.at(b.c.ports.control) + "/-/instances/" + b.id + "/heartbeat"
 		deliver := func() {
+			b.c.rec.add("heartbeat", "id", b.id, "late", late, "body", string(body))
 			time.Sleep(late)
 			answer, ok := post(url, body)
+			b.c.rec.add("heartbeat answered", "id", b.id, "after", time.Since(sent), "acknowledged", ok, "body", strings.TrimSpace(string(answer)))
 			if !ok || time.Since(sent) > time.Second {
 				return // the backend takes no answer after a second
 			}
--- a/review/standin-3/clients.go
+++ b/review/standin-3/clients.go
@@ -25,10 +25,11 @@
 
 	mu       sync.Mutex
 	statuses map[string]int
+	sentAt   map[string]time.Time // by id
 }
 
 func newClients(c *cluster, host, prefix string, key func(n int) int) *clients {
-	return &clients{c: c, host: host, prefix: prefix, keyed: key != nil, key: key, statuses: map[string]int{},
+	return &clients{c: c, host: host, prefix: prefix, keyed: key != nil, key: key, statuses: map[string]int{}, sentAt: map[string]time.Time{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 256}}}
 }
 
@@ -66,6 +67,9 @@
 		key = s.key(n)
 		req.Header.Set("Shard-Key", strconv.Itoa(key))
 	}
+	s.mu.Lock()
+	s.sentAt[id] = time.Now()
+	s.mu.Unlock()
 	s.c.rec.add("sent", "request", id, "to", m.name, "key", key)
 	answer := "no answer"
 	resp, err := s.http.Do(req)
@@ -90,3 +94,10 @@
 	defer s.mu.Unlock()
 	return s.statuses[status]
 }
+
+// sent returns the time at which a request was sent.
+func (s *clients) sent(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sentAt[id]
+}
--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -213,11 +213,12 @@
 		if err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
+			c.rec.add("order", "call", method+" "+path, "at", m.name, "status", resp.StatusCode)
 			if resp.StatusCode < 500 {
-				at := time.Now()
-				c.rec.add("order", "call", method+" "+path, "at", m.name, "status", resp.StatusCode)
-				return resp.StatusCode, at, nil
+				return resp.StatusCode, time.Now(), nil
 			}
+		} else {
+			c.rec.add("order", "call", method+" "+path, "at", m.name, "error", err)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
