logging, explain: lines are JSON whatever their texts contain

What operators saw: bqctl explain and collectors skip a line about a request whose route, path or id has a control character or a byte that is not UTF-8; one line over 1 MiB hides the whole log; with the human-readable format a line break in a text begins another line. Cause: package log escapes seven characters only; explain read with a Scanner, which gives up at a long line; the queue of lines was bounded by number only, and callers choose paths of up to their limit for heads. Change: jsonLines fixes lines that are not valid JSON; messages are one line; 4 MiB of lines are queued at most; explain skips a line that is too long.

--- a/router/explain/explain.go
+++ b/router/explain/explain.go
@@ -4,12 +4,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"bramleyquay.example/router/logging"
 )
 
 // Line is one structured log line.
@@ -52,32 +56,54 @@
 	maxLineBytes = 1 << 20
 )
 
-// Read reads the lines of one log. Lines that are not JSON objects are skipped.
-// A prefix before the first brace, such as a collector's time stamp, is allowed.
-// A line of more than maxLineBytes is an error.
+// Read reads the lines of one log. Lines that are not JSON objects, or have more than
+// maxLineBytes, are skipped. A prefix before the first brace, such as a collector's time
+// stamp, is allowed.
 func Read(r io.Reader) ([]Line, error) {
 	var out []Line
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		text := scanner.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 {
-			continue
+	in := bufio.NewReader(r)
+	for {
+		text, err := readLine(in)
+		if start := bytes.IndexByte(text, '{'); start >= 0 {
+			l := Line{Text: string(text[start:])}
+			if json.Unmarshal(text[start:], &l) == nil {
+				out = append(out, l)
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return out, nil
+		case err != nil:
+			return out, err
 		}
-		var l Line
-		if json.Unmarshal([]byte(text[start:]), &l) != nil {
+	}
+}
+
+// readLine returns the next line without its end, or an empty one if it has more than
+// maxLineBytes.
+func readLine(in *bufio.Reader) ([]byte, error) {
+	var line []byte
+	tooLong := false
+	for {
+		part, err := in.ReadSlice('\n')
+		tooLong = tooLong || len(line)+len(part) > maxLineBytes
+		if !tooLong {
+			line = append(line, part...)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		l.Text = text[start:]
-		out = append(out, l)
+		if tooLong {
+			return nil, err
+		}
+		return bytes.TrimRight(line, "\r\n"), err
 	}
-	return out, scanner.Err()
 }
 
 // ExplainRequest explains the request with the given id from the lines of all
 // processes. It returns an error if no line is about the request.
 func ExplainRequest(id string, lines []Line) (Report, error) {
+	id = logging.Text(id)
 	var r Report
 	processes := map[string]bool{}
 	for _, l := range lines {
--- a/router/explain/explain_test.go
+++ b/router/explain/explain_test.go
@@ -41,3 +41,17 @@
 	_, err = explain.ExplainRequest("none", lines)
 	is.True(err != nil)
 }
+
+// Guards against one line with a long text of a caller that hides all lines of a log, and
+// against the id of a request that is not UTF-8 and is not found.
+func TestOddLines(t *testing.T) {
+	is := is.New(t)
+	log := `{"part":"ingress","request":"a","status":200,"path":"` + strings.Repeat("x", 2<<20) + "\"}\n" +
+		`2026 x {"part":"ingress","request":"\\xff","status":503,"outcome":"not-run","reason":"r;\u0001"}`
+	lines, err := explain.Read(strings.NewReader(log))
+	is.NoErr(err)
+	r, err := explain.ExplainRequest("\xff", lines)
+	is.NoErr(err)
+	is.Equal(len(r.Lines), 1)
+	is.True(strings.HasSuffix(r.Cause, "it did not run: r;\u0001; it reached no gate"))
+}
--- a/router/logging/logging.go
+++ b/router/logging/logging.go
@@ -3,8 +3,12 @@
 package logging
 
 import (
+	"fmt"
 	"io"
+	"strconv"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/phuslu/log"
 )
@@ -19,9 +23,9 @@
 // info, warn and error; with an unknown level nothing is logged. console selects a
 // human-readable format instead of JSON.
 func New(w io.Writer, level string, console bool) *log.Logger {
-	l := &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}, TimeFormat: "2006-01-02T15:04:05.000Z07:00"}
+	l := &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: jsonLines{out: w}}, TimeFormat: "2006-01-02T15:04:05.000Z07:00"}
 	if console {
-		l.Writer = &log.ConsoleWriter{Writer: w}
+		l.Writer = &log.ConsoleWriter{Writer: w, QuoteString: true}
 	}
 	return l
 }
@@ -33,16 +37,52 @@
 }
 
 // Debugf logs a message for developers.
-func (l Logger) Debugf(format string, args ...any) { l.inner.Debug().Msgf(l.prefix+format, args...) }
+func (l Logger) Debugf(format string, args ...any) { l.message(l.inner.Debug(), format, args) }
 
 // Infof logs a normal event.
-func (l Logger) Infof(format string, args ...any) { l.inner.Info().Msgf(l.prefix+format, args...) }
+func (l Logger) Infof(format string, args ...any) { l.message(l.inner.Info(), format, args) }
 
 // Warnf logs an event that an operator may want to look at.
-func (l Logger) Warnf(format string, args ...any) { l.inner.Warn().Msgf(l.prefix+format, args...) }
+func (l Logger) Warnf(format string, args ...any) { l.message(l.inner.Warn(), format, args) }
 
 // Errorf logs a failure.
-func (l Logger) Errorf(format string, args ...any) { l.inner.Error().Msgf(l.prefix+format, args...) }
+func (l Logger) Errorf(format string, args ...any) { l.message(l.inner.Error(), format, args) }
+
+func (l Logger) message(e *log.Entry, format string, args []any) {
+	if e != nil { // otherwise the level is not logged
+		e.Msg(Line(l.prefix + fmt.Sprintf(format, args...)))
+	}
+}
+
+// Text returns a text as a field of a JSON line has it: as it is if it is valid UTF-8, and
+// otherwise with the bytes that are not escaped as in Go strings.
+func Text(text string) string {
+	return escape(text, func(rune) bool { return false })
+}
+
+// Line returns text as one line of valid UTF-8 without control characters: these, and bytes
+// that are not UTF-8, are escaped as in Go strings. The human-readable format writes messages
+// as they are, and JSON cannot have other bytes.
+func Line(text string) string { return escape(text, unicode.IsControl) }
+
+// escape escapes the bytes of a text that are not UTF-8, and some characters.
+func escape(text string, escaped func(rune) bool) string {
+	if utf8.ValidString(text) && !strings.ContainsFunc(text, escaped) {
+		return text
+	}
+	var out strings.Builder
+	for len(text) > 0 {
+		r, size := utf8.DecodeRuneInString(text)
+		if r == utf8.RuneError && size == 1 || escaped(r) {
+			quoted := strconv.Quote(text[:size])
+			out.WriteString(quoted[1 : len(quoted)-1])
+		} else {
+			out.WriteString(text[:size])
+		}
+		text = text[size:]
+	}
+	return out.String()
+}
 
 // Debug starts a structured line at debug level; Msg writes it.
 func (l Logger) Debug() *log.Entry { return l.inner.Debug().Str("part", l.component()) }
--- a/router/logging/nonblocking.go
+++ b/router/logging/nonblocking.go
@@ -11,6 +11,9 @@
 	// maxQueuedLines bounds the lines queued for a slow output: a few seconds of
 	// the log of a busy process.
 	maxQueuedLines = 4096
+	// maxQueuedBytes bounds their size: callers choose the paths in them, of up to the
+	// limit for their headers.
+	maxQueuedBytes = 4 << 20
 	// dropReportInterval is the minimum time between two reports of dropped lines.
 	dropReportInterval = time.Second
 )
@@ -24,6 +27,8 @@
 	lines   chan []byte
 	flush   chan chan struct{}
 	dropped atomic.Uint64
+	// queued is the size of the lines in the queue, in bytes.
+	queued atomic.Int64
 }
 
 // NewNonBlockingWriter returns a writer to out and starts its goroutine, which runs
@@ -36,14 +41,25 @@
 
 // Write queues a copy of one line, or drops it if the queue is full. It never fails.
 func (w *NonBlockingWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.drop(size)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop(size)
 	}
 	return len(line), nil
 }
 
+// drop counts a line that was not queued and takes back its size.
+func (w *NonBlockingWriter) drop(size int64) {
+	w.queued.Add(-size)
+	w.dropped.Add(1)
+}
+
 // Flush blocks until one batch of the queued lines has been written, but no longer
 // than limit. If more than batchBytes are queued, some of the lines may not have
 // been written when it returns.
@@ -68,7 +84,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			buf = w.appendQueued(append(buf[:0], line...))
+			buf = w.appendQueued(w.takeLine(buf[:0], line))
 			_, _ = w.out.Write(buf) // there is no other output to report a failure
 		case done := <-w.flush:
 			buf = w.appendQueued(buf[:0])
@@ -92,10 +108,19 @@
 	for len(buf) < batchBytes {
 		select {
 		case line := <-w.lines:
-			buf = append(buf, line...)
+			buf = w.takeLine(buf, line)
 		default:
 			return buf
 		}
 	}
 	return buf
 }
+
+// takeLine appends a line that was taken from the queue.
+func (w *NonBlockingWriter) takeLine(buf, line []byte) []byte {
+	w.queued.Add(-int64(len(line)))
+	return append(buf, line...)
+}
+
+// Dropped returns the number of lines that were dropped.
+func (w *NonBlockingWriter) Dropped() uint64 { return w.dropped.Load() }
