metriclabel: labels with the escapes of the text format

Cause: labels were written with Go's %q, which has escapes that the text format for metrics does not have (\x01, \u0085); a scrape with one is refused whole. Change: one package writes names of metrics with labels, with the three escapes of the format. Ruled out: a library, since the one in use has no function for it.

--- a/router/fleetagent/quotametrics.go
+++ b/router/fleetagent/quotametrics.go
@@ -1,11 +1,10 @@
 package fleetagent
 
 import (
-	"fmt"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"bramleyquay.example/coord/routes"
+	"bramleyquay.example/router/metriclabel"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -33,7 +32,7 @@
 		if _, ok := m[account]; ok {
 			continue
 		}
-		m[account] = fmt.Sprintf(`bramleyquay_account_allotment{account=%q}`, account)
+		m[account] = metriclabel.Name("bramleyquay_account_allotment", "account", account)
 		metrics.GetOrCreateGauge(m[account], func() float64 { return q.allotted(account) })
 	}
 }
--- a/router/ingress/metrics.go
+++ b/router/ingress/metrics.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"bramleyquay.example/coord/balancer"
 	"bramleyquay.example/coord/outcome"
+	"bramleyquay.example/router/metriclabel"
 	"bramleyquay.example/router/timesource"
 )
 
@@ -45,7 +45,7 @@
 	if c, ok := requestCounters.Load(r); ok {
 		return c.(*metrics.Counter)
 	}
-	c := metrics.GetOrCreateCounter(fmt.Sprintf("bramleyquay_ingress_requests_total{service=%q,outcome=%q,reason=%q}", r.service, r.outcome, r.reason))
+	c := metrics.GetOrCreateCounter(metriclabel.Name("bramleyquay_ingress_requests_total", "service", r.service, "outcome", string(r.outcome), "reason", string(r.reason)))
 	requestCounters.Store(r, c)
 	return c
 }
@@ -54,7 +54,7 @@
 	if h, ok := answerHistograms.Load(service); ok {
 		return h.(*metrics.Histogram)
 	}
-	h := metrics.GetOrCreateHistogram(fmt.Sprintf("bramleyquay_ingress_answer_seconds{service=%q}", service))
+	h := metrics.GetOrCreateHistogram(metriclabel.Name("bramleyquay_ingress_answer_seconds", "service", service))
 	answerHistograms.Store(service, h)
 	return h
 }
--- a/router/relay/account_metrics.go
+++ b/router/relay/account_metrics.go
@@ -1,13 +1,13 @@
 package relay
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"bramleyquay.example/coord/routes"
+	"bramleyquay.example/router/metriclabel"
 )
 
 // Results of the requests of accounts. A refunded request was admitted before.
@@ -68,7 +68,7 @@
 }
 
 func accountMetric(account, result string) string {
-	return fmt.Sprintf(`bramleyquay_account_requests{account=%q,result=%q}`, account, result)
+	return metriclabel.Name("bramleyquay_account_requests", "account", account, "result", result)
 }
 
 // countUnauthorized counts a request without a valid key, which has no account.
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -1,17 +1,19 @@
 package relay
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"bramleyquay.example/router/metriclabel"
 )
 
 // count increments bramleyquay_requests_total: for the role "gate" with the outcome
 // of a request, for "ingress" with the HTTP status of the answer, and for "repeat"
 // with whether the budget allowed a retry.
 func count(role, outcome string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_requests_total{role=%q,outcome=%q}`, role, outcome)).Inc()
+	metrics.GetOrCreateCounter(metriclabel.Name("bramleyquay_requests_total", "role", role, "outcome", outcome)).Inc()
 }
 
 // setTargetLimit sets bramleyquay_target_limit: the requests per second that the
@@ -23,7 +25,7 @@
 // countQuality increments bramleyquay_target_quality_total: the requests that the
 // process's target ended, good, rejected or failed by itself.
 func countQuality(result string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_target_quality_total{result=%q}`, result)).Inc()
+	metrics.GetOrCreateCounter(metriclabel.Name("bramleyquay_target_quality_total", "result", result)).Inc()
 }
 
 // setTargetWeight sets bramleyquay_target_weight: the weight of the process's target,
@@ -48,7 +50,7 @@
 	if refused {
 		result = "refused"
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_slot_tries_total{dataCentre=%q,result=%q}`, dataCentre, result)).Inc()
+	metrics.GetOrCreateCounter(metriclabel.Name("bramleyquay_slot_tries_total", "dataCentre", dataCentre, "result", result)).Inc()
 }
 
 // countSearchEnded increments bramleyquay_slot_searches_ended_total.
@@ -59,5 +61,5 @@
 // observe records the latency of one answer to a caller by service and class of
 // status.
 func observe(service string, status int, took time.Duration) {
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`bramleyquay_request_seconds{service=%q,class="%dxx"}`, service, status/100)).Update(took.Seconds())
+	metrics.GetOrCreateHistogram(metriclabel.Name("bramleyquay_request_seconds", "service", service, "class", strconv.Itoa(status/100)+"xx")).Update(took.Seconds())
 }
--- a/router/relay/queuereasons.go
+++ b/router/relay/queuereasons.go
@@ -1,12 +1,12 @@
 package relay
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"bramleyquay.example/coord/dispatch"
+	"bramleyquay.example/router/metriclabel"
 )
 
 // queueReasons are the refusals by the queue of a gate that owns the key.
@@ -18,7 +18,7 @@
 // countQueueRefusal counts the refusals by the queue of the process's gate, by reason.
 func countQueueRefusal(r *result) {
 	if r.outcome == notRun && slices.Contains(queueReasons, r.reason) {
-		metrics.GetOrCreateCounter(fmt.Sprintf(`bramleyquay_queue_refusals_total{reason=%q}`, r.reason)).Inc()
+		metrics.GetOrCreateCounter(metriclabel.Name("bramleyquay_queue_refusals_total", "reason", r.reason)).Inc()
 	}
 }
 
