httpclient: no text of a request ends its line

What targets got: the client wrote methods, request targets, hosts and headers as they were, so that a line break in a service's name, for example, added headers or a request of its own. Change: a request that cannot be written as HTTP/1.1 is not sent (InvalidRequestError), and says nothing about its target. A response that says that the request was not read is given to the caller of Do (UnreadError).

--- a/router/httpclient/client.go
+++ b/router/httpclient/client.go
@@ -41,7 +41,7 @@
 	ResetOnCancel bool
 	// UnreadHeader, if set, marks a response that answers no request: the server says that
 	// it closes the connection and has not run the request that was sent last. Do returns a
-	// *NotSentError.
+	// *NotSentError with an *UnreadError as the cause.
 	UnreadHeader string
 	// FailOnRestart makes Do return a *NotSentError, until Resume is called, if the server
 	// may have been restarted since an earlier request: no connection is left that was
@@ -115,6 +115,16 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// UnreadError means that the server has said that it closes the connection and has not run
+// the request (Config.UnreadHeader).
+type UnreadError struct {
+	// Header is that of the response in which it said so.
+	Header http.Header
+}
+
+// Error implements error.
+func (e *UnreadError) Error() string { return "the server has not read the request" }
+
 // IncompleteResponseError means that the request may have run, but no complete
 // response was received.
 type IncompleteResponseError struct{ Cause error }
@@ -155,6 +165,9 @@
 // its work. The error is a *NotSentError if the request did not run, and an
 // *IncompleteResponseError if it may have run.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
+	if err := r.check(); err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
 	size := r.exchangeBytes()
 	if err := r.Memory.Grow(size); err != nil {
 		return nil, &NotSentError{Cause: err}
@@ -198,8 +211,9 @@
 	} else {
 		c.putIdle(pc)
 	}
+	var unread *UnreadError
 	switch {
-	case err != nil && (r.AwaitContinue && !x.continued() || errors.Is(err, errUnread)):
+	case err != nil && (r.AwaitContinue && !x.continued() || errors.As(err, &unread)):
 		return nil, &NotSentError{Cause: err}
 	case err != nil:
 		return nil, &IncompleteResponseError{Cause: err}
--- a/router/httpclient/exchange.go
+++ b/router/httpclient/exchange.go
@@ -101,7 +101,7 @@
 		}
 		pc.limited.head.End()
 		if cfg.UnreadHeader != "" && hr.Header.Get(cfg.UnreadHeader) != "" {
-			return nil, false, errUnread
+			return nil, false, &UnreadError{Header: hr.Header}
 		}
 		if err := x.request.Memory.Grow(memory.HeaderBytes(hr.Header)); err != nil {
 			return nil, false, err
@@ -129,9 +129,6 @@
 // another one may arrive too.
 var errUnattributed = errors.New("the answer has no id")
 
-// errUnread is the cause if the server closes the connection and has not run the request.
-var errUnread = errors.New("the server closed the connection before the request")
-
 // errNotContinued is the result of sending a request whose body was not asked for.
 var errNotContinued = errors.New("answered before the body")
 
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -33,6 +33,8 @@
 	reasonNoSignature    = "answer without signature"
 	// reasonNoMemory says nothing about the target.
 	reasonNoMemory = "not enough memory is free"
+	// reasonInvalid requests cannot be written as HTTP.
+	reasonInvalid = "request not sent"
 	// reasonQuarantined requests have ended the targets that ran them.
 	reasonQuarantined = "request has ended several targets"
 	// reasonFirstRun requests wait for a copy that is the first at the target.
@@ -222,6 +224,7 @@
 	})
 	var unsent *httpclient.NotSentError
 	var broken *httpclient.SourceError
+	var invalid *httpclient.InvalidRequestError
 	_ = errors.As(err, &unsent) // it stays nil if the error is another one
 	switch {
 	case errors.As(err, &broken):
@@ -230,6 +233,8 @@
 		return refused(reasonNoMemory, defaultRetryAfter)
 	case errors.Is(err, memory.ErrExhausted):
 		return result{outcome: unknown, reason: reasonNoMemory, reached: true}
+	case errors.As(err, &invalid):
+		return refused(withCause(reasonInvalid, invalid), 0) // it says nothing about the target
 	case unsent != nil:
 		if ctx.Err() == nil {
 			g.agent.RecordUnreachable(unsent.Refused)
