routes: refuse names that no format can carry, with the reason

Cause: validation took names of any characters and any length, and JSON with invalid UTF-8 or half a surrogate pair, which encoding/json decodes to U+FFFD: a route got another name than its operator sent. Service names go to targets in a header as they are; names of any length went into headers and log lines. Change: names have at most 4 KiB, service names and hosts fit into a header, JSON has strings that are text. Replicas apply the earlier rules to entries of the log (ValidateLogged), so that replicas of two builds agree about them. Measured: TestNamesThatRequestsCarry, TestNamesOfConfiguration and TestHalfACharacter fail with their changes taken out and pass.

--- a/coord/fleet/state.go
+++ b/coord/fleet/state.go
@@ -117,7 +117,7 @@
 		return st.result(Accepted)
 	case c.BaseVersion != st.Version():
 		return st.result(Conflict)
-	case c.Document == nil || c.Document.Version <= st.Version() || len(c.Document.Validate()) > 0:
+	case c.Document == nil || c.Document.Version <= st.Version() || len(c.Document.ValidateLogged()) > 0:
 		return st.result(Refused)
 	}
 	st.stored.Document, st.stored.Text, st.stored.DocumentIndex = c.Document, c.Text, index
--- a/coord/routes/validate.go
+++ b/coord/routes/validate.go
@@ -16,19 +16,21 @@
 // String implements fmt.Stringer.
 func (f Finding) String() string { return f.Place + ": " + f.Text }
 
-// Validate returns all reasons why the document is invalid, none if it is valid.
+// Validate returns all reasons why the document is invalid, none if it is valid. It must be
+// called before the document is proposed to the control group.
 func (d *Document) Validate() []Finding {
-	v := validation{services: map[string]bool{}, prefixes: map[[2]string]bool{}, names: map[string]bool{}}
-	if d.Version == 0 {
-		v.add("document", "the version is 0")
-	}
-	for i := range d.Services {
-		v.service(&d.Services[i])
-	}
-	for i := range d.Routes {
-		v.route(&d.Routes[i])
-	}
-	v.accounts(d.Accounts)
+	v := newValidation()
+	v.logged(d)
+	v.texts(d)
+	return v.findings
+}
+
+// ValidateLogged is Validate with the rules that replicas apply to a document in the
+// replicated log. These rules must not change: replicas of two builds that disagree about an
+// entry of the log have different states from then on.
+func (d *Document) ValidateLogged() []Finding {
+	v := newValidation()
+	v.logged(d)
 	return v.findings
 }
 
@@ -39,12 +41,29 @@
 	findings []Finding
 }
 
+func newValidation() *validation {
+	return &validation{services: map[string]bool{}, prefixes: map[[2]string]bool{}, names: map[string]bool{}}
+}
+
+func (v *validation) logged(d *Document) {
+	if d.Version == 0 {
+		v.add("document", "the version is 0")
+	}
+	for i := range d.Services {
+		v.service(i, &d.Services[i])
+	}
+	for i := range d.Routes {
+		v.route(i, &d.Routes[i])
+	}
+	v.accounts(d.Accounts)
+}
+
 func (v *validation) add(place, format string, args ...any) {
 	v.findings = append(v.findings, Finding{Place: place, Text: fmt.Sprintf(format, args...)})
 }
 
-func (v *validation) service(s *Service) {
-	place := fmt.Sprintf("service %q", s.Name)
+func (v *validation) service(index int, s *Service) {
+	place := place("service", index, s.Name)
 	switch {
 	case s.Name == "":
 		v.add(place, "the name is empty")
@@ -57,8 +76,8 @@
 	v.services[s.Name] = true
 }
 
-func (v *validation) route(r *Route) {
-	place := fmt.Sprintf("route %q", r.Name)
+func (v *validation) route(index int, r *Route) {
+	place := place("route", index, r.Name)
 	if r.Name == "" || v.names[r.Name] {
 		v.add(place, "the name is empty or occurs twice")
 	}
--- a/router/fleetdaemon/config.go
+++ b/router/fleetdaemon/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"bramleyquay.example/coord/routes"
 	"bramleyquay.example/router/grantcall"
 	"bramleyquay.example/router/relay"
 )
@@ -136,6 +137,8 @@
 		return Error.New("the process has no role")
 	case c.Lease.AnnounceInterval <= 0:
 		return Error.New("the announcement interval is %s", c.Lease.AnnounceInterval)
+	case c.Sidecar != nil && routes.CheckServiceName(c.Sidecar.Service) != "":
+		return Error.New("service %q: %s", c.Sidecar.Service, routes.CheckServiceName(c.Sidecar.Service))
 	case c.Control != nil && c.Control.DataDir == "":
 		return Error.New("the control replica has no data directory")
 	case c.Control != nil && len(c.Control.InitialVoters) > 0 && slices.Contains(c.Control.InitialVoters, ""):
--- a/router/strictjson/decode.go
+++ b/router/strictjson/decode.go
@@ -66,6 +66,10 @@
 		line, column := p.lineColumn(offset)
 		return &Finding{Line: line, Column: column, Text: "text is not valid UTF-8"}
 	}
+	if offset, found := LoneSurrogate(p.text); found {
+		line, column := p.lineColumn(offset)
+		return &Finding{Line: line, Column: column, Text: "escape of half a character: a surrogate without the other one"}
+	}
 	if offset, deep := tooDeep(p.text); deep {
 		line, column := p.lineColumn(offset)
 		return &Finding{Line: line, Column: column, Text: "values are nested more than " + strconv.Itoa(maxDepth) + " levels deep"}
