fleetagent, grant: ids and tokens of targets fit where they go

Cause: the id in the path of a deregister was stored in the replicated log with any bytes and any length, and ids with blanks at their ends could not be addressed. Handover tokens were counted without JSON's escapes, so that an answer to an announcement could exceed the 4 KiB that targets accept: they ignore it and lose their keys. A token that is not UTF-8 was changed on its way. Change: such ids get 400; tokens are counted as they are written; one that takes an eighth of an answer is left out, and the range is warmed up again.

--- a/coord/grant/config.go
+++ b/coord/grant/config.go
@@ -19,7 +19,7 @@
 	// and make the release of a range that was never taken slower.
 	MaxUnlistedReports int
 	// MaxBytes bounds the encoded ranges in the answer to an announcement. A range
-	// takes RangeBytes and the length of its handover token. Ranges that the target
+	// takes RangeBytes and the length of its handover token in JSON. Ranges that the target
 	// already holds are always included; others that exceed the bound are deferred
 	// to a later answer.
 	MaxBytes, RangeBytes int
--- a/coord/grant/issuer.go
+++ b/coord/grant/issuer.go
@@ -6,6 +6,7 @@
 package grant
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -135,10 +136,13 @@
 		if r.Holder != iss.holder || r.Releasing {
 			continue
 		}
+		if jsonBytes(r.HandoverToken) > iss.cfg.MaxBytes/maxTokenShare {
+			r.HandoverToken = "" // the range is warmed up again
+		}
 		if report.holds(r) {
 			// The target needs the token only until it holds the range.
 			r.HandoverToken = ""
-		} else if size := iss.cfg.RangeBytes + len(r.HandoverToken); size <= bytesLeft {
+		} else if size := iss.cfg.RangeBytes + jsonBytes(r.HandoverToken); size <= bytesLeft {
 			bytesLeft -= size
 		} else {
 			deferred++
@@ -149,6 +153,26 @@
 	return selected, deferred
 }
 
+// maxTokenShare bounds a handover token to this part of an answer, so that the range does not
+// wait for an answer that has room for it.
+const maxTokenShare = 8
+
+// jsonBytes returns the length of a text in JSON without its quotation marks. A character may
+// take six bytes.
+func jsonBytes(text string) int {
+	if text == "" {
+		return 0
+	}
+	encoded, err := json.Marshal(text)
+	if err != nil {
+		return maxEscapeBytes * len(text) // unreachable: all strings can be encoded
+	}
+	return len(encoded) - len(`""`)
+}
+
+// maxEscapeBytes is the length of the longest escape in JSON, such as \u0001.
+const maxEscapeBytes = 6
+
 // MayServe reports whether the target may start a request on a key now: the last
 // grant includes the key and has not expired, and neither has the lease. A key
 // whose release is requested is served until a grant leaves it out.
--- a/coord/grant/issuer_test.go
+++ b/coord/grant/issuer_test.go
@@ -1,8 +1,10 @@
 package grant_test
 
 import (
-	"fmt"
+	"encoding/json"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,24 +98,33 @@
 
 // Guards against a grant that is larger than targets accept: they ignore it, and
 // lose their ranges when the earlier grant expires. It is largest when all ranges
-// of a small key space go to one target with handover tokens.
+// of a small key space go to one target with handover tokens, which targets choose: JSON
+// escapes some of their characters.
 func TestLargeHandoverIsSplit(t *testing.T) {
+	for _, token := range []string{"0123456789abcdef", strings.Repeat("\x01", 40), strings.Repeat("<", 256)} {
+		t.Run(strconv.Quote(token), func(t *testing.T) { testLargeHandover(t, token) })
+	}
+}
+
+func testLargeHandover(t *testing.T, token string) {
 	is := is.New(t)
 	iss := grant.New(grant.DefaultConfig(10*time.Second, time.Second), self, 0)
 	var keyspace []ranges.Range
 	for i := range 128 {
 		r := selfRange(uint16(i*512), uint16(i*512+511), uint64(i+1))
-		r.HandoverToken = "0123456789abcdef"
+		r.HandoverToken = token
 		keyspace = append(keyspace, r)
 	}
 	iss.SetRanges(keyspace)
 	iss.SetLease(clock.At(0), 4*time.Second)
 	var held []ranges.Range
-	for range 4 {
+	for range 64 {
 		g := iss.HandleReport(clock.At(0), grant.RangeReport{Held: held})
 		size := 0
 		for _, r := range g.Ranges {
-			size += len(fmt.Sprintf(`[%d,%d,%d,"%s"],`, r.From, r.To, r.Fence, r.HandoverToken))
+			row, err := json.Marshal([]any{r.From, r.To, r.Fence, r.HandoverToken})
+			is.NoErr(err)
+			size += len(row) + len(",")
 		}
 		is.True(size < 3900) // an answer has at most 4 KiB, of which the header takes the rest
 		for _, h := range held {
--- a/router/fleetagent/leaving.go
+++ b/router/fleetagent/leaving.go
@@ -49,8 +49,11 @@
 // later. Arrived of the notice is set by TargetLeaving. It blocks until the control group
 // has recorded the departure, which then holds after any restart, or ctx or
 // departureTimeout ends. After an error the notice must not be acknowledged, although the
-// process keeps to it.
+// process keeps to it, unless the error is ErrMalformedID.
 func (a *Agent) TargetLeaving(ctx context.Context, n fleet.Notice) error {
+	if n.Target == "" || !isID(n.Target) {
+		return ErrMalformedID
+	}
 	return a.recordDeparture(ctx, a.noteLeaving(n))
 }
 
--- a/router/fleetagent/validate.go
+++ b/router/fleetagent/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 	"unicode"
 	"unicode/utf8"
@@ -29,12 +30,21 @@
 	maxClockLead = time.Hour
 )
 
+// ErrMalformedID means that a text cannot be the id of a target: the header that addresses a
+// request to the target cannot carry it, or it is too long.
+var ErrMalformedID = Error.New("the id is not a text of at most %d bytes without control characters and without blanks at its ends", maxIDBytes)
+
+// isID reports whether a text can be the id of a target, or is empty.
+func isID(text string) bool {
+	return len(text) <= maxIDBytes && utf8.ValidString(text) && !hasControl(text) && strings.TrimSpace(text) == text
+}
+
 // check returns why an announcement cannot be from a target. now is the wall clock in Unix
 // milliseconds.
 func (a *Announcement) check(now int64) error {
 	switch {
-	case len(a.ID) > maxIDBytes || !utf8.ValidString(a.ID) || hasControl(a.ID):
-		return Error.New("the id is not a text of at most %d bytes", maxIDBytes)
+	case !isID(a.ID):
+		return ErrMalformedID
 	case a.Incarnation < 0 || a.Incarnation > now+maxClockLead.Milliseconds():
 		return Error.New("the start %d is not a time up to now in Unix milliseconds", a.Incarnation)
 	case a.Slots < 0 || a.Slots > maxSlots:
@@ -46,7 +56,7 @@
 	case len(a.Ranges.Held) > maxAnnouncedRanges || len(a.Ranges.Released) > maxAnnouncedRanges:
 		return Error.New("there are more than %d ranges", maxAnnouncedRanges)
 	case slices.ContainsFunc(a.Ranges.Held, isOddRange) || slices.ContainsFunc(a.Ranges.Released, isOddRange):
-		return Error.New("a range has no keys, or its token is longer than %d bytes", maxTokenBytes)
+		return Error.New("a range has no keys, or its token is not a text of at most %d bytes", maxTokenBytes)
 	}
 	return nil
 }
@@ -60,4 +70,8 @@
 	return false
 }
 
-func isOddRange(r ranges.Range) bool { return r.From > r.To || len(r.HandoverToken) > maxTokenBytes }
+func isOddRange(r ranges.Range) bool { return r.From > r.To || !isToken(r.HandoverToken) }
+
+// isToken reports whether a text can be a handover token, which the control group stores and
+// sends to the next holder of a range.
+func isToken(text string) bool { return len(text) <= maxTokenBytes && utf8.ValidString(text) }
--- a/router/fleetdaemon/announce.go
+++ b/router/fleetdaemon/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -148,8 +149,17 @@
 	return result
 }
 
-// leave answers the notice of a target that it stops, with status 503 if control has not
-// recorded it yet: it is not acknowledged, although no new requests are sent.
+// LeavingStatus returns the HTTP status for an error of Agent.TargetLeaving: 400 if the notice
+// cannot be from a target, and otherwise 503: it is not acknowledged, although no new requests
+// are sent.
+func LeavingStatus(err error) int {
+	if errors.Is(err, fleetagent.ErrMalformedID) {
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+// leave answers the notice of a target that it stops; see LeavingStatus.
 func (d *Daemon) leave(w http.ResponseWriter, r *http.Request) {
 	var a struct {
 		ID          string `json:"id"`
@@ -160,6 +170,6 @@
 	}
 	notice := fleet.Notice{Target: a.ID, Incarnation: a.Incarnation, Abandoned: !callconn.IsWaiting(r.Context())}
 	if err := d.agent.TargetLeaving(r.Context(), notice); err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		http.Error(w, err.Error(), LeavingStatus(err))
 	}
 }
--- a/router/grantcall/client.go
+++ b/router/grantcall/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/router/httpclient"
@@ -100,7 +101,7 @@
 func (c *Client) result(resp *httpclient.Response) grant.CallResult {
 	switch {
 	case resp.Status >= 200 && resp.Status < 300:
-		return grant.CallResult{Outcome: grant.CallDone, HandoverToken: resp.Header.Get(c.format.HandoverHeader)}
+		return grant.CallResult{Outcome: grant.CallDone, HandoverToken: handoverToken(resp.Header.Get(c.format.HandoverHeader))}
 	case resp.Status == http.StatusConflict:
 		return grant.CallResult{Outcome: grant.CallFenced}
 	case resp.Status >= 400 && resp.Status < 500:
@@ -109,6 +110,19 @@
 	return grant.CallResult{Outcome: grant.CallLost, Cause: errStatus(resp.Status)}
 }
 
+// maxTokenBytes bounds a handover token, which the control group stores.
+const maxTokenBytes = 256
+
+// handoverToken returns the token in an answer, or no token if it is not a text that the JSON
+// of later messages can carry: the keys are released either way, and are slow at first for
+// their next holder.
+func handoverToken(header string) string {
+	if len(header) > maxTokenBytes || !utf8.ValidString(header) {
+		return ""
+	}
+	return header
+}
+
 // errStatus is an answer with a status that does not say that the call took effect.
 type errStatus int
 
