bqctl, call, ingress: names in tables, long details, requests not read

Tabs and line breaks in a name looked like further cells and rows. A refusal whose detail quotes many bytes was longer than other processes read (4 KiB), so that its reason was lost; the detail has at most 512 bytes. An answer 400 or 431 of a gate's HTTP library says that the request was not read: it has not run.

--- a/router/bqctl/text.go
+++ b/router/bqctl/text.go
@@ -11,12 +11,19 @@
 
 func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
 
-// table aligns columns. The last line has no line break.
+var cellEscaper = strings.NewReplacer("\n", `\n`, "\t", `\t`)
+
+// table aligns columns. The last line has no line break. Line breaks and tabs in a cell,
+// which would look like other cells, are escaped.
 func table(rows [][]string) string {
 	var out strings.Builder
 	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
 	for _, row := range rows {
-		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+		cells := make([]string, len(row))
+		for i := range row {
+			cells[i] = cellEscaper.Replace(row[i])
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
 	}
 	_ = w.Flush() // a strings.Builder does not fail
 	lines := strings.Split(strings.TrimSuffix(out.String(), "\n"), "\n")
--- a/router/call/refusal.go
+++ b/router/call/refusal.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"bramleyquay.example/coord/outcome"
@@ -37,10 +38,21 @@
 		h.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(Status(r))
-	body := refusalBody{Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds(), Detail: r.Detail, OwnerAddr: r.OwnerAddr, OwnerEpoch: r.OwnerEpoch}
+	body := refusalBody{Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds(), Detail: shorten(r.Detail), OwnerAddr: r.OwnerAddr, OwnerEpoch: r.OwnerEpoch}
 	_ = json.NewEncoder(w).Encode(body) // the caller may have closed the connection
 }
 
+// maxDetailBytes bounds the detail of a refusal, which may quote bytes of a target: in JSON,
+// where a byte may take six, it is a part of maxRefusalBytes.
+const maxDetailBytes = maxRefusalBytes / 8
+
+func shorten(detail string) string {
+	if len(detail) <= maxDetailBytes {
+		return detail
+	}
+	return strings.ToValidUTF8(detail[:maxDetailBytes], "") + "..."
+}
+
 // ReadRefusal returns the refusal in a peer's response, and false if the response
 // does not have the outcome of a refusal. If the body cannot be read or decoded, or
 // is longer than maxRefusalBytes, the reason is ReasonConnectionFailed. It does not
--- a/router/ingress/forwarder.go
+++ b/router/ingress/forwarder.go
@@ -46,7 +46,7 @@
 // Forward sends the call to the gate at addr and blocks until the answer's header
 // has arrived or the call's deadline has passed. If the gate does not answer, the
 // refusal has outcome.NotRun only if no connection was made, so that no byte can
-// have reached the gate.
+// have reached the gate, or if its process says that it cannot read the request.
 func (f *Forwarder) Forward(ctx context.Context, addr string, c *call.Call) (*call.Response, *balancer.GateLoad, *outcome.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	ctx, connections := call.WatchConnections(ctx, cancel)
@@ -65,6 +65,9 @@
 		// The answer comes from the peer's HTTP library and not from its gate.
 		_ = resp.Body.Close()
 		cancel()
+		if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusRequestHeaderFieldsTooLarge {
+			return nil, load, outcome.NewNotRun(outcome.ReasonConnectionFailed, "the owner's process cannot read the request: "+resp.Status)
+		}
 		return nil, load, outcome.NewUnknown(outcome.ReasonConnectionFailed, "the owner's process answered without an outcome: "+resp.Status)
 	}
 	return &call.Response{
--- a/router/ingress/payments_test.go
+++ b/router/ingress/payments_test.go
@@ -108,7 +108,8 @@
 }
 
 // TestAnswerWithoutOutcome guards against passing on an answer of the peer's HTTP
-// library, for example to headers that are too long, as the target's answer.
+// library as the target's answer, and against one to headers that are too long, which says
+// that the request was not read, that leaves open whether it ran.
 func TestAnswerWithoutOutcome(t *testing.T) {
 	is := is.New(t)
 	peers, err := peer.Listen("127.0.0.1:0", secret, nil, discardLog, nil)
@@ -116,13 +117,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go peers.Serve(ctx)
-	server := &http.Server{Handler: http.NotFoundHandler()}
+	server := &http.Server{Handler: http.NotFoundHandler(), MaxHeaderBytes: 4 << 10}
 	go func() { _ = server.Serve(peers.HTTP()) }()
 	defer server.Close()
-	_, _, refusal := ingress.NewForwarder(&peer.Dialer{Secret: secret}).Forward(ctx, peers.Addr().String(),
-		&call.Call{Service: "plain", Method: http.MethodGet, Path: "/", IsBuffered: true, Deadline: time.Now().Add(time.Second)})
-	is.True(refusal != nil)
-	is.Equal(refusal.Outcome, outcome.Unknown)
+	for padding, want := range map[int]outcome.Outcome{10: outcome.Unknown, 9 << 10: outcome.NotRun} {
+		_, _, refusal := ingress.NewForwarder(&peer.Dialer{Secret: secret}).Forward(ctx, peers.Addr().String(), &call.Call{
+			Service: "plain", Method: http.MethodGet, Path: "/", IsBuffered: true, Deadline: time.Now().Add(time.Second),
+			Header: http.Header{"X-Padding": {strings.Repeat("x", padding)}},
+		})
+		is.True(refusal != nil)
+		is.Equal(refusal.Outcome, want)
+	}
 }
 
 // TestPaymentRecords guards against a second run for an idempotency key, with the
