--- a/router/fleetdaemon/daemon.go
+++ b/router/fleetdaemon/daemon.go
@@ -115,8 +115,10 @@
 	httpLog := logging.ForComponent(logs, "edge")
 	d.callerServer = httpserver.New(ingress, d.callerLimits, httpLog)
 	d.gateServer = httpserver.NewForPeers(httpserver.HandlerFunc(gate.ServePeer), d.peerLimits, httpLog)
-	d.callerServer.LimitMemory(d.requestMemory, relay.RefuseCaller)
-	d.gateServer.LimitMemory(d.requestMemory, gate.RefusePeer)
+	d.callerServer.LimitMemory(d.requestMemory)
+	d.callerServer.SetRefusal(relay.RefuseCaller)
+	d.gateServer.LimitMemory(d.requestMemory)
+	d.gateServer.SetRefusal(gate.RefusePeer)
 	metrics.GetOrCreateGauge("bramleyquay_target_connections_opened", func() float64 { return float64(target.ConnectionsOpened()) })
 	if err := d.callerServer.Listen(sidecar.Caller); err != nil {
 		return Error.Wrap(err)
@@ -184,17 +186,15 @@
 	return out
 }
 
-// peerHeaderBytes is the room for the headers that an ingress adds for the gate of another
-// process. The names in the document, which they contain, are short.
-const peerHeaderBytes = 4 << 10
-
 // peerLimits returns the limits for requests of other processes. They accept what the
-// ingresses accept from callers: an ingress cannot tell from a rejection by the server
-// whether the request ran. The ingress may have another document, so that the defaults
+// ingresses accept from callers. The ingress may have another document, so that the defaults
 // are the lower bound.
 func (d *Daemon) peerLimits() httpserver.Limits {
 	out, callers := httpserver.DefaultLimits(), d.callerLimits()
-	out.HeaderBytes = max(out.HeaderBytes, callers.HeaderBytes) + peerHeaderBytes
+	head := max(out.HeaderBytes, callers.HeaderBytes)
+	// The client writes a space before the value of each header: an empty header of a
+	// caller, such as "A:" with its line end, becomes a quarter longer.
+	out.HeaderBytes = head + head/4 + int64(relay.MaxHopHeaderBytes)
 	out.BodyBytes = max(out.BodyBytes, callers.BodyBytes)
 	return out
 }
--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -139,14 +139,9 @@
 		r, status, err := c.readRequest()
 		if err != nil {
 			if status != 0 {
-				noMemory := errors.Is(err, memory.ErrExhausted)
-				c.bodyUnread = status == http.StatusRequestEntityTooLarge || noMemory
-				if noMemory {
-					c.server.log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("request refused")
-					c.rejectAndClose(c.server.refusal(r))
-				} else {
-					c.rejectAndClose(TextResponse(status, http.StatusText(status)))
-				}
+				c.bodyUnread = status == http.StatusRequestEntityTooLarge || errors.Is(err, memory.ErrExhausted)
+				c.server.log.Warn().Err(err).Int("status", status).Str("from", c.raw.RemoteAddr().String()).Msg("request refused")
+				c.rejectAndClose(c.server.refusal(status, r))
 				return false
 			}
 			if isTimeout(err) {
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -22,10 +23,9 @@
 	// deferBodies leaves bodies unread whose sender awaits 100 Continue. It is set
 	// for peers, which send no body after another answer.
 	deferBodies bool
-	// memory bounds what connections and requests take. Nil sets no bound. refusal
-	// returns the response to a request for which there is none.
+	// memory bounds what connections and requests take. Nil sets no bound.
 	memory  *memory.Pool
-	refusal func(*Request) *Response
+	refusal Refusal
 	// requests is the parent of the contexts of all connections.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -42,7 +42,7 @@
 // New returns a server that does not listen yet. limits is called for each request
 // and must be safe for concurrent use.
 func New(h Handler, limits func() Limits, log logging.Logger) *Server {
-	s := &Server{handler: h, limits: limits, log: log, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+	s := &Server{handler: h, limits: limits, log: log, refusal: refuseWithText, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
 	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	return s
 }
@@ -56,13 +56,23 @@
 	return s
 }
 
+// Refusal returns the response to a request that the server does not hand over, because it
+// is malformed (status 400), exceeds the limits (413 or 431) or finds no memory (503). The
+// request is nil if its head has not been read.
+type Refusal func(status int, r *Request) *Response
+
+func refuseWithText(status int, _ *Request) *Response {
+	return TextResponse(status, http.StatusText(status))
+}
+
+// SetRefusal sets the response to requests that are not handed over; their connections are
+// closed after it. It must be called before Run.
+func (s *Server) SetRefusal(refusal Refusal) { s.refusal = refusal }
+
 // LimitMemory sets the memory that connections and requests share. A request for which
-// there is none is not handled: it gets the response that refusal returns, and its
-// connection is closed. The request is nil for refusal if its head has not been read. A new connection is closed before anything is read from it. It
+// there is none is refused. A new connection is closed before anything is read from it. It
 // must be called before Run.
-func (s *Server) LimitMemory(p *memory.Pool, refusal func(*Request) *Response) {
-	s.memory, s.refusal = p, refusal
-}
+func (s *Server) LimitMemory(p *memory.Pool) { s.memory = p }
 
 // Listen opens the TCP listener on addr. Connections wait until Run is called.
 func (s *Server) Listen(addr string) error {
--- a/router/relay/account_test.go
+++ b/router/relay/account_test.go
@@ -33,10 +33,10 @@
 	is.Equal([]int{first.priority, second.priority, none.priority}, []int{0, 3, 3})
 	is.True(first.fingerprint == second.fingerprint && first.fingerprint == none.fingerprint)
 
-	text := encodeRouting(first, now)
-	is.Equal(text, ";;0;;;0;0;0;false")
-	req, ok := decodeRouting(text, &httpserver.Request{Header: http.Header{headerAccount: {"first"}}, Received: now}, "id")
-	is.True(ok)
+	values := encodeRouting(first, now)
+	is.Equal(values, []string{";;0;;;0;0;0;false"})
+	req, err := decodeRouting(values, &httpserver.Request{Header: http.Header{headerAccount: {"first"}}, Received: now}, "id")
+	is.NoErr(err)
 	is.Equal(req.account, "first")
 	is.Equal(len(req.header), 0)
 }
--- a/router/relay/body_test.go
+++ b/router/relay/body_test.go
@@ -32,7 +32,7 @@
 		if _, err := http.ReadRequest(in); err != nil {
 			return
 		}
-		hop := encodeResult(refused(dispatch.ReasonNoFreeSlot, time.Second))
+		hop := hopValues(refused(dispatch.ReasonNoFreeSlot, time.Second))[0]
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nBq-Hop: "+hop+"\r\n\r\n")
 		_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
 		n, _ := io.Copy(io.Discard, in) // ends at the deadline or at the close
--- a/router/relay/malformed_test.go
+++ b/router/relay/malformed_test.go
@@ -30,8 +30,8 @@
 // Guards against a malformed answer of another process that counts as the answer of its
 // target, or as a sign that the request did not run.
 func TestMalformedAnswerOfPeer(t *testing.T) {
-	hop := "Bq-Hop: " + encodeResult(result{outcome: done, reached: true}) + "\r\n"
-	notRunHop := "Bq-Hop: " + encodeResult(refused(reasonNoTarget, time.Second)) + "\r\n"
+	hop := "Bq-Hop: " + hopValues(result{outcome: done, reached: true})[0] + "\r\n"
+	notRunHop := "Bq-Hop: " + hopValues(refused(reasonNoTarget, time.Second))[0] + "\r\n"
 	const length = "Content-Length: 5\r\n"
 	for name, text := range map[string]string{
 		"status 000":                  "HTTP/1.1 000 None\r\n" + hop + length + "\r\nhello",
--- a/router/relay/peers.go
+++ b/router/relay/peers.go
@@ -79,11 +79,10 @@
 }
 
 // do sends a request to the gate of another process and returns its result. It
-// blocks until the gate has answered or ctx ends. If the request could not be sent,
-// the process is avoided for avoidDuration.
+// blocks until the gate has answered or ctx ends.
 func (p *peers) do(ctx context.Context, process string, req *routedRequest) result {
 	h := req.header.Clone()
-	h.Set(headerHop, encodeRouting(req, time.Now()))
+	h[headerHop] = encodeRouting(req, time.Now())
 	h.Set(headerFingerprint, req.fingerprint.String())
 	if req.account != "" {
 		h.Set(headerAccount, req.account)
@@ -93,15 +92,12 @@
 	resp, err := p.client(process).Do(ctx, out)
 	var unsent *httpclient.NotSentError
 	if errors.As(err, &unsent) {
-		if ctx.Err() == nil && !errors.Is(err, memory.ErrExhausted) {
-			p.avoid(process)
-		}
-		return refused(withCause("peer", unsent.Cause), 0)
+		return p.unsent(ctx, process, unsent)
 	}
 	if err != nil {
 		return result{outcome: unknown, reason: withCause("peer", err), reached: true}
 	}
-	r, ok := decodeHop(resp.Header.Values(headerHop))
+	r, ok := hopResult(resp)
 	if !ok {
 		return result{outcome: unknown, reason: "peer: answer without outcome", reached: true}
 	}
@@ -111,3 +107,19 @@
 	}
 	return r
 }
+
+// unsent returns the result of a request that was not sent, or that the gate of the process
+// says it has not read. The process is avoided, unless the cause is this request.
+func (p *peers) unsent(ctx context.Context, process string, err *httpclient.NotSentError) result {
+	var unread *httpclient.UnreadError
+	if errors.As(err, &unread) {
+		if r, ok := decodeHop(unread.Header.Values(headerHop)); ok && r.outcome == notRun {
+			return r
+		}
+	}
+	var invalid *httpclient.InvalidRequestError
+	if ctx.Err() == nil && !errors.Is(err, memory.ErrExhausted) && !errors.As(err, &invalid) {
+		p.avoid(process)
+	}
+	return refused(withCause("peer", err.Cause), 0)
+}
--- a/router/relay/quality.go
+++ b/router/relay/quality.go
@@ -97,42 +97,6 @@
 	return u
 }
 
-// weightPrefix starts the second value of headerHop, which has the target's weight in
-// eighths. An earlier version reads only the first value. It is left out at full
-// weight.
-const weightPrefix = "weight="
-
-// hopValues returns the values of headerHop for a result.
-func hopValues(r result) []string {
-	values := []string{encodeResult(r)}
-	if r.load != nil && quality.Normalize(r.load.Weight) != quality.Full {
-		values = append(values, weightPrefix+strconv.Itoa(r.load.Weight))
-	}
-	return values
-}
-
-// decodeHop decodes the values of headerHop from another process's gate. It returns
-// false if the first is malformed. Others that it does not know are ignored.
-func decodeHop(values []string) (result, bool) {
-	if len(values) == 0 {
-		return result{}, false
-	}
-	r, ok := decodeResult(values[0])
-	if !ok {
-		return result{}, false
-	}
-	for _, v := range values[1:] {
-		if text, found := strings.CutPrefix(v, weightPrefix); found {
-			weight, err := strconv.Atoi(text)
-			if err != nil {
-				weight = quality.Full // as from an earlier version
-			}
-			r.load.Weight = weight
-		}
-	}
-	return r, true
-}
-
 // needsCapacity reports whether the last try without waiting may go to a target of low
 // weight: the earlier ones found no free slot, and the request would wait at least a
 // capacityWaitDivisor-th of its latency objective.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -92,60 +91,6 @@
 	return result{outcome: notRun, reason: reason, retryAfter: after}
 }
 
-// encodeRouting encodes the routing decision for the gate of another process, as
-// fields separated by semicolons. Times are in milliseconds from now. The names of
-// service, route and caller are not escaped: with a semicolon in one of them,
-// decodeRouting rejects the text.
-func encodeRouting(req *routedRequest, now time.Time) string {
-	key := ""
-	if req.sharded {
-		key = strconv.Itoa(int(req.key))
-	}
-	return strings.Join([]string{
-		req.service, req.route, strconv.Itoa(req.priority), key, req.caller,
-		strconv.FormatInt(req.objective.Sub(now).Milliseconds(), 10),
-		strconv.FormatInt(req.deadline.Sub(now).Milliseconds(), 10),
-		strconv.FormatUint(req.version, 10),
-		strconv.FormatBool(req.noWait),
-	}, ";")
-}
-
-const routingFields = 9
-
-// decodeRouting decodes the routing decision of another process's ingress. It
-// returns false if the text is malformed.
-func decodeRouting(text string, r *httpserver.Request, id string) (*routedRequest, bool) {
-	f := strings.Split(text, ";")
-	if len(f) != routingFields {
-		return nil, false
-	}
-	priority, err1 := strconv.Atoi(f[2])
-	objective, err2 := strconv.ParseInt(f[5], 10, 64)
-	deadline, err3 := strconv.ParseInt(f[6], 10, 64)
-	version, err4 := strconv.ParseUint(f[7], 10, 64)
-	noWait, err5 := strconv.ParseBool(f[8])
-	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
-		return nil, false
-	}
-	req := &routedRequest{
-		request: r, header: forwarded(r.Header), id: id, service: f[0], route: f[1], priority: priority, caller: f[4], account: r.Header.Get(headerAccount),
-		objective: r.Received.Add(time.Duration(objective) * time.Millisecond),
-		deadline:  r.Received.Add(time.Duration(deadline) * time.Millisecond), version: version, noWait: noWait,
-	}
-	if f, err := quarantine.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
-		req.fingerprint = f
-	}
-	req.removeInternalHeaders()
-	if f[3] != "" {
-		key, ok := parseKey(f[3])
-		if !ok {
-			return nil, false
-		}
-		req.sharded, req.key = true, key
-	}
-	return req, true
-}
-
 // removeInternalHeaders removes the headers that only processes may set.
 func (r *routedRequest) removeInternalHeaders() {
 	delete(r.header, headerHop)
@@ -163,47 +108,3 @@
 	}
 	r.fingerprint = quarantine.NewFingerprint(r.request.Body, r.caller, r.request.Method, r.request.Host, r.request.URI, strconv.FormatInt(length, 10))
 }
-
-// encodeResult encodes a result without the response, waited and ran, as fields
-// separated by semicolons; retryAfter is in milliseconds.
-func encodeResult(r result) string {
-	load := balancer.GateLoad{}
-	if r.load != nil {
-		load = *r.load
-	}
-	reached := "0"
-	if r.reached {
-		reached = "1"
-	}
-	return strings.Join([]string{
-		string(r.outcome), fieldSanitizer.Replace(r.reason), strconv.FormatInt(r.retryAfter.Milliseconds(), 10), reached,
-		strconv.Itoa(load.Running), strconv.Itoa(load.Limit), strconv.Itoa(load.Queued),
-	}, ";")
-}
-
-// fieldSanitizer replaces the characters that end a field or a header. A reason
-// may contain bytes of a target, as part of an error text.
-var fieldSanitizer = strings.NewReplacer(";", ",", "\r", " ", "\n", " ")
-
-const resultFields = 7
-
-// decodeResult decodes the result of another process's gate. It returns false if
-// the text is malformed.
-func decodeResult(text string) (result, bool) {
-	f := strings.Split(text, ";")
-	if len(f) != resultFields {
-		return result{}, false
-	}
-	after, err1 := strconv.ParseInt(f[2], 10, 64)
-	running, err2 := strconv.Atoi(f[4])
-	limit, err3 := strconv.Atoi(f[5])
-	queued, err4 := strconv.Atoi(f[6])
-	o := outcome(f[0])
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || (o != done && o != notRun && o != unknown) {
-		return result{}, false
-	}
-	return result{
-		outcome: o, reason: f[1], retryAfter: time.Duration(after) * time.Millisecond, reached: f[3] == "1",
-		load: &balancer.GateLoad{Running: running, Limit: limit, Queued: queued},
-	}, true
-}
--- a/router/relay/request_test.go
+++ b/router/relay/request_test.go
@@ -16,10 +16,11 @@
 func TestEncodedResult(t *testing.T) {
 	is := is.New(t)
 	sent := result{outcome: unknown, reached: true, reason: "malformed; not-run;\r\nX: y", load: &balancer.GateLoad{Running: 2, Limit: 6, Queued: 3}}
-	text := encodeResult(sent)
-	is.True(!strings.ContainsAny(text, "\r\n"))
-	got, ok := decodeResult(text)
+	values := hopValues(sent)
+	is.True(!strings.ContainsAny(strings.Join(values, ""), "\r\n"))
+	got, ok := decodeHop(values)
 	is.True(ok)
+	is.Equal(got.reason, sent.reason)
 	is.Equal(got.outcome, unknown)
 	is.True(got.reached)
 	is.Equal(*got.load, *sent.load)
--- a/router/relay/servepeer.go
+++ b/router/relay/servepeer.go
@@ -10,11 +10,12 @@
 // ServePeer runs a request that the ingress of another process has routed to this
 // gate, and blocks until the result is known. It is the handler of the listener for
 // peers. The header Bq-Hop of the answer has the result; the status is 503 if the
-// outcome is not done.
+// outcome is not done, or 400 if the routing decision cannot be read.
 func (g *Gate) ServePeer(ctx context.Context, r *httpserver.Request) *httpserver.Response {
-	req, ok := decodeRouting(r.Header.Get(headerHop), r, r.Header.Get(g.names.RequestID))
-	if !ok {
-		return httpserver.TextResponse(http.StatusBadRequest, "the request comes from no peer")
+	req, err := decodeRouting(r.Header.Values(headerHop), r, r.Header.Get(g.names.RequestID))
+	if err != nil {
+		g.log.Warn().Strs("hop", r.Header.Values(headerHop)).Err(err).Msg("request of another process refused: its routing decision cannot be read")
+		return g.refusePeer(http.StatusBadRequest, r, refused(withCause(reasonUnreadable, err), defaultRetryAfter))
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
