fleetsettings, bqctl: one rule for names of services

Settings of sidecar processes took fewer names of services than a routing document, so that a valid service could have no target; bqctl sent the name of a data centre that is not UTF-8 as another one. Ids of targets may begin with any space but the one that headers lose.

--- a/router/bqctl/fleet.go
+++ b/router/bqctl/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"bramleyquay.example/coord/fleet"
 	"bramleyquay.example/coord/quality"
@@ -190,6 +191,9 @@
 }
 
 func (c *fleetCommand) drain(s *session, dataCentre string, on bool) error {
+	if !utf8.ValidString(dataCentre) {
+		return invalid("the name of the data centre is not valid UTF-8")
+	}
 	client, ctx, end, err := c.newClient(s)
 	if err != nil {
 		return err
--- a/router/fleetagent/validate.go
+++ b/router/fleetagent/validate.go
@@ -36,7 +36,7 @@
 
 // isID reports whether a text can be the id of a target, or is empty.
 func isID(text string) bool {
-	return len(text) <= maxIDBytes && utf8.ValidString(text) && !hasControl(text) && strings.TrimSpace(text) == text
+	return len(text) <= maxIDBytes && utf8.ValidString(text) && !hasControl(text) && strings.Trim(text, " ") == text
 }
 
 // check returns why an announcement cannot be from a target. now is the wall clock in Unix
--- a/router/fleetsettings/check.go
+++ b/router/fleetsettings/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 
+	"bramleyquay.example/coord/routes"
 	"bramleyquay.example/router/settings"
 )
 
@@ -88,13 +89,22 @@
 		return
 	}
 	c.CheckName("target.dataCentre", s.Target.DataCentre)
-	c.CheckName("target.service", s.Target.Service)
+	c.service("target.service", s.Target.Service)
 	c.address("target.address", s.Target.Address, true)
 	c.address("listen.caller", s.Listen.Caller, true)
 	c.address("listen.gate", s.Listen.Gate, true)
 	c.address("listen.target", s.Listen.Target, true)
 }
 
+// service reports a name that no service of a routing document can have.
+func (c *checker) service(path, name string) {
+	if name == "" {
+		c.Report(path, "is missing")
+	} else if reason := routes.CheckServiceName(name); reason != "" {
+		c.Report(path, "%s", reason)
+	}
+}
+
 func (c *checker) control() {
 	s := c.s
 	if !s.IsReplica() {
