--- a/coord/routes/names.go
+++ b/coord/routes/names.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"unicode"
 	"unicode/utf8"
 )
 
@@ -36,15 +35,17 @@
 // section 5.5), or an empty string.
 func checkHeaderValue(text string) string {
 	switch {
-	case strings.ContainsFunc(text, isASCIIControl):
+	case strings.ContainsFunc(text, isForbidden):
 		return "it has a control character, which no HTTP header can carry"
-	case strings.Trim(text, " ") != text:
-		return "it begins or ends with a space, which HTTP headers lose"
+	case strings.Trim(text, " \t") != text:
+		return "it begins or ends with a blank, which HTTP headers lose"
 	}
 	return ""
 }
 
-func isASCIIControl(r rune) bool { return r <= unicode.MaxASCII && unicode.IsControl(r) }
+// isForbidden reports whether no header can have a character. Those beyond ASCII are sent as
+// the bytes of their UTF-8.
+func isForbidden(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
 // texts checks the texts that requests, headers and log lines carry. The names of accounts
 // are checked with the accounts.
