--- a/router/fleetdaemon/account_test.go
+++ b/router/fleetdaemon/account_test.go
@@ -50,6 +50,12 @@
 	return c.buf.Write(p)
 }
 
+func (c *collected) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.buf.String()
+}
+
 // accountCluster is a cluster of two plain members with accounts. It keeps all log lines
 // and answers, and the headers of the requests that targets get, by id.
 type accountCluster struct {
