httpserver: the log of a refused request has no part of its head

Cause: since the refusals of a server are logged, the error of a malformed head is in the line, and quotes it, with the key of an account if that is the malformed part. TestAccounts passes.

--- a/router/httpserver/conn.go
+++ b/router/httpserver/conn.go
@@ -140,7 +140,7 @@
 		if err != nil {
 			if status != 0 {
 				c.bodyUnread = status == http.StatusRequestEntityTooLarge || errors.Is(err, memory.ErrExhausted)
-				c.server.log.Warn().Err(err).Int("status", status).Str("from", c.raw.RemoteAddr().String()).Msg("request refused")
+				c.logRefusal(status, err)
 				c.rejectAndClose(c.server.refusal(status, r))
 				return false
 			}
@@ -178,6 +178,16 @@
 	}
 }
 
+// logRefusal logs that a request is refused. The cause of status 400 is left out: it quotes the
+// head, which may have a caller's key.
+func (c *conn) logRefusal(status int, err error) {
+	e := c.server.log.Warn().Int("status", status).Str("from", c.raw.RemoteAddr().String())
+	if status != http.StatusBadRequest {
+		e.Err(err)
+	}
+	e.Msg("request refused")
+}
+
 // disconnectCheckInterval is the time between two checks whether the caller has
 // closed the connection or the last response has been written.
 const disconnectCheckInterval = 50 * time.Millisecond
