--- a/coord/grant/issuer.go
+++ b/coord/grant/issuer.go
@@ -6,7 +6,6 @@
 package grant
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -153,26 +152,6 @@
 	return selected, deferred
 }
 
-// maxTokenShare bounds a handover token to this part of an answer, so that the range does not
-// wait for an answer that has room for it.
-const maxTokenShare = 8
-
-// jsonBytes returns the length of a text in JSON without its quotation marks. A character may
-// take six bytes.
-func jsonBytes(text string) int {
-	if text == "" {
-		return 0
-	}
-	encoded, err := json.Marshal(text)
-	if err != nil {
-		return maxEscapeBytes * len(text) // unreachable: all strings can be encoded
-	}
-	return len(encoded) - len(`""`)
-}
-
-// maxEscapeBytes is the length of the longest escape in JSON, such as \u0001.
-const maxEscapeBytes = 6
-
 // MayServe reports whether the target may start a request on a key now: the last
 // grant includes the key and has not expired, and neither has the lease. A key
 // whose release is requested is served until a grant leaves it out.
--- a/coord/routes/names.go
+++ b/coord/routes/names.go
@@ -53,23 +53,23 @@
 	for i := range d.Services {
 		name := d.Services[i].Name
 		if reason := CheckServiceName(name); reason != "" {
-			v.add(place("service", i, name), "%s", reason)
+			v.add(placeOf("service", i, name), "%s", reason)
 		}
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		if reason := checkName(r.Name); reason != "" {
-			v.add(place("route", i, r.Name), "%s", reason)
+			v.add(placeOf("route", i, r.Name), "%s", reason)
 		}
 		if reason := checkHeaderValue(r.Host); reason != "" {
-			v.add(place("route", i, r.Name), "no request can have the host %q: %s", r.Host, reason)
+			v.add(placeOf("route", i, r.Name), "no request can have the host %q: %s", r.Host, reason)
 		}
 	}
 }
 
-// place returns the place of an item in findings. An item whose name is too long is named
+// placeOf returns the place of an item in findings. An item whose name is too long is named
 // by its position, counted from 1.
-func place(kind string, index int, name string) string {
+func placeOf(kind string, index int, name string) string {
 	if len(name) > MaxNameBytes {
 		return fmt.Sprintf("%s %d", kind, index+1)
 	}
--- a/coord/routes/validate.go
+++ b/coord/routes/validate.go
@@ -63,7 +63,7 @@
 }
 
 func (v *validation) service(index int, s *Service) {
-	place := place("service", index, s.Name)
+	place := placeOf("service", index, s.Name)
 	switch {
 	case s.Name == "":
 		v.add(place, "the name is empty")
@@ -77,7 +77,7 @@
 }
 
 func (v *validation) route(index int, r *Route) {
-	place := place("route", index, r.Name)
+	place := placeOf("route", index, r.Name)
 	if r.Name == "" || v.names[r.Name] {
 		v.add(place, "the name is empty or occurs twice")
 	}
--- a/router/fleetagent/validate.go
+++ b/router/fleetagent/validate.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeebo/errs"
 
+	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/coord/ranges"
 )
 
@@ -16,9 +17,8 @@
 var Error = errs.Class("announcement")
 
 const (
-	// maxIDBytes and maxTokenBytes bound what each process stores of a target.
-	maxIDBytes    = 256
-	maxTokenBytes = 256
+	// maxIDBytes bounds what each process stores of a target.
+	maxIDBytes = 256
 	// maxAnnouncedRanges is far above the ranges that a target may hold.
 	maxAnnouncedRanges = 4096
 	maxSlots           = 100_000
@@ -56,7 +56,7 @@
 	case len(a.Ranges.Held) > maxAnnouncedRanges || len(a.Ranges.Released) > maxAnnouncedRanges:
 		return Error.New("there are more than %d ranges", maxAnnouncedRanges)
 	case slices.ContainsFunc(a.Ranges.Held, isOddRange) || slices.ContainsFunc(a.Ranges.Released, isOddRange):
-		return Error.New("a range has no keys, or its token is not a text of at most %d bytes", maxTokenBytes)
+		return Error.New("a range has no keys, or its token is not a text of at most %d bytes", grant.MaxTokenBytes)
 	}
 	return nil
 }
@@ -70,8 +70,4 @@
 	return false
 }
 
-func isOddRange(r ranges.Range) bool { return r.From > r.To || !isToken(r.HandoverToken) }
-
-// isToken reports whether a text can be a handover token, which the control group stores and
-// sends to the next holder of a range.
-func isToken(text string) bool { return len(text) <= maxTokenBytes && utf8.ValidString(text) }
+func isOddRange(r ranges.Range) bool { return r.From > r.To || !grant.IsToken(r.HandoverToken) }
--- a/router/grantcall/client.go
+++ b/router/grantcall/client.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"bramleyquay.example/coord/grant"
 	"bramleyquay.example/router/httpclient"
@@ -110,14 +109,10 @@
 	return grant.CallResult{Outcome: grant.CallLost, Cause: errStatus(resp.Status)}
 }
 
-// maxTokenBytes bounds a handover token, which the control group stores.
-const maxTokenBytes = 256
-
-// handoverToken returns the token in an answer, or no token if it is not a text that the JSON
-// of later messages can carry: the keys are released either way, and are slow at first for
-// their next holder.
+// handoverToken returns the token in an answer to a release, or none if it cannot be passed on:
+// the keys are released either way, and are slow at first for their next holder.
 func handoverToken(header string) string {
-	if len(header) > maxTokenBytes || !utf8.ValidString(header) {
+	if !grant.IsToken(header) {
 		return ""
 	}
 	return header
