--- a/coord/grant/issuer.go
+++ b/coord/grant/issuer.go
@@ -135,18 +135,22 @@
 		if r.Holder != iss.holder || r.Releasing {
 			continue
 		}
-		if jsonBytes(r.HandoverToken) > iss.cfg.MaxBytes/maxTokenShare {
-			r.HandoverToken = "" // the range is warmed up again
-		}
 		if report.holds(r) {
 			// The target needs the token only until it holds the range.
 			r.HandoverToken = ""
-		} else if size := iss.cfg.RangeBytes + jsonBytes(r.HandoverToken); size <= bytesLeft {
-			bytesLeft -= size
-		} else {
+			selected = append(selected, r)
+			continue
+		}
+		tokenBytes := jsonBytes(r.HandoverToken)
+		if tokenBytes > iss.cfg.MaxBytes/maxTokenShare {
+			r.HandoverToken, tokenBytes = "", 0 // the range is warmed up again
+		}
+		size := iss.cfg.RangeBytes + tokenBytes
+		if size > bytesLeft {
 			deferred++
 			continue
 		}
+		bytesLeft -= size
 		selected = append(selected, r)
 	}
 	return selected, deferred
--- a/coord/grant/token.go
+++ b/coord/grant/token.go
@@ -11,8 +11,6 @@
 	// maxTokenShare bounds a handover token to this part of an answer, so that the range does
 	// not wait for an answer that has room for it.
 	maxTokenShare = 8
-	// maxEscapeBytes is the length of the longest escape in JSON, such as \u0001.
-	maxEscapeBytes = 6
 )
 
 // IsToken reports whether a text can be a handover token. Targets choose their tokens;
@@ -21,12 +19,6 @@
 
 // jsonBytes returns the length of a text in JSON without its quotation marks.
 func jsonBytes(text string) int {
-	if text == "" {
-		return 0
-	}
-	encoded, err := json.Marshal(text)
-	if err != nil {
-		return maxEscapeBytes * len(text) // unreachable: all strings can be encoded
-	}
+	encoded, _ := json.Marshal(text) // all strings can be encoded
 	return len(encoded) - len(`""`)
 }
--- a/router/fleetdaemon/config.go
+++ b/router/fleetdaemon/config.go
@@ -137,13 +137,16 @@
 		return Error.New("the process has no role")
 	case c.Lease.AnnounceInterval <= 0:
 		return Error.New("the announcement interval is %s", c.Lease.AnnounceInterval)
-	case c.Sidecar != nil && routes.CheckServiceName(c.Sidecar.Service) != "":
-		return Error.New("service %q: %s", c.Sidecar.Service, routes.CheckServiceName(c.Sidecar.Service))
 	case c.Control != nil && c.Control.DataDir == "":
 		return Error.New("the control replica has no data directory")
 	case c.Control != nil && len(c.Control.InitialVoters) > 0 && slices.Contains(c.Control.InitialVoters, ""):
 		return Error.New("an initial voter has no address")
 	}
+	if c.Sidecar != nil {
+		if reason := routes.CheckServiceName(c.Sidecar.Service); reason != "" {
+			return Error.New("service %q: %s", c.Sidecar.Service, reason)
+		}
+	}
 	for _, a := range append([]string{c.Peer}, c.Seeds...) {
 		if _, _, err := net.SplitHostPort(a); err != nil {
 			return Error.New("address %q: %v", a, err)
--- a/router/httpserver/server.go
+++ b/router/httpserver/server.go
@@ -42,7 +42,7 @@
 // New returns a server that does not listen yet. limits is called for each request
 // and must be safe for concurrent use.
 func New(h Handler, limits func() Limits, log logging.Logger) *Server {
-	s := &Server{handler: h, limits: limits, log: log, refusal: refuseWithText, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+	s := &Server{handler: h, limits: limits, log: log, refusal: RefuseWithText, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
 	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	return s
 }
@@ -61,7 +61,8 @@
 // request is nil if its head has not been read.
 type Refusal func(status int, r *Request) *Response
 
-func refuseWithText(status int, _ *Request) *Response {
+// RefuseWithText is the Refusal of a server that has no other.
+func RefuseWithText(status int, _ *Request) *Response {
 	return TextResponse(status, http.StatusText(status))
 }
 
--- a/router/logging/jsonlines.go
+++ b/router/logging/jsonlines.go
@@ -1,9 +1,9 @@
 package logging
 
 import (
-	"bytes"
 	"fmt"
 	"io"
+	"strings"
 	"unicode/utf8"
 )
 
@@ -16,29 +16,26 @@
 	if isClean(line) {
 		return w.out.Write(line)
 	}
-	text, end := bytes.CutSuffix(line, []byte("\n"))
-	var fixed bytes.Buffer
-	for len(text) > 0 {
-		r, size := utf8.DecodeRune(text)
-		switch {
-		case r == utf8.RuneError && size == 1:
-			fmt.Fprintf(&fixed, `\\x%02x`, text[0])
-		case r < ' ':
-			fmt.Fprintf(&fixed, `\u%04x`, r)
-		default:
-			fixed.Write(text[:size])
-		}
-		text = text[size:]
-	}
+	text, end := strings.CutSuffix(string(line), "\n")
+	fixed := escape(text, func(r rune) bool { return r < ' ' }, jsonEscape)
 	if end {
-		fixed.WriteByte('\n')
+		fixed += "\n"
 	}
-	if _, err := w.out.Write(fixed.Bytes()); err != nil {
+	if _, err := io.WriteString(w.out, fixed); err != nil {
 		return 0, err
 	}
 	return len(line), nil
 }
 
+// jsonEscape escapes a control character within a JSON string. A byte that is not UTF-8 gets
+// the characters of its escape in Go.
+func jsonEscape(char string) string {
+	if r, _ := utf8.DecodeRuneInString(char); r != utf8.RuneError {
+		return fmt.Sprintf(`\u%04x`, r)
+	}
+	return `\` + goEscape(char)
+}
+
 // isClean reports whether a line is valid JSON as far as its characters go.
 func isClean(line []byte) bool {
 	for i, c := range line {
--- a/router/logging/logging.go
+++ b/router/logging/logging.go
@@ -57,16 +57,17 @@
 // Text returns a text as a field of a JSON line has it: as it is if it is valid UTF-8, and
 // otherwise with the bytes that are not escaped as in Go strings.
 func Text(text string) string {
-	return escape(text, func(rune) bool { return false })
+	return escape(text, func(rune) bool { return false }, goEscape)
 }
 
 // Line returns text as one line of valid UTF-8 without control characters: these, and bytes
 // that are not UTF-8, are escaped as in Go strings. The human-readable format writes messages
 // as they are, and JSON cannot have other bytes.
-func Line(text string) string { return escape(text, unicode.IsControl) }
+func Line(text string) string { return escape(text, unicode.IsControl, goEscape) }
 
-// escape escapes the bytes of a text that are not UTF-8, and some characters.
-func escape(text string, escaped func(rune) bool) string {
+// escape replaces the bytes of a text that are not UTF-8, and some characters, by what replace
+// returns for each.
+func escape(text string, escaped func(rune) bool, replace func(char string) string) string {
 	if utf8.ValidString(text) && !strings.ContainsFunc(text, escaped) {
 		return text
 	}
@@ -74,8 +75,7 @@
 	for len(text) > 0 {
 		r, size := utf8.DecodeRuneInString(text)
 		if r == utf8.RuneError && size == 1 || escaped(r) {
-			quoted := strconv.Quote(text[:size])
-			out.WriteString(quoted[1 : len(quoted)-1])
+			out.WriteString(replace(text[:size]))
 		} else {
 			out.WriteString(text[:size])
 		}
@@ -84,6 +84,12 @@
 	return out.String()
 }
 
+// goEscape escapes a character as in Go strings.
+func goEscape(char string) string {
+	quoted := strconv.Quote(char)
+	return quoted[1 : len(quoted)-1]
+}
+
 // Debug starts a structured line at debug level; Msg writes it.
 func (l Logger) Debug() *log.Entry { return l.inner.Debug().Str("part", l.component()) }
 
--- a/router/logging/nonblocking.go
+++ b/router/logging/nonblocking.go
@@ -121,6 +121,3 @@
 	w.queued.Add(-int64(len(line)))
 	return append(buf, line...)
 }
-
-// Dropped returns the number of lines that were dropped.
-func (w *NonBlockingWriter) Dropped() uint64 { return w.dropped.Load() }
--- a/router/metriclabel/label.go
+++ b/router/metriclabel/label.go
@@ -8,9 +8,9 @@
 // (Prometheus exposition formats, version 0.0.4). All other characters stand for themselves.
 var escaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
-// Escape returns the value of a label as it is written between quotation marks. Bytes that
+// escape returns the value of a label as it is written between quotation marks. Bytes that
 // are not UTF-8, which the format requires, are replaced by U+FFFD.
-func Escape(value string) string {
+func escape(value string) string {
 	return escaper.Replace(strings.ToValidUTF8(value, "\uFFFD"))
 }
 
@@ -25,7 +25,7 @@
 		} else {
 			out.WriteByte(',')
 		}
-		out.WriteString(labels[i] + `="` + Escape(labels[i+1]) + `"`)
+		out.WriteString(labels[i] + `="` + escape(labels[i+1]) + `"`)
 	}
 	if len(labels) > 1 {
 		out.WriteByte('}')
--- a/router/relay/hopresult.go
+++ b/router/relay/hopresult.go
@@ -27,8 +27,9 @@
 // hopValues returns the values of headerHop for a result, without the response, waited and
 // ran.
 func hopValues(r result) []string {
-	values := []string{encodeResult(r)}
-	if plainReason(r.reason) != r.reason {
+	plain := plainReason(r.reason)
+	values := []string{encodeResult(r, plain)}
+	if plain != r.reason {
 		values = append(values, reasonPrefix+url.PathEscape(r.reason))
 	}
 	if r.load != nil && quality.Normalize(r.load.Weight) != quality.Full {
@@ -78,9 +79,9 @@
 	}, reason)
 }
 
-// encodeResult encodes a result as fields separated by semicolons, with the plain reason;
-// retryAfter is in milliseconds.
-func encodeResult(r result) string {
+// encodeResult encodes a result, with a plain reason in place of its own, as fields separated
+// by semicolons; retryAfter is in milliseconds.
+func encodeResult(r result, plain string) string {
 	load := balancer.GateLoad{}
 	if r.load != nil {
 		load = *r.load
@@ -90,7 +91,7 @@
 		reached = "1"
 	}
 	return strings.Join([]string{
-		string(r.outcome), plainReason(r.reason), strconv.FormatInt(r.retryAfter.Milliseconds(), 10), reached,
+		string(r.outcome), plain, strconv.FormatInt(r.retryAfter.Milliseconds(), 10), reached,
 		strconv.Itoa(load.Running), strconv.Itoa(load.Limit), strconv.Itoa(load.Queued),
 	}, ";")
 }
@@ -118,9 +119,6 @@
 	}, true
 }
 
-// reasonUnreadable is the reason if a gate cannot read a request of another process.
-const reasonUnreadable = "the gate cannot read the request"
-
 // hopResult returns the result in an answer of another process's gate, and false if it has
 // none.
 func hopResult(resp *httpclient.Response) (result, bool) {
--- a/router/relay/refusal.go
+++ b/router/relay/refusal.go
@@ -8,9 +8,9 @@
 )
 
 // RefuseCaller is the httpserver.Refusal for callers' requests.
-func RefuseCaller(status int, _ *httpserver.Request) *httpserver.Response {
+func RefuseCaller(status int, r *httpserver.Request) *httpserver.Response {
 	if status != http.StatusServiceUnavailable {
-		return httpserver.TextResponse(status, http.StatusText(status))
+		return httpserver.RefuseWithText(status, r)
 	}
 	resp := httpserver.TextResponse(status, reasonNoMemory)
 	setRetryAfter(resp, defaultRetryAfter)
--- a/router/strictjson/decode.go
+++ b/router/strictjson/decode.go
@@ -66,7 +66,7 @@
 		line, column := p.lineColumn(offset)
 		return &Finding{Line: line, Column: column, Text: "text is not valid UTF-8"}
 	}
-	if offset, found := LoneSurrogate(p.text); found {
+	if offset, found := loneSurrogate(p.text); found {
 		line, column := p.lineColumn(offset)
 		return &Finding{Line: line, Column: column, Text: "escape of half a character: a surrogate without the other one"}
 	}
--- a/router/strictjson/surrogate.go
+++ b/router/strictjson/surrogate.go
@@ -11,13 +11,13 @@
 // for no character. Package encoding/json accepts other text and decodes it to strings that it
 // does not contain.
 func IsText(text []byte) bool {
-	_, lone := LoneSurrogate(text)
+	_, lone := loneSurrogate(text)
 	return !lone && utf8.Valid(text)
 }
 
-// LoneSurrogate returns the offset of the first escape, such as \ud800, that is one half of a
+// loneSurrogate returns the offset of the first escape, such as \ud800, that is one half of a
 // pair and stands without the other half, and whether there is one (RFC 8259, section 8.2).
-func LoneSurrogate(text []byte) (int, bool) {
+func loneSurrogate(text []byte) (int, bool) {
 	for i := 0; ; {
 		next := bytes.IndexByte(text[i:], '\\')
 		if next < 0 {
